--- /dev/null
+++ b/cmd/benchlink/main.go
@@ -0,0 +1,70 @@
+// Command benchlink plays the bench's batches, read from standard input, to instances of the decision module, which
+// share nothing, and writes what they decide to standard output. It decides nothing itself.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"liftshift/internal/benchwire"
+	"liftshift/rules"
+)
+
+// hall hosts the instances of this process by number.
+type hall struct {
+	instances map[int]rules.Instance
+	reply     []byte
+	actions   []rules.Action
+}
+
+func (h *hall) Attach(instance int, seed uint64, given rules.Given) error {
+	h.instances[instance] = rules.New(seed, given)
+	return nil
+}
+
+func (h *hall) Stop(instance int) error {
+	if h.instances[instance] == nil {
+		return fmt.Errorf("instance %d does not run", instance)
+	}
+	delete(h.instances, instance)
+	return nil
+}
+
+func (h *hall) Event(instance int, now float64, ev *rules.Event) error {
+	one := h.instances[instance]
+	if one == nil {
+		return fmt.Errorf("instance %d does not run", instance)
+	}
+	h.actions = one.Step(now, ev, h.actions[:0])
+	for i := range h.actions {
+		h.reply = benchwire.Append(h.reply, instance, &h.actions[i])
+	}
+	return nil
+}
+
+func play(in io.Reader, out io.Writer) error {
+	h := &hall{instances: map[int]rules.Instance{}}
+	r := benchwire.NewReader(in)
+	for {
+		h.reply = h.reply[:0]
+		seq, err := r.Batch(h)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if _, err := out.Write(benchwire.AppendEnd(h.reply, seq)); err != nil {
+			return err
+		}
+	}
+}
+
+func main() {
+	if err := play(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "benchlink:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/rules/rules.go
@@ -0,0 +1,866 @@
+// Every decision of liftshift stands in this file. A front makes an instance with New and hands it each event, in
+// order, through Step (the interface Instance in types.go); Step appends the actions it wants done. Storage is in
+// slab.go. The ordinary path is the design page's: send at the top level, demote by running time past an onset, route
+// by a hash order past a bound. docs/design.md lists what was added to it and when that acts.
+package rules
+
+import (
+	"cmp"
+	"hash/crc32"
+	"math"
+	"slices"
+)
+
+const (
+	// The design page's figures.
+	pTop       = 1e4   // priority of a fresh query (paper, section 4)
+	pFloor     = 100   // priority that no query sinks below, so that none starves
+	decay      = 0.9   // factor a quantum; the paper's first value
+	quantumMS  = 100   // running time of one quantum: the design's start
+	onsetShare = 0.25  // share of running time that stays undecayed: middle of the paper's 5 to 35%
+	onsetMS    = 10000 // ms of finished queries that the onset is read from
+	onsetLeast = 20    // finished queries before anything decays
+	onsetEvery = 200   // ms between readings of the onset: far below its window, and cheap
+	topLevel   = 3     // highest level on the engines
+
+	// Room on an executor.
+	boundPerCore = 1.2 // running threads a core at which routing skips it: half of a search's time is reading
+	fullPerCore  = 1.7 // threads a core past which work is lost: a search waits here instead (paper's wait queue)
+	shortPerCore = 2.2 // the same for searches shorter than the onset, which leave again at once
+
+	// Judging shots and executors.
+	beatMS      = 20    // ms between looks at what runs: a fifth of a quantum
+	closingMS   = 25    // ms before the client gives up at which it gets its answer: one beat and a tick
+	noteSlack   = 1.2   // note intervals without any sign after a missed probe: one, and some jitter
+	noteMany    = 3.0   // note intervals without any sign though probes are answered
+	slackMS     = 200   // ms on top of both, for notes on their way
+	blindMS     = 2000  // ms taken as the note interval where no notes come
+	probeMS     = 500   // ms between probes of an executor under suspicion: two probe time-outs
+	probesBack  = 2     // probes in a row that bring an executor back: one may be luck
+	badInARow   = 3     // refusals or breaks in a row that set an executor aside
+	errShare    = 0.6   // fading share of errors that sets an executor aside
+	restMS      = 300   // ms that an executor is left alone after it refused
+	coldMargin  = 0.6   // part of the cold budget that is used: what a search weighs is a guess
+	fade        = 0.1   // weight of the newest figure in fading means
+	badPlan     = 5.0   // times its expected running time at which a shot's plan counts as bad
+	badPlanMS   = 400   // ms that a shot runs before its plan is judged
+	slowCap     = 4.0   // most that one shot can say of an executor's pace, so that bad plans don't
+	slowFrom    = 1.6   // slowness against the others from which an executor's bound shrinks
+	memorySpare = 1.05  // memory granted for each MB that a spilling search turned out to need
+	memoryEase  = 0.002 // how fast the grant shrinks again with each search that did not spill
+)
+
+type state uint8
+type input uint8
+
+// States of a search, then of an executor.
+const (
+	waiting state = iota
+	running
+	recalling
+	over
+	fit
+	aside
+	chilled
+	anyState
+)
+
+// Inputs of a search, then of an executor.
+const (
+	placed    input = iota // an executor was found for it
+	missed                 // its shot ended unhandled
+	doomed                 // its shot is lost or has a bad plan
+	hopeless               // it can't be handled any more
+	finished               // it was handled, or its client left
+	silent                 // no sign of work, or only bad ones
+	answered               // probes were answered
+	restarted              // the list tells of a new start
+	warmed                 // the time to warm up is over
+)
+
+type row struct {
+	state  state
+	input  input
+	next   state
+	effect func(*Gateway, int)
+}
+
+var searchTable, executorTable []row
+
+func init() {
+	searchTable = []row{
+		{waiting, placed, running, (*Gateway).fire},
+		{running, missed, waiting, nil},
+		{recalling, missed, waiting, nil},
+		{running, doomed, recalling, (*Gateway).callOff},
+		{over, hopeless, over, nil},
+		{over, finished, over, nil},
+		{anyState, hopeless, over, (*Gateway).answer},
+		{anyState, finished, over, (*Gateway).callOff},
+	}
+	executorTable = []row{
+		{fit, silent, aside, (*Gateway).evict},
+		{chilled, silent, aside, (*Gateway).evict},
+		{aside, answered, chilled, (*Gateway).chill},
+		{aside, restarted, aside, (*Gateway).chill},
+		{anyState, restarted, chilled, (*Gateway).chill},
+		{chilled, warmed, fit, nil},
+	}
+}
+
+// turn plays an input to what stands at i, by the table, and tells whether a row was found.
+func (g *Gateway) turn(table []row, st *state, in input, i int) bool {
+	for k := range table {
+		if r := &table[k]; r.input == in && (r.state == *st || r.state == anyState) {
+			*st = r.next
+			if r.effect != nil {
+				r.effect(g, i)
+			}
+			g.dirty = true
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Gateway) search(i int, in input) { g.turn(searchTable, &g.slab.places[i].state, in, i) }
+func (g *Gateway) judge(x int, in input)  { g.turn(executorTable, &g.executors[x].state, in, x) }
+func (g *Gateway) do(a Action)            { g.out = append(g.out, a) }
+
+// New starts an instance with nothing but its settings and its seed.
+func New(seed uint64, given Given) *Gateway {
+	g := &Gateway{given: given, seed: seed, slab: newSlab(), rests: map[string]float64{}}
+	for i := 0; ; i++ {
+		at := "offering." + string(rune('0'+i%10)) + "."
+		if i > 9 {
+			at = "offering." + string(rune('0'+i/10)) + at[len("offering."):]
+		}
+		if given.Text(at+"name") == "" {
+			return g
+		}
+		g.offerings = append(g.offerings, offering{name: given.Text(at + "name"), effect: given.Text(at + "effect"),
+			scope: given.Text(at + "scope"), window: given.Num(at+"window_ms", 0), due: given.Num(at+"due_ms", 0),
+			stretch: given.Num(at+"due_stretch", 0), gain: given.Num(at+"gain", 1),
+			late: given.Num(at+"late_share", 0), inOrder: given.Is(at + "in_order"),
+			holds: given.Is(at + "holds_group"), behind: given.Is(at + "stands_behind"),
+			threads: int(max(1, given.Num(at+"threads", 1))), kinds: given.Names(at + "kinds"),
+			places: given.Names(at + "places"), slow: 1, memory: 1.1})
+	}
+}
+
+// Step takes one event and appends what is to be done about it.
+func (g *Gateway) Step(now float64, ev *Event, out []Action) []Action {
+	g.now, g.out = now, out
+	switch ev.Kind {
+	case Began:
+		g.do(Action{Kind: Wake, AfterMS: beatMS})
+		if g.given.Text("list_comes") == "asked" {
+			g.do(Action{Kind: Listen})
+		}
+	case Listed:
+		g.list(ev)
+	case Taken:
+		g.take(ev)
+	case Left, Ended, Noted, Streaming:
+		if i, ok := g.slab.find(ev.Search); ok {
+			g.news(i, ev)
+		}
+	case Probed:
+		g.probed(ev)
+	case Rang:
+		g.beat()
+	}
+	if g.dirty {
+		g.place()
+	}
+	out, g.out = g.out, nil
+	return out
+}
+
+// take takes a search in hand.
+func (g *Gateway) take(ev *Event) {
+	if _, ok := g.slab.find(ev.Search); ok {
+		return
+	}
+	k := slices.IndexFunc(g.offerings, func(o offering) bool { return o.name == ev.Offering })
+	if k < 0 { // an offering that the settings don't name: nothing is known that would let it run
+		g.do(Action{Kind: WriteOff, Search: ev.Search})
+		return
+	}
+	o, s := &g.offerings[k], &g.slab.places[g.slab.take(ev.Search)]
+	g.seq++
+	s.seq, s.offering, s.group, s.taken, s.until = g.seq, k, ev.Group, g.now, ev.Until
+	if o.inOrder {
+		s.key = ev.Key
+	}
+	s.need, s.work = ev.NeedMB, ev.WorkMS
+	if o.estimated > 0 {
+		s.work *= o.worked / o.estimated
+	}
+	if s.work <= 0 {
+		s.work = max(o.usual, 1)
+	}
+	if o.usual == 0 {
+		o.usual = s.work
+	}
+	o.usual += fade * (s.work - o.usual)
+	s.due = g.now + o.due + o.stretch*s.work/float64(o.threads)
+	g.takes.add(g.now, 1)
+	g.dirty = true
+}
+
+// maySend is the one place that decides whether a shot at s may go to executor x. never means that no executor will
+// do any more; notNow that this one, or this moment, will not do.
+func (g *Gateway) maySend(s *search, x int) verdict {
+	o, e := &g.offerings[s.offering], &g.executors[x]
+	if s.state != waiting || s.out > 0 || g.now >= s.until-closingMS {
+		return notNow // a second shot beside the first is never sent
+	}
+	if s.fired >= mostShots || float64(s.fired) >= g.given.Num("most_shots", mostShots) {
+		return never
+	}
+	for k := range s.fired {
+		if h := &s.shots[k]; h.doubt && o.effect != "redoable" {
+			first := &g.executors[h.executor]
+			if o.effect != "labelled" || g.now > h.sent+o.window-closingMS {
+				return never
+			}
+			if o.scope == "zone" && first.place != e.place || o.scope == "cell" && first.cell != e.cell {
+				return notNow
+			}
+		}
+	}
+	if s.fired > 0 && g.given["ration_span_ms"] != nil && !g.rationLeft() {
+		return notNow
+	}
+	if s.key != "" && !g.turnOf(s) {
+		return notNow
+	}
+	if o.kinds != nil && !slices.Contains(o.kinds, e.kind) || o.places != nil && !slices.Contains(o.places, e.place) {
+		return notNow
+	}
+	if e.standing != Active || e.state == aside || g.now < e.coldUntil && !g.warmEnough(o, e) {
+		return notNow
+	}
+	return yes
+}
+
+type verdict uint8
+
+const (
+	yes verdict = iota
+	notNow
+	never
+)
+
+// rationLeft tells whether one more shot beyond a search's first stays within the ration.
+func (g *Gateway) rationLeft() bool {
+	length := g.given.Num("ration_span_ms", 0)
+	g.extras.forget(g.now - length - beatMS)
+	g.takes.forget(g.now - length)
+	return float64(g.extras.count()+1) <= g.given.Num("ration_floor", 0)+
+		g.given.Num("ration_share", 0)*float64(g.takes.count())
+}
+
+// turnOf tells whether no earlier search of the same key is in hand and the key does not rest.
+func (g *Gateway) turnOf(s *search) bool {
+	if g.now < g.rests[s.key] {
+		return false
+	}
+	for k := range g.slab.places {
+		if t := &g.slab.places[k]; t.used && t.key == s.key && t.seq < s.seq {
+			return false
+		}
+	}
+	return true
+}
+
+// warmEnough tells whether a search fits this controller's part of what a cold executor may be sent. The growth of
+// its capacity is not told, so the least that it has is taken until it must be warm.
+func (g *Gateway) warmEnough(o *offering, e *executor) bool {
+	length := g.given.Num("fall_ms", 2000)
+	e.coldSent.forget(g.now - length - beatMS)
+	budget := g.given.Num("fall_multiple", 1) * g.given.Num("cold_from", 0.1) * e.cores * length
+	return e.coldSent.total()+o.usual <= coldMargin*budget*g.share()
+}
+
+// share is this controller's part of the traffic.
+func (g *Gateway) share() float64 { return 1 / max(1, g.given.Num("controllers", 1)) }
+
+// mayDeny is the one place that decides whether a search may be denied: that promises that a new try does no harm.
+func (g *Gateway) mayDeny(s *search) bool {
+	o := &g.offerings[s.offering]
+	if o.effect == "redoable" || o.effect == "labelled" && o.scope == "all" {
+		return true
+	}
+	for k := range s.fired {
+		if s.shots[k].doubt {
+			return false
+		}
+	}
+	return true
+}
+
+// place sends what waits, the most gain for its work first, and gives up what can't earn any more.
+func (g *Gateway) place() {
+	g.dirty = false
+	g.waiting = g.waiting[:0]
+	for i := range g.slab.places {
+		if s := &g.slab.places[i]; s.used && s.state == waiting {
+			g.waiting = append(g.waiting, i)
+		}
+	}
+	slices.SortFunc(g.waiting, func(a, b int) int {
+		s, t := &g.slab.places[a], &g.slab.places[b]
+		return cmp.Or(cmp.Compare(g.density(t), g.density(s)), cmp.Compare(s.seq, t.seq))
+	})
+	for _, i := range g.waiting {
+		s := &g.slab.places[i]
+		if g.density(s) == 0 || g.spent(s) {
+			g.search(i, hopeless)
+		} else if x := g.choose(s); x >= 0 {
+			g.target = x
+			g.search(i, placed)
+		}
+	}
+	g.dirty = false
+}
+
+// spent tells whether no shot may follow, wherever it went.
+func (g *Gateway) spent(s *search) bool {
+	return len(g.executors) > 0 && s.fired > 0 && g.maySend(s, 0) == never
+}
+
+// density is the gain that a search can still earn, for its work.
+func (g *Gateway) density(s *search) float64 {
+	o := &g.offerings[s.offering]
+	least := s.work / float64(o.threads)
+	switch {
+	case g.now+least > s.until-closingMS:
+		return 0
+	case g.now+least*o.slow > s.due:
+		return o.gain * o.late / s.work
+	}
+	return o.gain / s.work
+}
+
+// choose gives the executor for a search, or -1: the first in its group's order with room, else the one with the
+// fewest threads a core that is not full. A search waits rather than stand still behind a load of its own group.
+func (g *Gateway) choose(s *search) int {
+	o := &g.offerings[s.offering]
+	g.findLoads(s)
+	limit := fullPerCore
+	if s.work/float64(o.threads) <= g.onset {
+		limit = shortPerCore
+	}
+	best, spare := -1, -1
+	var bestRank, spareRank uint64
+	var spareFill float64
+	for x := range g.executors {
+		e := &g.executors[x]
+		if g.now < e.restUntil || g.blocked[x] && (o.behind || o.holds) || g.maySend(s, x) != yes {
+			continue
+		}
+		room := e.cores * g.share() / max(1, e.pace/slowFrom)
+		threads := float64(e.threads + o.threads)
+		memory := (e.memory + g.grant(s, e)) / (e.ram * g.share())
+		rank := order(s.group, e.id, o.holds, e.scarce && o.kinds == nil)
+		if threads <= boundPerCore*room && memory <= 1 && (best < 0 || rank > bestRank) {
+			best, bestRank = x, rank
+		}
+		fill := float64(e.threads) / room
+		if (threads <= limit*room && memory <= 1 || e.threads == 0) &&
+			(spare < 0 || fill < spareFill || fill == spareFill && rank > spareRank) {
+			spare, spareFill, spareRank = x, fill, rank
+		}
+	}
+	if best >= 0 {
+		return best
+	}
+	return spare
+}
+
+// order ranks an executor for a table group, the same at every controller. A load walks the order from its far end,
+// so that it does not hold its group where the readers go first. Executors of a kind that some offering is bound to
+// come last for the others.
+func order(group uint64, id uint32, fromEnd, last bool) uint64 {
+	h := (group+1)*0x9E3779B97F4A7C15 ^ (uint64(id)+1)*0xC2B2AE3D27D4EB4F
+	h = (h ^ h>>30) * 0xBF58476D1CE4E5B9
+	h = (h ^ h>>27) * 0x94D049BB133111EB
+	h ^= h >> 31
+	if fromEnd {
+		h = ^h
+	}
+	if h >>= 1; !last {
+		h |= 1 << 63
+	}
+	return h
+}
+
+// findLoads marks the executors where a load is known to hold the group of s.
+func (g *Gateway) findLoads(s *search) {
+	g.blocked = append(g.blocked[:0], make([]bool, len(g.executors))...)
+	for i := range g.slab.places {
+		t := &g.slab.places[i]
+		if !t.used || t.group != s.group || t.out == 0 {
+			continue
+		}
+		h := &t.shots[t.fired-1]
+		if h.out && (g.offerings[t.offering].holds || h.waits == Waits && h.waitsFor == 2) {
+			g.blocked[h.executor] = true
+		}
+	}
+}
+
+// grant is the memory that a shot at s takes on e.
+func (g *Gateway) grant(s *search, e *executor) float64 {
+	return min(s.need*g.offerings[s.offering].memory, e.ram*g.given.Num("largest_share", 1))
+}
+
+// fire sends the shot that was placed, at the top level.
+func (g *Gateway) fire(i int) {
+	s, e := &g.slab.places[i], &g.executors[g.target]
+	o := &g.offerings[s.offering]
+	s.p, s.quanta, s.level = pTop, 0, topLevel
+	h := &s.shots[s.fired]
+	*h = shot{executor: g.target, sent: g.now, noted: g.now, threads: o.threads, grant: g.grant(s, e),
+		out: true, doubt: true}
+	if s.fired > 0 {
+		g.extras.add(g.now, 1)
+	}
+	s.fired++
+	s.out++
+	if e.out == 0 {
+		e.busySince = g.now
+	}
+	e.out++
+	e.threads += o.threads
+	e.memory += h.grant
+	if g.now < e.coldUntil {
+		e.coldSent.add(g.now, o.usual)
+	}
+	g.terms(s)
+	g.do(Action{Kind: Send, Search: s.id, Executor: e.id})
+}
+
+// terms names the memory and the level of s.
+func (g *Gateway) terms(s *search) {
+	if !g.given.Is("grants") && !g.given.Is("priorities") {
+		return
+	}
+	a := Action{Kind: Terms, Search: s.id, Level: s.level}
+	if g.given.Is("grants") && s.fired > 0 {
+		a.GrantMB = math.Ceil(s.shots[s.fired-1].grant)
+	}
+	g.do(a)
+}
+
+// callOff stops waiting for the shots of a search that are out.
+func (g *Gateway) callOff(i int) {
+	s := &g.slab.places[i]
+	for k := range s.fired {
+		if s.shots[k].out && g.given.Is("may_call_off") {
+			g.do(Action{Kind: CallOff, Search: s.id, Shot: k})
+		}
+	}
+	g.release(i)
+}
+
+// release frees a search that is over once all its shots have their outcome.
+func (g *Gateway) release(i int) {
+	if s := &g.slab.places[i]; s.used && s.state == over && s.out == 0 {
+		g.slab.drop(i)
+		g.dirty = true
+	}
+}
+
+// answer gives the final answer: denied where that is allowed, so that the client may come back, else written off.
+func (g *Gateway) answer(i int) {
+	s := &g.slab.places[i]
+	if g.mayDeny(s) {
+		a := Action{Kind: Deny, Search: s.id}
+		if g.given.Is("tells_come_back") {
+			a.AfterMS = g.given.Num("longest_come_back_ms", 0) * (0.5 + 0.5*g.chance())
+		}
+		g.do(a)
+	} else {
+		g.do(Action{Kind: WriteOff, Search: s.id})
+	}
+	g.callOff(i)
+}
+
+// chance draws a number from 0 up to 1.
+func (g *Gateway) chance() float64 {
+	g.draws++
+	var b [12]byte
+	for k := range 8 {
+		b[k] = byte(g.seed >> (8 * k))
+	}
+	for k := range 4 {
+		b[8+k] = byte(g.draws >> (8 * k))
+	}
+	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
+}
+
+// news takes what an event says of a search in hand.
+func (g *Gateway) news(i int, ev *Event) {
+	s := &g.slab.places[i]
+	switch {
+	case ev.Kind == Left:
+		g.search(i, finished)
+	case ev.Shot < 0 || ev.Shot >= s.fired || !s.shots[ev.Shot].out:
+	case ev.Kind == Streaming:
+		s.bound = true
+		g.heard(&g.executors[s.shots[ev.Shot].executor])
+	case ev.Kind == Noted:
+		g.note(i, &s.shots[ev.Shot], ev)
+	default:
+		g.ended(i, &s.shots[ev.Shot], ev)
+	}
+}
+
+// heard counts a sign of work from an executor.
+func (g *Gateway) heard(e *executor) { e.heard, e.bad, e.missed = g.now, 0, false }
+
+// note takes a note of a running shot.
+func (g *Gateway) note(i int, h *shot, ev *Event) {
+	s := &g.slab.places[i]
+	o, e := &g.offerings[s.offering], &g.executors[h.executor]
+	g.heard(e)
+	h.noted, h.waits = g.now, 0
+	switch ev.Note {
+	case Waits:
+		h.waits, h.waitsFor = Waits, ev.Value
+		g.dirty = true
+	case Spills:
+		h.spilled = true
+		if s.need > 0 {
+			o.memory = max(o.memory, o.memory+fade*((h.grant+ev.Value)/s.need*memorySpare-o.memory))
+		}
+	case Progress:
+		h.share = max(h.share, ev.Value)
+		least := s.work / float64(o.threads)
+		expected := least * max(1, o.slow) * max(1, e.pace)
+		projected := h.ran / max(h.share, 0.01)
+		// A bad plan, told by a pace far under that of the offering and the executor. It also catches a shot that an
+		// executor has forgotten; it harms when an estimate is far too low, hence the limit on what is left.
+		if s.state == running && h.ran > badPlanMS && projected > badPlan*expected &&
+			projected-h.ran > 2*expected && o.effect == "redoable" && g.mayFollow(s) {
+			g.search(i, doomed)
+		}
+	}
+}
+
+// mayFollow tells whether a search has a shot left and the ration allows one.
+func (g *Gateway) mayFollow(s *search) bool {
+	return g.given.Is("may_call_off") && s.fired < mostShots &&
+		float64(s.fired) < g.given.Num("most_shots", mostShots) &&
+		(g.given["ration_span_ms"] == nil || g.rationLeft())
+}
+
+// ended takes the outcome of a shot.
+func (g *Gateway) ended(i int, h *shot, ev *Event) {
+	s := &g.slab.places[i]
+	o, e := &g.offerings[s.offering], &g.executors[h.executor]
+	h.out, h.doubt = false, !ev.Outcome.NeverRan()
+	s.out--
+	e.out--
+	e.threads -= h.threads
+	e.memory -= h.grant
+	g.dirty = true
+	switch ev.Outcome {
+	case Handled:
+		g.heard(e)
+		e.errs -= fade * e.errs
+		g.learn(s, o, e, h, ev)
+	case Erred:
+		g.heard(e)
+		if e.errs += 2 * fade * (1 - e.errs); e.errs > errShare {
+			g.suspect(h.executor)
+		}
+	case Full:
+		e.restUntil = g.now + restMS
+	case Refused, Severed:
+		e.restUntil = g.now + restMS
+		if e.bad++; e.bad >= badInARow {
+			g.suspect(h.executor)
+		}
+	}
+	if rest := g.given.Num("key_rest_ms", 0); s.key != "" && rest > 0 &&
+		(ev.Outcome == TimedOut || ev.Outcome == Severed || ev.Outcome == Recalled) {
+		g.rests[s.key] = g.now + rest
+	}
+	if ev.Over {
+		g.search(i, finished)
+	} else if s.state != over && s.out == 0 {
+		g.search(i, missed)
+	}
+	g.release(i)
+}
+
+// learn takes what a handled shot tells of its offering and of its executor.
+func (g *Gateway) learn(s *search, o *offering, e *executor, h *shot, ev *Event) {
+	g.finished.add(g.now, h.ran)
+	ratio := h.ran / max(1, s.work/float64(o.threads))
+	o.slow += fade * (min(ratio, slowCap*o.slow+1) - o.slow)
+	e.pace += fade * (min(ratio/max(o.slow, 0.1), slowCap) - e.pace)
+	if !h.spilled {
+		o.memory -= memoryEase * o.memory
+	}
+	if ev.SpentMS > 0 && s.work > 0 {
+		told := s.work
+		if o.estimated > 0 {
+			told = s.work * o.estimated / o.worked
+		}
+		o.worked += 0.02 * (min(ev.SpentMS, slowCap*s.work) - o.worked)
+		o.estimated += 0.02 * (told - o.estimated)
+	}
+}
+
+// list takes news of the list.
+func (g *Gateway) list(ev *Event) {
+	if ev.List == NoList {
+		if g.given.Text("list_comes") == "asked" {
+			g.do(Action{Kind: Listen})
+		}
+		return
+	}
+	if ev.List != Changes {
+		for x := range g.executors {
+			e := &g.executors[x]
+			if !slices.ContainsFunc(ev.Entries, func(n Entry) bool { return n.Executor == e.id }) {
+				g.told(x, Gone)
+			}
+		}
+	}
+	for k := range ev.Entries {
+		n := &ev.Entries[k]
+		x := slices.IndexFunc(g.executors, func(e executor) bool { return e.id == n.Executor })
+		if x < 0 {
+			x = len(g.executors)
+			g.executors = append(g.executors, executor{id: n.Executor, state: fit, pace: 1, upSince: n.UpSince,
+				cores: 1, ram: math.MaxFloat64})
+			if n.UpSince > 0 && g.now < n.UpSince+g.given.Num("warm_up_ms", 0) {
+				g.judge(x, restarted)
+			}
+		}
+		e := &g.executors[x]
+		e.place, e.kind, e.cell = n.Place, n.Kind, n.Cell
+		for j := 0; j < 10; j++ {
+			at := "kind." + string(rune('0'+j)) + "."
+			if g.given.Text(at+"name") == n.Kind {
+				e.cores, e.ram = g.given.Num(at+"cores", 1), g.given.Num(at+"ram_mb", math.MaxFloat64)
+			}
+		}
+		e.scarce = slices.ContainsFunc(g.offerings, func(o offering) bool { return slices.Contains(o.kinds, e.kind) })
+		if n.UpSince > e.upSince {
+			e.upSince = n.UpSince
+			g.judge(x, restarted)
+			g.lost(x, n.UpSince)
+		}
+		g.told(x, n.Standing)
+	}
+	g.dirty = true
+}
+
+// told takes an executor's standing. What ran on one that is gone is lost.
+func (g *Gateway) told(x int, standing Standing) {
+	if e := &g.executors[x]; e.standing != standing {
+		if e.standing = standing; standing == Gone {
+			g.lost(x, g.now)
+		}
+	}
+}
+
+// lost calls off the shots at x that went out before then, however their offering bears it: they can't end any more.
+func (g *Gateway) lost(x int, before float64) {
+	for i := range g.slab.places {
+		s := &g.slab.places[i]
+		if s.used && s.state == running && s.shots[s.fired-1].executor == x && s.shots[s.fired-1].sent < before {
+			g.search(i, doomed)
+		}
+	}
+}
+
+// evict calls off the shots at an executor just set aside that may run again elsewhere; the others stay out, for it
+// may only have been cut off.
+func (g *Gateway) evict(x int) {
+	e := &g.executors[x]
+	e.asideAt, e.answers, e.strikes = g.now, 0, e.strikes+1
+	for i := range g.slab.places {
+		s := &g.slab.places[i]
+		if s.used && s.state == running && s.shots[s.fired-1].executor == x &&
+			g.offerings[s.offering].effect != "irreversible" && g.mayFollow(s) {
+			g.search(i, doomed)
+		}
+	}
+}
+
+// chill takes an executor as cold from now on, whatever the list says: it fell silent and may have started anew.
+func (g *Gateway) chill(x int) {
+	e := &g.executors[x]
+	e.coldUntil = g.now + g.given.Num("warm_up_ms", 0)
+	e.heard, e.busySince, e.bad, e.errs, e.pace, e.missed = g.now, g.now, 0, 0, 1, false
+	if e.asideAt > 0 {
+		g.lost(x, e.asideAt)
+	}
+}
+
+// suspect sets an executor aside, unless half of all look bad: then it is something that they share.
+func (g *Gateway) suspect(x int) {
+	bad, all := 1, 0
+	for y := range g.executors {
+		if e := &g.executors[y]; e.standing == Active {
+			all++
+			if y != x && (e.state == aside || g.quiet(e) > g.notesMS()) {
+				bad++
+			}
+		}
+	}
+	if 2*bad <= all {
+		g.judge(x, silent)
+	}
+}
+
+// notesMS is the time between notes.
+func (g *Gateway) notesMS() float64 {
+	if every := g.given.Num("told_every_ms", 0); every > 0 {
+		return every
+	}
+	return blindMS
+}
+
+// quiet is how long an executor with shots out has shown no sign of work.
+func (g *Gateway) quiet(e *executor) float64 {
+	if e.out == 0 {
+		return 0
+	}
+	return g.now - max(e.heard, e.busySince)
+}
+
+// probed takes the result of a probe.
+func (g *Gateway) probed(ev *Event) {
+	x := slices.IndexFunc(g.executors, func(e executor) bool { return e.id == ev.Executor })
+	if x < 0 {
+		return
+	}
+	e := &g.executors[x]
+	e.probeOut = false
+	if e.missed = ev.Outcome != Handled; e.missed {
+		e.answers = 0
+		return
+	}
+	if e.answers++; e.state == aside && e.answers >= probesBack*e.strikes {
+		g.judge(x, answered)
+	}
+}
+
+// beat looks at all that runs: levels, time left, executors under suspicion.
+func (g *Gateway) beat() {
+	g.do(Action{Kind: Wake, AfterMS: beatMS})
+	g.dirty = true
+	g.readOnset()
+	for i := range g.slab.places {
+		s := &g.slab.places[i]
+		if !s.used || s.state == over {
+			continue
+		}
+		if g.now >= s.until-closingMS && !s.bound {
+			g.search(i, hopeless)
+			continue
+		}
+		if s.out > 0 {
+			g.age(s, &s.shots[s.fired-1])
+		}
+	}
+	for x := range g.executors {
+		g.watch(x)
+	}
+	for key, until := range g.rests {
+		if g.now >= until {
+			delete(g.rests, key)
+		}
+	}
+}
+
+// age adds a beat of running time to a shot and lets its priority decay; the level is marked anew when it changes.
+func (g *Gateway) age(s *search, h *shot) {
+	if h.waits != 0 {
+		return // waiting is not running
+	}
+	h.ran += min(beatMS, g.now-h.sent)
+	for float64(s.quanta+1)*quantumMS <= h.ran {
+		s.quanta++
+		if g.finished.count() >= onsetLeast && float64(s.quanta)*quantumMS > g.onset {
+			s.p = max(pFloor, decay*s.p)
+		}
+	}
+	level := levelOf(s.p)
+	if g.offerings[s.offering].holds {
+		level = topLevel // a demoted load would hold its group's readers up for longer
+	}
+	if level != s.level && s.state == running {
+		s.level = level
+		g.terms(s)
+	}
+}
+
+// levelOf is the level of a priority.
+func levelOf(p float64) int {
+	return int(math.Round(topLevel * math.Log(p/pFloor) / math.Log(pTop/pFloor)))
+}
+
+// readOnset reads the least running time below which the queries finished lately spent onsetShare of theirs.
+func (g *Gateway) readOnset() {
+	g.finished.forget(g.now - onsetMS)
+	if g.now < g.onsetAt+onsetEvery {
+		return
+	}
+	g.onsetAt = g.now
+	g.sorted = append(g.sorted[:0], g.finished.live()...)
+	slices.Sort(g.sorted)
+	g.onset = onsetOf(g.sorted)
+}
+
+// onsetOf solves sum(min(t, onset)) = onsetShare * sum(t) for sorted running times t.
+func onsetOf(sorted []float64) float64 {
+	want := 0.0
+	for _, t := range sorted {
+		want += onsetShare * t
+	}
+	below := 0.0
+	for k, t := range sorted {
+		rest := float64(len(sorted) - k)
+		if below+t*rest >= want {
+			return (want - below) / rest
+		}
+		below += t
+	}
+	return 0
+}
+
+// watch probes an executor that is aside or shows no sign of work, and sets it aside when that goes on. It catches
+// silence, cut links, hung machines, and ones that answer probes but finish nothing. It harms where all shots of
+// this controller at an executor stand in line without notes.
+func (g *Gateway) watch(x int) {
+	e := &g.executors[x]
+	if e.state == chilled && g.now >= e.coldUntil {
+		g.judge(x, warmed)
+	}
+	if e.standing != Active {
+		return
+	}
+	quiet, every := g.quiet(e), g.notesMS()
+	look := e.state == aside || quiet > min(every, probeMS)
+	if look && !g.given.Is("may_probe") {
+		if e.state == aside && g.now > e.asideAt+every*float64(e.strikes) {
+			g.judge(x, answered)
+		}
+	} else if look && !e.probeOut && g.now >= e.probed+probeMS {
+		e.probeOut, e.probed = true, g.now
+		g.do(Action{Kind: Probe, Executor: e.id})
+	}
+	if e.state != aside && (e.missed && quiet > noteSlack*every+slackMS || quiet > noteMany*every+slackMS) {
+		g.suspect(x)
+	}
+}
--- /dev/null
+++ b/rules/types.go
@@ -0,0 +1,176 @@
+// Package rules decides what becomes of each search: where its shots go, at which level they run, when they are
+// called off and what the client is told. types.go is the interface, slab.go the storage, rules.go every decision.
+package rules
+
+// Given holds the settings handed over at start: plain names and values (float64, bool, string or []string).
+// Times are milliseconds; names that end in _ms say so. A missing name means that the rule or ability is absent.
+type Given map[string]any
+
+// Num returns the number under name, or otherwise.
+func (m Given) Num(name string, otherwise float64) float64 {
+	if v, ok := m[name].(float64); ok {
+		return v
+	}
+	return otherwise
+}
+
+// Is tells whether the flag under name is set.
+func (m Given) Is(name string) bool {
+	v, _ := m[name].(bool)
+	return v
+}
+
+// Text returns the text under name.
+func (m Given) Text(name string) string {
+	v, _ := m[name].(string)
+	return v
+}
+
+// Names returns the list under name.
+func (m Given) Names(name string) []string {
+	v, _ := m[name].([]string)
+	return v
+}
+
+// EventKind tells what an Event reports.
+type EventKind uint8
+
+// The events.
+const (
+	Began     EventKind = iota // the instance starts
+	Listed                     // news of the list of executors
+	Taken                      // a search came in
+	Left                       // the client of a search is gone
+	Ended                      // a shot has its outcome
+	Noted                      // a running shot sends a note
+	Probed                     // a probe has its result
+	Rang                       // a timer is due
+	Streaming                  // a shot's answer has begun and belongs to the client
+	Heard                      // a message from another controller
+	eventKinds
+)
+
+// ListKind tells how the entries of a Listed event are meant.
+type ListKind uint8
+
+// The kinds of list.
+const (
+	Changes  ListKind = iota // just the entries that changed
+	Whole                    // everything there is
+	Restored                 // everything as last held, perhaps out of date
+	NoList                   // the list is out of reach
+)
+
+// Standing is what the list says of an executor.
+type Standing uint8
+
+// The standings.
+const (
+	Active Standing = iota
+	Leaving
+	Gone
+)
+
+// Entry is one executor in a list.
+type Entry struct {
+	Executor uint32
+	Place    string
+	Kind     string
+	Cell     int64
+	Standing Standing
+	Units    float64
+	UpSince  float64 // clock, ms; 0: long past
+}
+
+// Outcome tells how a shot or a probe ended.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Handled    Outcome = iota // answered
+	Erred                     // an error came back; it may have run
+	Full                      // turned away unseen
+	TimedOut                  // no answer in time; may have run
+	Refused                   // no connection
+	Severed                   // the connection broke; may have run
+	Recalled                  // called off; may have run
+	Superseded                // never sent
+)
+
+// NeverRan tells whether the outcome proves that the shot never ran.
+func (o Outcome) NeverRan() bool { return o == Full || o == Refused || o == Superseded }
+
+// NoteKind tells what a note reports.
+type NoteKind uint8
+
+// The notes.
+const (
+	Progress NoteKind = 1 // Value: share done
+	Spills   NoteKind = 2 // Value: MB missing
+	Waits    NoteKind = 3 // Value: 1 for memory, 2 for a load
+)
+
+// Event is one thing that an instance is told. Only the fields of its kind are set.
+type Event struct {
+	Kind     EventKind
+	Search   string
+	Executor uint32
+	Shot     int
+
+	Offering string  // Taken
+	Group    uint64  // Taken: table group
+	Key      string  // Taken: order key, or empty
+	NeedMB   float64 // Taken: memory estimate
+	WorkMS   float64 // Taken: work estimate
+	Until    float64 // Taken: clock at which the client gives up, ms
+	Repeat   bool    // Taken: the client marked it as a repeat
+
+	Outcome  Outcome // Ended, Probed
+	TookMS   float64 // Ended, Probed
+	Over     bool    // Ended: the search is finished
+	SpentMS  float64 // Ended: work it took, where told
+	UsedMB   float64 // Ended: memory it needed, where told
+	Report   []float64
+	Note     NoteKind // Noted
+	Value    float64  // Noted
+	Token    uint64   // Rang
+	List     ListKind // Listed
+	Entries  []Entry  // Listed
+	FromPeer int      // Heard
+	Data     []byte   // Heard
+}
+
+// ActionKind tells what an Action asks for.
+type ActionKind uint8
+
+// The actions.
+const (
+	Send     ActionKind = iota // a shot of Search to Executor
+	Terms                      // GrantMB and Level for Search
+	CallOff                    // stop waiting for Shot of Search
+	Deny                       // final: denied, come back after AfterMS
+	WriteOff                   // final: written off
+	Wake                       // ring Token after AfterMS
+	Probe                      // probe Executor
+	Listen                     // subscribe to the list
+	Log                        // Text for the operators
+)
+
+// Action is one thing that an instance wants done, in the order given.
+type Action struct {
+	Kind     ActionKind
+	Search   string
+	Executor uint32
+	Shot     int
+	GrantMB  float64
+	Level    int
+	AfterMS  float64
+	Token    uint64
+	Text     string
+}
+
+// Instance is what a front calls: every event in the order it happened, with the clock in milliseconds. The
+// actions are appended to out, which the caller owns and may reuse. An instance shares nothing with another.
+type Instance interface {
+	Step(now float64, ev *Event, out []Action) []Action
+}
