--- a/rules/rules.go
+++ b/rules/rules.go
@@ -6,7 +6,6 @@
 
 import (
 	"cmp"
-	"hash/crc32"
 	"math"
 	"slices"
 )
@@ -28,6 +27,8 @@
 	fullPerCore  = 1.7 // threads a core past which work is lost: a search waits here instead (paper's wait queue)
 	shortPerCore = 2.2 // the same for searches shorter than the onset, which leave again at once
 
+	crowd = 50 // searches waiting from which they are gone through once a tick, not at each event
+
 	// Judging shots and executors.
 	beatMS      = 20    // ms between looks at what runs: a fifth of a quantum
 	closingMS   = 25    // ms before the client gives up at which it gets its answer: one beat and a tick
@@ -42,6 +43,7 @@
 	restMS      = 300   // ms that an executor is left alone after it refused
 	coldMargin  = 0.6   // part of the cold budget that is used: what a search weighs is a guess
 	fade        = 0.1   // weight of the newest figure in fading means
+	learnt      = 0.02  // weight of one answer's true cost: estimates are wrong by offering, and that stays
 	badPlan     = 5.0   // times its expected running time at which a shot's plan counts as bad
 	badPlanMS   = 400   // ms that a shot runs before its plan is judged
 	slowCap     = 4.0   // most that one shot can say of an executor's pace, so that bad plans don't
@@ -50,9 +52,6 @@
 	memoryEase  = 0.002 // how fast the grant shrinks again with each search that did not spill
 )
 
-type state uint8
-type input uint8
-
 // States of a search, then of an executor.
 const (
 	waiting state = iota
@@ -78,13 +77,6 @@
 	warmed                 // the time to warm up is over
 )
 
-type row struct {
-	state  state
-	input  input
-	next   state
-	effect func(*Gateway, int)
-}
-
 var searchTable, executorTable []row
 
 func init() {
@@ -108,46 +100,10 @@
 	}
 }
 
-// turn plays an input to what stands at i, by the table, and tells whether a row was found.
-func (g *Gateway) turn(table []row, st *state, in input, i int) bool {
-	for k := range table {
-		if r := &table[k]; r.input == in && (r.state == *st || r.state == anyState) {
-			*st = r.next
-			if r.effect != nil {
-				r.effect(g, i)
-			}
-			g.dirty = true
-			return true
-		}
-	}
-	return false
-}
-
 func (g *Gateway) search(i int, in input) { g.turn(searchTable, &g.slab.places[i].state, in, i) }
 func (g *Gateway) judge(x int, in input)  { g.turn(executorTable, &g.executors[x].state, in, x) }
 func (g *Gateway) do(a Action)            { g.out = append(g.out, a) }
 
-// New starts an instance with nothing but its settings and its seed.
-func New(seed uint64, given Given) *Gateway {
-	g := &Gateway{given: given, seed: seed, slab: newSlab(), rests: map[string]float64{}}
-	for i := 0; ; i++ {
-		at := "offering." + string(rune('0'+i%10)) + "."
-		if i > 9 {
-			at = "offering." + string(rune('0'+i/10)) + at[len("offering."):]
-		}
-		if given.Text(at+"name") == "" {
-			return g
-		}
-		g.offerings = append(g.offerings, offering{name: given.Text(at + "name"), effect: given.Text(at + "effect"),
-			scope: given.Text(at + "scope"), window: given.Num(at+"window_ms", 0), due: given.Num(at+"due_ms", 0),
-			stretch: given.Num(at+"due_stretch", 0), gain: given.Num(at+"gain", 1),
-			late: given.Num(at+"late_share", 0), inOrder: given.Is(at + "in_order"),
-			holds: given.Is(at + "holds_group"), behind: given.Is(at + "stands_behind"),
-			threads: int(max(1, given.Num(at+"threads", 1))), kinds: given.Names(at + "kinds"),
-			places: given.Names(at + "places"), slow: 1, memory: 1.1})
-	}
-}
-
 // Step takes one event and appends what is to be done about it.
 func (g *Gateway) Step(now float64, ev *Event, out []Action) []Action {
 	g.now, g.out = now, out
@@ -170,7 +126,7 @@
 	case Rang:
 		g.beat()
 	}
-	if g.dirty {
+	if g.dirty && (now > g.placedAt || len(g.waiting) < crowd) {
 		g.place()
 	}
 	out, g.out = g.out, nil
@@ -193,7 +149,7 @@
 	if o.inOrder {
 		s.key = ev.Key
 	}
-	s.need, s.work = ev.NeedMB, ev.WorkMS
+	s.need, s.estimate, s.work = ev.NeedMB, ev.WorkMS, ev.WorkMS
 	if o.estimated > 0 {
 		s.work *= o.worked / o.estimated
 	}
@@ -209,8 +165,8 @@
 	g.dirty = true
 }
 
-// maySend is the one place that decides whether a shot at s may go to executor x. never means that no executor will
-// do any more; notNow that this one, or this moment, will not do.
+// maySend is the one place that decides whether a shot at s may go to executor x. notHere means
+// that this executor won't do, notNow that none will at this moment, never that none will any more.
 func (g *Gateway) maySend(s *search, x int) verdict {
 	o, e := &g.offerings[s.offering], &g.executors[x]
 	if s.state != waiting || s.out > 0 || g.now >= s.until-closingMS {
@@ -226,7 +182,7 @@
 				return never
 			}
 			if o.scope == "zone" && first.place != e.place || o.scope == "cell" && first.cell != e.cell {
-				return notNow
+				return notHere
 			}
 		}
 	}
@@ -237,22 +193,14 @@
 		return notNow
 	}
 	if o.kinds != nil && !slices.Contains(o.kinds, e.kind) || o.places != nil && !slices.Contains(o.places, e.place) {
-		return notNow
+		return notHere
 	}
 	if e.standing != Active || e.state == aside || g.now < e.coldUntil && !g.warmEnough(o, e) {
-		return notNow
+		return notHere
 	}
 	return yes
 }
 
-type verdict uint8
-
-const (
-	yes verdict = iota
-	notNow
-	never
-)
-
 // rationLeft tells whether one more shot beyond a search's first stays within the ration.
 func (g *Gateway) rationLeft() bool {
 	length := g.given.Num("ration_span_ms", 0)
@@ -284,9 +232,6 @@
 	return e.coldSent.total()+o.usual <= coldMargin*budget*g.share()
 }
 
-// share is this controller's part of the traffic.
-func (g *Gateway) share() float64 { return 1 / max(1, g.given.Num("controllers", 1)) }
-
 // mayDeny is the one place that decides whether a search may be denied: that promises that a new try does no harm.
 func (g *Gateway) mayDeny(s *search) bool {
 	o := &g.offerings[s.offering]
@@ -303,11 +248,16 @@
 
 // place sends what waits, the most gain for its work first, and gives up what can't earn any more.
 func (g *Gateway) place() {
-	g.dirty = false
-	g.waiting = g.waiting[:0]
+	g.dirty, g.placedAt = false, g.now
+	g.waiting, g.held = g.waiting[:0], g.held[:0]
 	for i := range g.slab.places {
 		if s := &g.slab.places[i]; s.used && s.state == waiting {
 			g.waiting = append(g.waiting, i)
+		} else if s.out > 0 {
+			h := &s.shots[s.fired-1]
+			if g.offerings[s.offering].holds || h.waits == Waits && h.waitsFor == 2 {
+				g.held = append(g.held, holding{s.group, h.executor})
+			}
 		}
 	}
 	slices.SortFunc(g.waiting, func(a, b int) int {
@@ -348,7 +298,6 @@
 // fewest threads a core that is not full. A search waits rather than stand still behind a load of its own group.
 func (g *Gateway) choose(s *search) int {
 	o := &g.offerings[s.offering]
-	g.findLoads(s)
 	limit := fullPerCore
 	if s.work/float64(o.threads) <= g.onset {
 		limit = shortPerCore
@@ -358,8 +307,13 @@
 	var spareFill float64
 	for x := range g.executors {
 		e := &g.executors[x]
-		if g.now < e.restUntil || g.blocked[x] && (o.behind || o.holds) || g.maySend(s, x) != yes {
+		if g.now < e.restUntil || (o.behind || o.holds) && slices.Contains(g.held, holding{s.group, x}) {
+			continue
+		}
+		if v := g.maySend(s, x); v == notHere {
 			continue
+		} else if v != yes {
+			break
 		}
 		room := e.cores * g.share() / max(1, e.pace/slowFrom)
 		threads := float64(e.threads + o.threads)
@@ -397,21 +351,6 @@
 	return h
 }
 
-// findLoads marks the executors where a load is known to hold the group of s.
-func (g *Gateway) findLoads(s *search) {
-	g.blocked = append(g.blocked[:0], make([]bool, len(g.executors))...)
-	for i := range g.slab.places {
-		t := &g.slab.places[i]
-		if !t.used || t.group != s.group || t.out == 0 {
-			continue
-		}
-		h := &t.shots[t.fired-1]
-		if h.out && (g.offerings[t.offering].holds || h.waits == Waits && h.waitsFor == 2) {
-			g.blocked[h.executor] = true
-		}
-	}
-}
-
 // grant is the memory that a shot at s takes on e.
 func (g *Gateway) grant(s *search, e *executor) float64 {
 	return min(s.need*g.offerings[s.offering].memory, e.ram*g.given.Num("largest_share", 1))
@@ -422,23 +361,13 @@
 	s, e := &g.slab.places[i], &g.executors[g.target]
 	o := &g.offerings[s.offering]
 	s.p, s.quanta, s.level = pTop, 0, topLevel
-	h := &s.shots[s.fired]
-	*h = shot{executor: g.target, sent: g.now, noted: g.now, threads: o.threads, grant: g.grant(s, e),
-		out: true, doubt: true}
-	if s.fired > 0 {
-		g.extras.add(g.now, 1)
-	}
-	s.fired++
-	s.out++
-	if e.out == 0 {
-		e.busySince = g.now
-	}
-	e.out++
-	e.threads += o.threads
-	e.memory += h.grant
+	g.lend(s, g.target, g.grant(s, e))
 	if g.now < e.coldUntil {
 		e.coldSent.add(g.now, o.usual)
 	}
+	if o.holds {
+		g.held = append(g.held, holding{s.group, g.target})
+	}
 	g.terms(s)
 	g.do(Action{Kind: Send, Search: s.id, Executor: e.id})
 }
@@ -466,14 +395,6 @@
 	g.release(i)
 }
 
-// release frees a search that is over once all its shots have their outcome.
-func (g *Gateway) release(i int) {
-	if s := &g.slab.places[i]; s.used && s.state == over && s.out == 0 {
-		g.slab.drop(i)
-		g.dirty = true
-	}
-}
-
 // answer gives the final answer: denied where that is allowed, so that the client may come back, else written off.
 func (g *Gateway) answer(i int) {
 	s := &g.slab.places[i]
@@ -489,19 +410,6 @@
 	g.callOff(i)
 }
 
-// chance draws a number from 0 up to 1.
-func (g *Gateway) chance() float64 {
-	g.draws++
-	var b [12]byte
-	for k := range 8 {
-		b[k] = byte(g.seed >> (8 * k))
-	}
-	for k := range 4 {
-		b[8+k] = byte(g.draws >> (8 * k))
-	}
-	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
-}
-
 // news takes what an event says of a search in hand.
 func (g *Gateway) news(i int, ev *Event) {
 	s := &g.slab.places[i]
@@ -562,11 +470,7 @@
 func (g *Gateway) ended(i int, h *shot, ev *Event) {
 	s := &g.slab.places[i]
 	o, e := &g.offerings[s.offering], &g.executors[h.executor]
-	h.out, h.doubt = false, !ev.Outcome.NeverRan()
-	s.out--
-	e.out--
-	e.threads -= h.threads
-	e.memory -= h.grant
+	g.settle(s, h, !ev.Outcome.NeverRan())
 	g.dirty = true
 	switch ev.Outcome {
 	case Handled:
@@ -607,13 +511,12 @@
 	if !h.spilled {
 		o.memory -= memoryEase * o.memory
 	}
-	if ev.SpentMS > 0 && s.work > 0 {
-		told := s.work
-		if o.estimated > 0 {
-			told = s.work * o.estimated / o.worked
-		}
-		o.worked += 0.02 * (min(ev.SpentMS, slowCap*s.work) - o.worked)
-		o.estimated += 0.02 * (told - o.estimated)
+	if ev.SpentMS > 0 && s.estimate > 0 {
+		o.worked += learnt * (min(ev.SpentMS, slowCap*s.work) - o.worked)
+		o.estimated += learnt * (s.estimate - o.estimated)
+	}
+	if ev.UsedMB > 0 && s.need > 0 {
+		o.memory += learnt * (ev.UsedMB/s.need*memorySpare - o.memory)
 	}
 }
 
@@ -635,24 +538,16 @@
 	}
 	for k := range ev.Entries {
 		n := &ev.Entries[k]
-		x := slices.IndexFunc(g.executors, func(e executor) bool { return e.id == n.Executor })
+		x := g.at(n.Executor)
 		if x < 0 {
 			x = len(g.executors)
-			g.executors = append(g.executors, executor{id: n.Executor, state: fit, pace: 1, upSince: n.UpSince,
-				cores: 1, ram: math.MaxFloat64})
+			g.executors = append(g.executors, executor{id: n.Executor, state: fit, pace: 1, upSince: n.UpSince})
 			if n.UpSince > 0 && g.now < n.UpSince+g.given.Num("warm_up_ms", 0) {
 				g.judge(x, restarted)
 			}
 		}
 		e := &g.executors[x]
-		e.place, e.kind, e.cell = n.Place, n.Kind, n.Cell
-		for j := 0; j < 10; j++ {
-			at := "kind." + string(rune('0'+j)) + "."
-			if g.given.Text(at+"name") == n.Kind {
-				e.cores, e.ram = g.given.Num(at+"cores", 1), g.given.Num(at+"ram_mb", math.MaxFloat64)
-			}
-		}
-		e.scarce = slices.ContainsFunc(g.offerings, func(o offering) bool { return slices.Contains(o.kinds, e.kind) })
+		e.read(g.given, g.offerings, n)
 		if n.UpSince > e.upSince {
 			e.upSince = n.UpSince
 			g.judge(x, restarted)
@@ -730,17 +625,9 @@
 	return blindMS
 }
 
-// quiet is how long an executor with shots out has shown no sign of work.
-func (g *Gateway) quiet(e *executor) float64 {
-	if e.out == 0 {
-		return 0
-	}
-	return g.now - max(e.heard, e.busySince)
-}
-
 // probed takes the result of a probe.
 func (g *Gateway) probed(ev *Event) {
-	x := slices.IndexFunc(g.executors, func(e executor) bool { return e.id == ev.Executor })
+	x := g.at(ev.Executor)
 	if x < 0 {
 		return
 	}
--- a/rules/slab.go
+++ b/rules/slab.go
@@ -1,5 +1,12 @@
 package rules
 
+import (
+	"hash/crc32"
+	"math"
+	"slices"
+	"strconv"
+)
+
 // mostShots is the room for shots in one place of the slab.
 const mostShots = 8
 
@@ -26,7 +33,8 @@
 	offering int
 	group    uint64
 	need     float64
-	work     float64 // estimated work of all threads, corrected, ms
+	estimate float64 // work as estimated by the client, ms
+	work     float64 // the same, corrected: work of all threads
 	seq      uint64  // order of taking
 	taken    float64
 	due      float64
@@ -114,6 +122,45 @@
 func (s *span) live() []float64 { return s.amount[s.head:] }
 func (s *span) total() float64  { return s.sum }
 
+// state is where a search or an executor stands, input what happens to it; a row of a table in rules.go says what
+// follows.
+type (
+	state uint8
+	input uint8
+)
+
+type row struct {
+	state  state
+	input  input
+	next   state
+	effect func(*Gateway, int)
+}
+
+// turn plays an input to what stands at i, by the table, and tells whether a row was found.
+func (g *Gateway) turn(table []row, st *state, in input, i int) bool {
+	for k := range table {
+		if r := &table[k]; r.input == in && (r.state == *st || r.state == anyState) {
+			*st = r.next
+			if r.effect != nil {
+				r.effect(g, i)
+			}
+			g.dirty = true
+			return true
+		}
+	}
+	return false
+}
+
+// verdict is the answer to whether a shot may be sent.
+type verdict uint8
+
+const (
+	yes verdict = iota
+	notHere
+	notNow
+	never
+)
+
 // offering is what is known of one offering: what the settings say, and what was learned.
 type offering struct {
 	name, effect, scope string
@@ -162,6 +209,12 @@
 	coldSent   span
 }
 
+// holding is a table group that a load holds on an executor.
+type holding struct {
+	group    uint64
+	executor int
+}
+
 // Gateway is one instance.
 type Gateway struct {
 	given     Given
@@ -183,5 +236,96 @@
 	seq       uint64
 	waiting   []int
 	sorted    []float64
-	blocked   []bool
+	held      []holding
+	placedAt  float64
+}
+
+// New starts an instance with nothing but its settings and its seed.
+func New(seed uint64, given Given) *Gateway {
+	g := &Gateway{given: given, seed: seed, slab: newSlab(), rests: map[string]float64{}}
+	for i := 0; ; i++ {
+		at := "offering." + strconv.Itoa(i) + "."
+		if given.Text(at+"name") == "" {
+			return g
+		}
+		g.offerings = append(g.offerings, offering{name: given.Text(at + "name"), effect: given.Text(at + "effect"),
+			scope: given.Text(at + "scope"), window: given.Num(at+"window_ms", 0), due: given.Num(at+"due_ms", 0),
+			stretch: given.Num(at+"due_stretch", 0), gain: given.Num(at+"gain", 1),
+			late: given.Num(at+"late_share", 0), inOrder: given.Is(at + "in_order"),
+			holds: given.Is(at + "holds_group"), behind: given.Is(at + "stands_behind"),
+			threads: int(max(1, given.Num(at+"threads", 1))), kinds: given.Names(at + "kinds"),
+			places: given.Names(at + "places"), slow: 1, memory: 1})
+	}
+}
+
+// chance draws a number from 0 up to 1.
+func (g *Gateway) chance() float64 {
+	g.draws++
+	var b [12]byte
+	for k := range 8 {
+		b[k] = byte(g.seed >> (8 * k))
+	}
+	for k := range 4 {
+		b[8+k] = byte(g.draws >> (8 * k))
+	}
+	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
+}
+
+// share is this controller's part of the traffic.
+func (g *Gateway) share() float64 { return 1 / max(1, g.given.Num("controllers", 1)) }
+
+// release frees a search that is over once all its shots have their outcome.
+func (g *Gateway) release(i int) {
+	if s := &g.slab.places[i]; s.used && s.state == over && s.out == 0 {
+		g.slab.drop(i)
+		g.dirty = true
+	}
+}
+
+// quiet is how long an executor with shots out has shown no sign of work.
+func (g *Gateway) quiet(e *executor) float64 {
+	if e.out == 0 {
+		return 0
+	}
+	return g.now - max(e.heard, e.busySince)
+}
+
+// at gives the place of an executor, or -1.
+func (g *Gateway) at(id uint32) int {
+	return slices.IndexFunc(g.executors, func(e executor) bool { return e.id == id })
+}
+
+// read takes over what the list says of an executor's machine.
+func (e *executor) read(given Given, offerings []offering, n *Entry) {
+	e.place, e.kind, e.cell = n.Place, n.Kind, n.Cell
+	e.cores, e.ram, e.scarce = 1, math.MaxFloat64, false
+	for j := 0; given.Text("kind."+strconv.Itoa(j)+".name") != ""; j++ {
+		if at := "kind." + strconv.Itoa(j) + "."; given.Text(at+"name") == n.Kind {
+			e.cores, e.ram = given.Num(at+"cores", 1), given.Num(at+"ram_mb", math.MaxFloat64)
+		}
+	}
+	for k := range offerings {
+		e.scarce = e.scarce || slices.Contains(offerings[k].kinds, n.Kind)
+	}
+}
+
+// lend counts a shot of s as out, settle as back.
+func (g *Gateway) lend(s *search, x int, grant float64) *shot {
+	e, h, threads := &g.executors[x], &s.shots[s.fired], g.offerings[s.offering].threads
+	*h = shot{executor: x, sent: g.now, noted: g.now, threads: threads, grant: grant, out: true, doubt: true}
+	if s.fired > 0 {
+		g.extras.add(g.now, 1)
+	}
+	if e.out == 0 {
+		e.busySince = g.now
+	}
+	s.fired, s.out = s.fired+1, s.out+1
+	e.out, e.threads, e.memory = e.out+1, e.threads+threads, e.memory+grant
+	return h
+}
+
+func (g *Gateway) settle(s *search, h *shot, doubt bool) {
+	e := &g.executors[h.executor]
+	h.out, h.doubt = false, doubt
+	s.out, e.out, e.threads, e.memory = s.out-1, e.out-1, e.threads-h.threads, e.memory-h.grant
 }
