Widen each controller's part of an executor, as several parts are rarely full at once

Cause: with five controllers the part of one held less than one large search, so loads and uploads starved.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -27,7 +27,8 @@
 	fullPerCore  = 1.7 // threads a core past which work is lost: a search waits here instead (paper's wait queue)
 	shortPerCore = 2.2 // the same for searches shorter than the onset, which leave again at once
 
-	crowd = 50 // searches waiting from which they are gone through once a tick, not at each event
+	crowd  = 50  // searches waiting from which they are gone through once a tick, not at each event
+	spread = 1.0 // how far a part of an executor is widened, as several parts are rarely full at once
 
 	// Judging shots and executors.
 	beatMS      = 20    // ms between looks at what runs: a fifth of a quantum
@@ -315,9 +316,10 @@
 		} else if v != yes {
 			break
 		}
-		room := e.cores * g.share() / max(1, e.pace/slowFrom)
+		part := g.share() * (1 + spread*math.Sqrt((1/g.share()-1)/e.cores))
+		room := e.cores * part / max(1, e.pace/slowFrom)
 		threads := float64(e.threads + o.threads)
-		memory := (e.memory + g.grant(s, e)) / (e.ram * g.share())
+		memory := (e.memory + g.grant(s, e)) / (e.ram * part)
 		rank := order(s.group, e.id, o.holds, e.scarce && o.kinds == nil)
 		if threads <= boundPerCore*room && memory <= 1 && (best < 0 || rank > bestRank) {
 			best, bestRank = x, rank
