A returning executor is tried with one shot until it has done work

Guards against executors that answer probes but fail or finish nothing, errors in bursts and black holes that fail fast; it can slow the return of one whose trial is a long search.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -39,8 +39,7 @@
 	blindMS     = 2000  // ms taken as the note interval where no notes come
 	probeMS     = 500   // ms between probes of an executor under suspicion: two probe time-outs
 	probesBack  = 2     // probes in a row that bring an executor back: one may be luck
-	badInARow   = 3     // refusals or breaks in a row that set an executor aside
-	errShare    = 0.6   // fading share of errors that sets an executor aside
+	badInARow   = 3     // errors, refusals or breaks in a row that set an executor aside; one, fresh from a return
 	restMS      = 300   // ms that an executor is left alone after it refused
 	coldMargin  = 0.6   // part of the cold budget that is used: what a search weighs is a guess
 	fade        = 0.1   // weight of the newest figure in fading means
@@ -97,7 +96,7 @@
 		{aside, answered, chilled, (*Gateway).chill},
 		{aside, restarted, aside, (*Gateway).chill},
 		{anyState, restarted, chilled, (*Gateway).chill},
-		{chilled, warmed, fit, nil},
+		{chilled, warmed, fit, (*Gateway).clear},
 	}
 }
 
@@ -308,7 +307,7 @@
 	var spareFill float64
 	for x := range g.executors {
 		e := &g.executors[x]
-		if g.now < e.restUntil || (o.behind || o.holds) && slices.Contains(g.held, holding{s.group, x}) {
+		if g.now < e.restUntil || !e.proven && e.out > 0 || (o.behind || o.holds) && slices.Contains(g.held, holding{s.group, x}) {
 			continue
 		}
 		if v := g.maySend(s, x); v == notHere {
@@ -430,7 +429,7 @@
 }
 
 // heard counts a sign of work from an executor.
-func (g *Gateway) heard(e *executor) { e.heard, e.bad, e.missed = g.now, 0, false }
+func (g *Gateway) heard(e *executor) { e.heard, e.missed = g.now, false }
 
 // note takes a note of a running shot.
 func (g *Gateway) note(i int, h *shot, ev *Event) {
@@ -449,6 +448,7 @@
 		}
 	case Progress:
 		h.share = max(h.share, ev.Value)
+		e.proven = e.proven || ev.Value > 0
 		least := s.work / float64(o.threads)
 		expected := least * max(1, o.slow) * max(1, e.pace)
 		projected := h.ran / max(h.share, 0.01)
@@ -477,18 +477,13 @@
 	switch ev.Outcome {
 	case Handled:
 		g.heard(e)
-		e.errs -= fade * e.errs
+		e.proven, e.bad = true, 0
 		g.learn(s, o, e, h, ev)
-	case Erred:
-		g.heard(e)
-		if e.errs += 2 * fade * (1 - e.errs); e.errs > errShare {
-			g.suspect(h.executor)
-		}
 	case Full:
 		e.restUntil = g.now + restMS
-	case Refused, Severed:
+	case Erred, Refused, Severed:
 		e.restUntil = g.now + restMS
-		if e.bad++; e.bad >= badInARow {
+		if e.bad++; e.bad >= badInARow || !e.proven {
 			g.suspect(h.executor)
 		}
 	}
@@ -543,7 +538,7 @@
 		x := g.at(n.Executor)
 		if x < 0 {
 			x = len(g.executors)
-			g.executors = append(g.executors, executor{id: n.Executor, state: fit, pace: 1, upSince: n.UpSince})
+			g.executors = append(g.executors, executor{id: n.Executor, state: fit, pace: 1, proven: true, upSince: n.UpSince})
 			if n.UpSince > 0 && g.now < n.UpSince+g.given.Num("warm_up_ms", 0) {
 				g.judge(x, restarted)
 			}
@@ -597,12 +592,15 @@
 func (g *Gateway) chill(x int) {
 	e := &g.executors[x]
 	e.coldUntil = g.now + g.given.Num("warm_up_ms", 0)
-	e.heard, e.busySince, e.bad, e.errs, e.pace, e.missed = g.now, g.now, 0, 0, 1, false
+	e.heard, e.busySince, e.bad, e.pace, e.missed, e.proven = g.now, g.now, 0, 1, false, false
 	if e.asideAt > 0 {
 		g.lost(x, e.asideAt)
 	}
 }
 
+// clear forgets what an executor was set aside for.
+func (g *Gateway) clear(x int) { g.executors[x].strikes = 0 }
+
 // suspect sets an executor aside, unless half of all look bad: then it is something that they share.
 func (g *Gateway) suspect(x int) {
 	bad, all := 1, 0
--- a/rules/slab.go
+++ b/rules/slab.go
@@ -199,8 +199,8 @@
 	probed     float64 // when the last probe went out
 	missed     bool    // the last probe failed
 	answers    int     // probes answered in a row
-	bad        int     // refusals and breaks in a row
-	errs       float64 // share of errors, fading
+	bad        int     // errors, refusals and breaks in a row
+	proven     bool    // has done work since it came back
 	pace       float64 // slowness against the other executors
 	asideAt    float64
 	strikes    int
