Readers that stand still behind a load go elsewhere at once

Cause: a load of another controller is seen only by the note that a reader waits; progress notes of a share that does not grow were taken as running.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -44,6 +44,7 @@
 	coldMargin  = 0.6   // part of the cold budget that is used: what a search weighs is a guess
 	fade        = 0.1   // weight of the newest figure in fading means
 	learnt      = 0.02  // weight of one answer's true cost: estimates are wrong by offering, and that stays
+	seenMS      = 2000  // ms that a load met once is taken to go on: a part of what loads take
 	badPlan     = 5.0   // times its expected running time at which a shot's plan counts as bad
 	badPlanMS   = 400   // ms that a shot runs before its plan is judged
 	slowCap     = 4.0   // most that one shot can say of an executor's pace, so that bad plans don't
@@ -249,15 +250,14 @@
 // place sends what waits, the most gain for its work first, and gives up what can't earn any more.
 func (g *Gateway) place() {
 	g.dirty, g.placedAt = false, g.now
-	g.waiting, g.held = g.waiting[:0], g.held[:0]
+	g.waiting = g.waiting[:0]
+	g.seen = slices.DeleteFunc(g.seen, func(h holding) bool { return h.until <= g.now })
+	g.held = append(g.held[:0], g.seen...)
 	for i := range g.slab.places {
 		if s := &g.slab.places[i]; s.used && s.state == waiting {
 			g.waiting = append(g.waiting, i)
-		} else if s.out > 0 {
-			h := &s.shots[s.fired-1]
-			if g.offerings[s.offering].holds || h.waits == Waits && h.waitsFor == 2 {
-				g.held = append(g.held, holding{s.group, h.executor})
-			}
+		} else if s.out > 0 && g.offerings[s.offering].holds {
+			g.held = append(g.held, holding{s.group, s.shots[s.fired-1].executor, math.Inf(1)})
 		}
 	}
 	slices.SortFunc(g.waiting, func(a, b int) int {
@@ -307,7 +307,7 @@
 	var spareFill float64
 	for x := range g.executors {
 		e := &g.executors[x]
-		if g.now < e.restUntil || !e.proven && e.out > 0 || (o.behind || o.holds) && slices.Contains(g.held, holding{s.group, x}) {
+		if g.now < e.restUntil || !e.proven && e.out > 0 || (o.behind || o.holds) && g.holds(s.group, x) {
 			continue
 		}
 		if v := g.maySend(s, x); v == notHere {
@@ -367,7 +367,7 @@
 		e.coldSent.add(g.now, o.usual)
 	}
 	if o.holds {
-		g.held = append(g.held, holding{s.group, g.target})
+		g.held = append(g.held, holding{s.group, g.target, math.Inf(1)})
 	}
 	g.terms(s)
 	g.do(Action{Kind: Send, Search: s.id, Executor: e.id})
@@ -436,18 +436,28 @@
 	s := &g.slab.places[i]
 	o, e := &g.offerings[s.offering], &g.executors[h.executor]
 	g.heard(e)
-	h.noted, h.waits = g.now, 0
+	h.noted = g.now
 	switch ev.Note {
 	case Waits:
 		h.waits, h.waitsFor = Waits, ev.Value
 		g.dirty = true
+		// A reader that stands still behind a load, which may be another controller's, goes elsewhere at once: it
+		// has done nothing yet that would be lost. Harms only by the shot that it uses up.
+		if ev.Value == 2 {
+			g.seen = append(g.seen, holding{s.group, h.executor, g.now + seenMS})
+			if s.state == running && o.effect == "redoable" && h.share == 0 && g.mayFollow(s) {
+				g.search(i, doomed)
+			}
+		}
 	case Spills:
 		h.spilled = true
 		if s.need > 0 {
 			o.memory = max(o.memory, o.memory+fade*((h.grant+ev.Value)/s.need*memorySpare-o.memory))
 		}
 	case Progress:
-		h.share = max(h.share, ev.Value)
+		if ev.Value > h.share { // a shot that stands still goes on telling the share that it has
+			h.share, h.waits = ev.Value, 0
+		}
 		e.proven = e.proven || ev.Value > 0
 		least := s.work / float64(o.threads)
 		expected := least * max(1, o.slow) * max(1, e.pace)
--- a/rules/slab.go
+++ b/rules/slab.go
@@ -213,6 +213,7 @@
 type holding struct {
 	group    uint64
 	executor int
+	until    float64
 }
 
 // Gateway is one instance.
@@ -236,7 +237,8 @@
 	seq       uint64
 	waiting   []int
 	sorted    []float64
-	held      []holding
+	held      []holding // as of this pass
+	seen      []holding // told by notes
 	placedAt  float64
 }
 
@@ -329,3 +331,8 @@
 	h.out, h.doubt = false, doubt
 	s.out, e.out, e.threads, e.memory = s.out-1, e.out-1, e.threads-h.threads, e.memory-h.grant
 }
+
+// holds tells whether a load is known to hold a group on an executor.
+func (g *Gateway) holds(group uint64, x int) bool {
+	return slices.ContainsFunc(g.held, func(h holding) bool { return h.group == group && h.executor == x })
+}
