--- a/rules/rules.go
+++ b/rules/rules.go
@@ -33,9 +33,10 @@
 	// Judging shots and executors.
 	beatMS      = 20    // ms between looks at what runs: a fifth of a quantum
 	closingMS   = 25    // ms before the client gives up at which it gets its answer: one beat and a tick
+	noteLate    = 1.5   // note intervals until a running shot must have been told of: they keep a beat of their own
 	noteSlack   = 1.2   // note intervals without any sign after a missed probe: one, and some jitter
 	noteMany    = 3.0   // note intervals without any sign though probes are answered
-	slackMS     = 200   // ms on top of both, for notes on their way
+	slackMS     = 100   // ms on top of both, for notes on their way
 	blindMS     = 2000  // ms taken as the note interval where no notes come
 	probeMS     = 500   // ms between probes of an executor under suspicion: two probe time-outs
 	probesBack  = 2     // probes in a row that bring an executor back: one may be luck
@@ -666,8 +667,12 @@
 			g.search(i, hopeless)
 			continue
 		}
-		if s.out > 0 {
-			g.age(s, &s.shots[s.fired-1])
+		if s.state == running {
+			h := &s.shots[s.fired-1]
+			g.age(s, h)
+			if g.forgotten(s, h) {
+				g.search(i, doomed)
+			}
 		}
 	}
 	for x := range g.executors {
@@ -702,6 +707,16 @@
 	}
 }
 
+// forgotten tells whether a shot has missed a note while its executor goes on working: its reply, or the shot itself,
+// is lost. It catches lost replies, cut streams and shots dropped by an executor, whatever the cause. It harms where
+// notes alone are lost: then a good shot is called off. Where no notes come it does nothing.
+func (g *Gateway) forgotten(s *search, h *shot) bool {
+	every := g.given.Num("told_every_ms", 0)
+	e := &g.executors[h.executor]
+	return every > 0 && g.now-h.noted > noteLate*every+slackMS && e.heard > h.noted && e.state != aside &&
+		g.offerings[s.offering].effect != "irreversible" && g.mayFollow(s)
+}
+
 // levelOf is the level of a priority.
 func levelOf(p float64) int {
 	return int(math.Round(topLevel * math.Log(p/pFloor) / math.Log(pTop/pFloor)))
