--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -1,5 +1,5 @@
-// Command benchlink plays the bench's batches, read from standard input, to instances of the decision module, which
-// share nothing, and writes what they decide to standard output. It decides nothing itself.
+// Command benchlink plays the bench's batches, read from standard input, to instances of the decision
+// module, which share nothing, and writes what they decide to standard output. It decides nothing itself.
 package main
 
 import (
--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -1,5 +1,5 @@
-// Package benchwire reads and writes the text lines of the bench's wire. The wire's names end here: what leaves this
-// package are the events of package rules, and what enters are its actions.
+// Package benchwire reads and writes the text lines of the bench's wire. The wire's names end here: what
+// leaves this package are the events of package rules, and what enters are its actions.
 package benchwire
 
 import (
@@ -158,7 +158,9 @@
 	"superseded": rules.Superseded,
 }
 
-var standings = map[string]rules.Standing{"active": rules.Active, "leaving": rules.Leaving, "left": rules.Gone}
+var standings = map[string]rules.Standing{
+	"active": rules.Active, "leaving": rules.Leaving, "left": rules.Gone,
+}
 
 var listKinds = map[string]rules.ListKind{
 	"update": rules.Changes, "replace": rules.Whole, "restored": rules.Restored, "unavailable": rules.NoList,
--- a/internal/benchwire/given.go
+++ b/internal/benchwire/given.go
@@ -7,10 +7,11 @@
 	"liftshift/rules"
 )
 
-// renamed gives our name for each setting that we read, under its path on the wire. A setting with "_ms" at the end
-// of our name is a time. A star stands for the place in a list.
+// renamed gives our name for each setting that we read, under its path on the wire. A setting with "_ms" at
+// the end of our name is a time. A star stands for the place in a list.
 var renamed = map[string]string{
-	"Siblings": "controllers", "SlotNo": "slot", "Resolution": "beat_ms", "Discovery": "list_comes", "Zone": "place",
+	"Siblings": "controllers", "SlotNo": "slot", "Resolution": "beat_ms", "Discovery": "list_comes",
+	"Zone":              "place",
 	"Bounds.Cancelling": "may_call_off", "Bounds.Probing": "may_probe", "Bounds.ParallelTries": "may_run_two",
 	"Bounds.RetryAfter": "tells_come_back", "Bounds.MaxRetryAfter": "longest_come_back_ms",
 	"Bounds.MaxAttempts": "most_shots", "Bounds.MostHeld": "most_held", "Callers.MarksRetry": "marks_repeats",
@@ -21,9 +22,12 @@
 	"Classes.*.LateWorth": "offering.*.late_share", "Classes.*.OneAtATime": "offering.*.in_order",
 	"Classes.*.KindsOpen": "offering.*.kinds", "Classes.*.ZonesOnly": "offering.*.places",
 	"Classes.*.Stream": "offering.*.stream", "FamilyInfo.ClassThreads.*": "offering.*.threads",
-	"FamilyInfo.ClassLoad.*": "offering.*.holds_group", "FamilyInfo.BlockedByLoads.*": "offering.*.stands_behind",
-	"FamilyInfo.KindCores.*": "kind.*.cores", "FamilyInfo.RamOfKindMb.*": "kind.*.ram_mb", "Kinds.*": "kind.*.name",
-	"FamilyInfo.LargestShare": "largest_share", "FamilyInfo.Grants": "grants", "FamilyInfo.Priorities": "priorities",
+	"FamilyInfo.ClassLoad.*":      "offering.*.holds_group",
+	"FamilyInfo.BlockedByLoads.*": "offering.*.stands_behind",
+	"FamilyInfo.KindCores.*":      "kind.*.cores", "FamilyInfo.RamOfKindMb.*": "kind.*.ram_mb",
+	"Kinds.*":                 "kind.*.name",
+	"FamilyInfo.LargestShare": "largest_share", "FamilyInfo.Grants": "grants",
+	"FamilyInfo.Priorities": "priorities",
 	"FamilyInfo.TellsEvery": "told_every_ms", "FamilyInfo.TellsCost": "tells_cost",
 	"FamilyInfo.MemoryShort": "memory_short", "Report.Names": "report", "Report.How": "report_comes",
 	"Invariants.DrainGrace": "drain_grace_ms", "Invariants.AnswerSlack": "answer_slack_ms",
@@ -35,8 +39,9 @@
 
 // worded gives our word for texts that are words of the wire.
 var worded = map[string]string{
-	"safe": "redoable", "keyed": "labelled", "unsafe": "irreversible", "subscribe": "asked", "automatic": "pushed",
-	"pull": "probes", "piggyback": "outcomes", "silent": "none", "line_up": "line", "overcommit": "page",
+	"safe": "redoable", "keyed": "labelled", "unsafe": "irreversible", "subscribe": "asked",
+	"automatic": "pushed",
+	"pull":      "probes", "piggyback": "outcomes", "silent": "none", "line_up": "line", "overcommit": "page",
 	"outstanding": "inflight", "backlog": "queue",
 }
 
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1,7 +1,8 @@
-// Every decision of liftshift stands in this file. A front makes an instance with New and hands it each event, in
-// order, through Step (the interface Instance in types.go); Step appends the actions it wants done. Storage is in
-// slab.go. The ordinary path is the design page's: send at the top level, demote by running time past an onset, route
-// by a hash order past a bound. docs/design.md lists what was added to it and when that acts.
+// Every decision of liftshift stands in this file. A front makes an instance with New and hands it each
+// event, in order, through Step (the interface Instance in types.go); Step appends the actions it wants
+// done. Storage is in slab.go. The ordinary path is the design page's: send at the top level, demote by
+// running time past an onset, route by a hash order past a bound. docs/design.md lists what was added to it
+// and when that acts.
 package rules
 
 import (
@@ -24,23 +25,24 @@
 
 	// Room on an executor.
 	boundPerCore = 1.2 // running threads a core at which routing skips it: half of a search's time is reading
-	fullPerCore  = 1.7 // threads a core past which work is lost: a search waits here instead (paper's wait queue)
+	fullPerCore  = 1.7 // threads a core past which work is lost: a search waits here (paper's wait queue)
 	shortPerCore = 2.2 // the same for searches shorter than the onset, which leave again at once
 
-	crowd  = 50  // searches waiting from which they are gone through once a tick, not at each event
-	spread = 1.0 // how far a part of an executor is widened, as several parts are rarely full at once
+	askMS  = 1000 // ms until a list out of reach is asked for again: longer than most calls take
+	crowd  = 50   // searches waiting from which they are gone through once a tick, not at each event
+	spread = 1.0  // how far a part of an executor is widened, as several parts are rarely full at once
 
 	// Judging shots and executors.
 	beatMS      = 20    // ms between looks at what runs: a fifth of a quantum
 	closingMS   = 25    // ms before the client gives up at which it gets its answer: one beat and a tick
-	noteLate    = 1.5   // note intervals until a running shot must have been told of: they keep a beat of their own
+	noteLate    = 1.5   // note intervals until a running shot must have been told of: one, and its phase
 	noteSlack   = 1.2   // note intervals without any sign after a missed probe: one, and some jitter
 	noteMany    = 3.0   // note intervals without any sign though probes are answered
 	slackMS     = 100   // ms on top of both, for notes on their way
 	blindMS     = 2000  // ms taken as the note interval where no notes come
 	probeMS     = 500   // ms between probes of an executor under suspicion: two probe time-outs
 	probesBack  = 2     // probes in a row that bring an executor back: one may be luck
-	badInARow   = 3     // errors, refusals or breaks in a row that set an executor aside; one, fresh from a return
+	badInARow   = 3     // errors, refusals or breaks in a row that set aside; one, fresh from a return
 	restMS      = 300   // ms that an executor is left alone after it refused
 	coldMargin  = 0.6   // part of the cold budget that is used: what a search weighs is a guess
 	fade        = 0.1   // weight of the newest figure in fading means
@@ -98,7 +100,7 @@
 		{aside, answered, chilled, (*Gateway).chill},
 		{aside, restarted, aside, (*Gateway).chill},
 		{anyState, restarted, chilled, (*Gateway).chill},
-		{chilled, warmed, fit, (*Gateway).clear},
+		{chilled, warmed, fit, nil},
 	}
 }
 
@@ -112,9 +114,6 @@
 	switch ev.Kind {
 	case Began:
 		g.do(Action{Kind: Wake, AfterMS: beatMS})
-		if g.given.Text("list_comes") == "asked" {
-			g.do(Action{Kind: Listen})
-		}
 	case Listed:
 		g.list(ev)
 	case Taken:
@@ -191,10 +190,10 @@
 	if s.fired > 0 && g.given["ration_span_ms"] != nil && !g.rationLeft() {
 		return notNow
 	}
-	if s.key != "" && !g.turnOf(s) {
+	if s.key != "" && (g.now < g.rests[s.key] || g.earlier(s)) {
 		return notNow
 	}
-	if o.kinds != nil && !slices.Contains(o.kinds, e.kind) || o.places != nil && !slices.Contains(o.places, e.place) {
+	if !among(o.kinds, e.kind) || !among(o.places, e.place) {
 		return notHere
 	}
 	if e.standing != Active || e.state == aside || g.now < e.coldUntil && !g.warmEnough(o, e) {
@@ -212,21 +211,8 @@
 		g.given.Num("ration_share", 0)*float64(g.takes.count())
 }
 
-// turnOf tells whether no earlier search of the same key is in hand and the key does not rest.
-func (g *Gateway) turnOf(s *search) bool {
-	if g.now < g.rests[s.key] {
-		return false
-	}
-	for k := range g.slab.places {
-		if t := &g.slab.places[k]; t.used && t.key == s.key && t.seq < s.seq {
-			return false
-		}
-	}
-	return true
-}
-
-// warmEnough tells whether a search fits this controller's part of what a cold executor may be sent. The growth of
-// its capacity is not told, so the least that it has is taken until it must be warm.
+// warmEnough tells whether a search fits this controller's part of what a cold executor may be sent. The
+// growth of its capacity is not told, so the least that it has is taken until it must be warm.
 func (g *Gateway) warmEnough(o *offering, e *executor) bool {
 	length := g.given.Num("fall_ms", 2000)
 	e.coldSent.forget(g.now - length - beatMS)
@@ -234,7 +220,8 @@
 	return e.coldSent.total()+o.usual <= coldMargin*budget*g.share()
 }
 
-// mayDeny is the one place that decides whether a search may be denied: that promises that a new try does no harm.
+// mayDeny is the one place that decides whether a search may be denied: that promises that a new try does
+// no harm.
 func (g *Gateway) mayDeny(s *search) bool {
 	o := &g.offerings[s.offering]
 	if o.effect == "redoable" || o.effect == "labelled" && o.scope == "all" {
@@ -250,25 +237,17 @@
 
 // place sends what waits, the most gain for its work first, and gives up what can't earn any more.
 func (g *Gateway) place() {
-	g.dirty, g.placedAt = false, g.now
-	g.waiting = g.waiting[:0]
-	g.seen = slices.DeleteFunc(g.seen, func(h holding) bool { return h.until <= g.now })
-	g.held = append(g.held[:0], g.seen...)
-	for i := range g.slab.places {
-		if s := &g.slab.places[i]; s.used && s.state == waiting {
-			g.waiting = append(g.waiting, i)
-		} else if s.out > 0 && g.offerings[s.offering].holds {
-			g.held = append(g.held, holding{s.group, s.shots[s.fired-1].executor, math.Inf(1)})
-		}
-	}
+	g.gather()
 	slices.SortFunc(g.waiting, func(a, b int) int {
 		s, t := &g.slab.places[a], &g.slab.places[b]
 		return cmp.Or(cmp.Compare(g.density(t), g.density(s)), cmp.Compare(s.seq, t.seq))
 	})
 	for _, i := range g.waiting {
 		s := &g.slab.places[i]
-		if g.density(s) == 0 || g.spent(s) {
+		if g.density(s) == 0 || s.fired > 0 && g.maySend(s, 0) == never {
 			g.search(i, hopeless)
+		} else if g.full {
+			continue // no executor has room for a single thread, so nobody need ask again in this pass
 		} else if x := g.choose(s); x >= 0 {
 			g.target = x
 			g.search(i, placed)
@@ -277,11 +256,6 @@
 	g.dirty = false
 }
 
-// spent tells whether no shot may follow, wherever it went.
-func (g *Gateway) spent(s *search) bool {
-	return len(g.executors) > 0 && s.fired > 0 && g.maySend(s, 0) == never
-}
-
 // density is the gain that a search can still earn, for its work.
 func (g *Gateway) density(s *search) float64 {
 	o := &g.offerings[s.offering]
@@ -295,29 +269,33 @@
 	return o.gain / s.work
 }
 
-// choose gives the executor for a search, or -1: the first in its group's order with room, else the one with the
-// fewest threads a core that is not full. A search waits rather than stand still behind a load of its own group.
+// choose gives the executor for a search, or -1: the first in its group's order with room, else the one
+// with the fewest threads a core that is not full. A search waits rather than stand still behind a load of
+// its own group.
 func (g *Gateway) choose(s *search) int {
 	o := &g.offerings[s.offering]
 	limit := fullPerCore
 	if s.work/float64(o.threads) <= g.onset {
 		limit = shortPerCore
 	}
+	g.full = true
 	best, spare := -1, -1
 	var bestRank, spareRank uint64
 	var spareFill float64
 	for x := range g.executors {
 		e := &g.executors[x]
+		part := g.share() * (1 + spread*math.Sqrt((1/g.share()-1)/e.cores))
+		room := e.cores * part / max(1, e.pace/slowFrom)
+		g.full = g.full && e.threads > 0 && float64(e.threads+1) > shortPerCore*room
 		if g.now < e.restUntil || !e.proven && e.out > 0 || (o.behind || o.holds) && g.holds(s.group, x) {
 			continue
 		}
 		if v := g.maySend(s, x); v == notHere {
 			continue
 		} else if v != yes {
+			g.full = false
 			break
 		}
-		part := g.share() * (1 + spread*math.Sqrt((1/g.share()-1)/e.cores))
-		room := e.cores * part / max(1, e.pace/slowFrom)
 		threads := float64(e.threads + o.threads)
 		memory := (e.memory + g.grant(s, e)) / (e.ram * part)
 		rank := order(s.group, e.id, o.holds, e.scarce && o.kinds == nil)
@@ -336,9 +314,9 @@
 	return spare
 }
 
-// order ranks an executor for a table group, the same at every controller. A load walks the order from its far end,
-// so that it does not hold its group where the readers go first. Executors of a kind that some offering is bound to
-// come last for the others.
+// order ranks an executor for a table group, the same at every controller. A load walks the order from its
+// far end, so that it does not hold its group where the readers go first. Executors of a kind that some
+// offering is bound to come last for the others.
 func order(group uint64, id uint32, fromEnd, last bool) uint64 {
 	h := (group+1)*0x9E3779B97F4A7C15 ^ (uint64(id)+1)*0xC2B2AE3D27D4EB4F
 	h = (h ^ h>>30) * 0xBF58476D1CE4E5B9
@@ -381,7 +359,7 @@
 	}
 	a := Action{Kind: Terms, Search: s.id, Level: s.level}
 	if g.given.Is("grants") && s.fired > 0 {
-		a.GrantMB = math.Ceil(s.shots[s.fired-1].grant)
+		a.GrantMB = math.Ceil(s.last().grant)
 	}
 	g.do(a)
 }
@@ -397,7 +375,8 @@
 	g.release(i)
 }
 
-// answer gives the final answer: denied where that is allowed, so that the client may come back, else written off.
+// answer gives the final answer: denied where that is allowed, so that the client may come back, else
+// written off.
 func (g *Gateway) answer(i int) {
 	s := &g.slab.places[i]
 	if g.mayDeny(s) {
@@ -421,7 +400,6 @@
 	case ev.Shot < 0 || ev.Shot >= s.fired || !s.shots[ev.Shot].out:
 	case ev.Kind == Streaming:
 		s.bound = true
-		g.heard(&g.executors[s.shots[ev.Shot].executor])
 	case ev.Kind == Noted:
 		g.note(i, &s.shots[ev.Shot], ev)
 	default:
@@ -429,14 +407,11 @@
 	}
 }
 
-// heard counts a sign of work from an executor.
-func (g *Gateway) heard(e *executor) { e.heard, e.missed = g.now, false }
-
 // note takes a note of a running shot.
 func (g *Gateway) note(i int, h *shot, ev *Event) {
 	s := &g.slab.places[i]
 	o, e := &g.offerings[s.offering], &g.executors[h.executor]
-	g.heard(e)
+	e.heard, e.missed = g.now, false
 	h.noted = g.now
 	switch ev.Note {
 	case Waits:
@@ -463,8 +438,9 @@
 		least := s.work / float64(o.threads)
 		expected := least * max(1, o.slow) * max(1, e.pace)
 		projected := h.ran / max(h.share, 0.01)
-		// A bad plan, told by a pace far under that of the offering and the executor. It also catches a shot that an
-		// executor has forgotten; it harms when an estimate is far too low, hence the limit on what is left.
+		// A bad plan, told by a pace far under that of the offering and the executor. It also catches a
+		// shot that an executor has forgotten; it harms when an estimate is far too low, hence the limit on
+		// what is left.
 		if s.state == running && h.ran > badPlanMS && projected > badPlan*expected &&
 			projected-h.ran > 2*expected && o.effect == "redoable" && g.mayFollow(s) {
 			g.search(i, doomed)
@@ -487,7 +463,7 @@
 	g.dirty = true
 	switch ev.Outcome {
 	case Handled:
-		g.heard(e)
+		e.heard, e.missed = g.now, false
 		e.proven, e.bad = true, 0
 		g.learn(s, o, e, h, ev)
 	case Full:
@@ -531,16 +507,15 @@
 // list takes news of the list.
 func (g *Gateway) list(ev *Event) {
 	if ev.List == NoList {
-		if g.given.Text("list_comes") == "asked" {
-			g.do(Action{Kind: Listen})
-		}
+		g.askAt = g.now + askMS
 		return
 	}
 	if ev.List != Changes {
 		for x := range g.executors {
 			e := &g.executors[x]
 			if !slices.ContainsFunc(ev.Entries, func(n Entry) bool { return n.Executor == e.id }) {
-				g.told(x, Gone)
+				e.standing = Gone
+				g.lost(x, g.now, true)
 			}
 		}
 	}
@@ -549,69 +524,55 @@
 		x := g.at(n.Executor)
 		if x < 0 {
 			x = len(g.executors)
-			g.executors = append(g.executors, executor{id: n.Executor, state: fit, pace: 1, proven: true, upSince: n.UpSince})
-			if n.UpSince > 0 && g.now < n.UpSince+g.given.Num("warm_up_ms", 0) {
-				g.judge(x, restarted)
-			}
+			old := g.now - g.given.Num("warm_up_ms", 0)
+			g.executors = append(g.executors, executor{id: n.Executor, state: fit, pace: 1, proven: true,
+				upSince: old})
 		}
 		e := &g.executors[x]
 		e.read(g.given, g.offerings, n)
 		if n.UpSince > e.upSince {
 			e.upSince = n.UpSince
 			g.judge(x, restarted)
-			g.lost(x, n.UpSince)
+			g.lost(x, n.UpSince, true)
 		}
-		g.told(x, n.Standing)
-	}
-	g.dirty = true
-}
-
-// told takes an executor's standing. What ran on one that is gone is lost.
-func (g *Gateway) told(x int, standing Standing) {
-	if e := &g.executors[x]; e.standing != standing {
-		if e.standing = standing; standing == Gone {
-			g.lost(x, g.now)
-		}
-	}
-}
-
-// lost calls off the shots at x that went out before then, however their offering bears it: they can't end any more.
-func (g *Gateway) lost(x int, before float64) {
-	for i := range g.slab.places {
-		s := &g.slab.places[i]
-		if s.used && s.state == running && s.shots[s.fired-1].executor == x && s.shots[s.fired-1].sent < before {
-			g.search(i, doomed)
+		if e.standing = n.Standing; e.standing == Gone {
+			g.lost(x, g.now, true)
 		}
 	}
+	g.dirty = true
 }
 
-// evict calls off the shots at an executor just set aside that may run again elsewhere; the others stay out, for it
-// may only have been cut off.
+// evict calls off the shots at an executor just set aside that may run again elsewhere; an irreversible one
+// stays out, for the executor may only have been cut off.
 func (g *Gateway) evict(x int) {
 	e := &g.executors[x]
 	e.asideAt, e.answers, e.strikes = g.now, 0, e.strikes+1
+	g.lost(x, g.now, false)
+}
+
+// lost calls off the shots at x that went out before then: they can't end well any more. Unless surely
+// gone, only those that another shot may follow.
+func (g *Gateway) lost(x int, before float64, surely bool) {
 	for i := range g.slab.places {
 		s := &g.slab.places[i]
-		if s.used && s.state == running && s.shots[s.fired-1].executor == x &&
-			g.offerings[s.offering].effect != "irreversible" && g.mayFollow(s) {
+		if s.used && s.state == running && s.last().executor == x && s.last().sent < before &&
+			(surely || g.offerings[s.offering].effect != "irreversible" && g.mayFollow(s)) {
 			g.search(i, doomed)
 		}
 	}
 }
 
-// chill takes an executor as cold from now on, whatever the list says: it fell silent and may have started anew.
+// chill takes an executor as cold from now on, whatever the list says: it fell silent and may have started
+// anew.
 func (g *Gateway) chill(x int) {
 	e := &g.executors[x]
 	e.coldUntil = g.now + g.given.Num("warm_up_ms", 0)
 	e.heard, e.busySince, e.bad, e.pace, e.missed, e.proven = g.now, g.now, 0, 1, false, false
 	if e.asideAt > 0 {
-		g.lost(x, e.asideAt)
+		g.lost(x, e.asideAt, true)
 	}
 }
 
-// clear forgets what an executor was set aside for.
-func (g *Gateway) clear(x int) { g.executors[x].strikes = 0 }
-
 // suspect sets an executor aside, unless half of all look bad: then it is something that they share.
 func (g *Gateway) suspect(x int) {
 	bad, all := 1, 0
@@ -658,6 +619,10 @@
 	g.do(Action{Kind: Wake, AfterMS: beatMS})
 	g.dirty = true
 	g.readOnset()
+	if g.given.Text("list_comes") == "asked" && g.now >= g.askAt {
+		g.askAt = math.Inf(1)
+		g.do(Action{Kind: Listen})
+	}
 	for i := range g.slab.places {
 		s := &g.slab.places[i]
 		if !s.used || s.state == over {
@@ -668,7 +633,7 @@
 			continue
 		}
 		if s.state == running {
-			h := &s.shots[s.fired-1]
+			h := s.last()
 			g.age(s, h)
 			if g.forgotten(s, h) {
 				g.search(i, doomed)
@@ -685,7 +650,8 @@
 	}
 }
 
-// age adds a beat of running time to a shot and lets its priority decay; the level is marked anew when it changes.
+// age adds a beat of running time to a shot and lets its priority decay; the level is marked anew when it
+// changes.
 func (g *Gateway) age(s *search, h *shot) {
 	if h.waits != 0 {
 		return // waiting is not running
@@ -707,9 +673,10 @@
 	}
 }
 
-// forgotten tells whether a shot has missed a note while its executor goes on working: its reply, or the shot itself,
-// is lost. It catches lost replies, cut streams and shots dropped by an executor, whatever the cause. It harms where
-// notes alone are lost: then a good shot is called off. Where no notes come it does nothing.
+// forgotten tells whether a shot has missed a note while its executor goes on working: its reply, or the
+// shot itself, is lost. It catches lost replies, cut streams and shots dropped by an executor, whatever the
+// cause. It harms where notes alone are lost: then a good shot is called off. Where no notes come it does
+// nothing.
 func (g *Gateway) forgotten(s *search, h *shot) bool {
 	every := g.given.Num("told_every_ms", 0)
 	e := &g.executors[h.executor]
@@ -722,7 +689,8 @@
 	return int(math.Round(topLevel * math.Log(p/pFloor) / math.Log(pTop/pFloor)))
 }
 
-// readOnset reads the least running time below which the queries finished lately spent onsetShare of theirs.
+// readOnset reads the least running time below which the queries finished lately spent onsetShare of
+// theirs.
 func (g *Gateway) readOnset() {
 	g.finished.forget(g.now - onsetMS)
 	if g.now < g.onsetAt+onsetEvery {
@@ -751,12 +719,13 @@
 	return 0
 }
 
-// watch probes an executor that is aside or shows no sign of work, and sets it aside when that goes on. It catches
-// silence, cut links, hung machines, and ones that answer probes but finish nothing. It harms where all shots of
-// this controller at an executor stand in line without notes.
+// watch probes an executor that is aside or shows no sign of work, and sets it aside when that goes on. It
+// catches silence, cut links, hung machines, and ones that answer probes but finish nothing. It harms where
+// all shots of this controller at an executor stand in line without notes.
 func (g *Gateway) watch(x int) {
 	e := &g.executors[x]
 	if e.state == chilled && g.now >= e.coldUntil {
+		e.strikes = 0
 		g.judge(x, warmed)
 	}
 	if e.standing != Active {
--- a/rules/slab.go
+++ b/rules/slab.go
@@ -122,8 +122,8 @@
 func (s *span) live() []float64 { return s.amount[s.head:] }
 func (s *span) total() float64  { return s.sum }
 
-// state is where a search or an executor stands, input what happens to it; a row of a table in rules.go says what
-// follows.
+// state is where a search or an executor stands, input what happens to it; a row of a table in rules.go
+// says what follows.
 type (
 	state uint8
 	input uint8
@@ -240,6 +240,8 @@
 	held      []holding // as of this pass
 	seen      []holding // told by notes
 	placedAt  float64
+	full      bool    // no executor has room, as of this pass
+	askAt     float64 // when the list is to be asked for
 }
 
 // New starts an instance with nothing but its settings and its seed.
@@ -294,7 +296,12 @@
 
 // at gives the place of an executor, or -1.
 func (g *Gateway) at(id uint32) int {
-	return slices.IndexFunc(g.executors, func(e executor) bool { return e.id == id })
+	for x := range g.executors {
+		if g.executors[x].id == id {
+			return x
+		}
+	}
+	return -1
 }
 
 // read takes over what the list says of an executor's machine.
@@ -336,3 +343,34 @@
 func (g *Gateway) holds(group uint64, x int) bool {
 	return slices.ContainsFunc(g.held, func(h holding) bool { return h.group == group && h.executor == x })
 }
+
+// last is the latest shot.
+func (s *search) last() *shot { return &s.shots[s.fired-1] }
+
+// earlier tells whether an earlier search of the same key is still in hand.
+func (g *Gateway) earlier(s *search) bool {
+	for k := range g.slab.places {
+		if t := &g.slab.places[k]; t.used && t.seq < s.seq && t.key == s.key {
+			return true
+		}
+	}
+	return false
+}
+
+// among tells whether a name is in a list that binds; no list binds nothing.
+func among(list []string, name string) bool { return list == nil || slices.Contains(list, name) }
+
+// gather starts a pass: it collects what waits and where loads hold their groups.
+func (g *Gateway) gather() {
+	g.dirty, g.placedAt, g.full = false, g.now, false
+	g.waiting = g.waiting[:0]
+	g.seen = slices.DeleteFunc(g.seen, func(h holding) bool { return h.until <= g.now })
+	g.held = append(g.held[:0], g.seen...)
+	for i := range g.slab.places {
+		if s := &g.slab.places[i]; s.used && s.state == waiting {
+			g.waiting = append(g.waiting, i)
+		} else if s.out > 0 && g.offerings[s.offering].holds {
+			g.held = append(g.held, holding{s.group, s.last().executor, math.Inf(1)})
+		}
+	}
+}
--- a/rules/types.go
+++ b/rules/types.go
@@ -1,9 +1,11 @@
-// Package rules decides what becomes of each search: where its shots go, at which level they run, when they are
-// called off and what the client is told. types.go is the interface, slab.go the storage, rules.go every decision.
+// Package rules decides what becomes of each search: where its shots go, at which level they run, when they
+// are called off and what the client is told. types.go is the interface, slab.go the storage, rules.go
+// every decision.
 package rules
 
-// Given holds the settings handed over at start: plain names and values (float64, bool, string or []string).
-// Times are milliseconds; names that end in _ms say so. A missing name means that the rule or ability is absent.
+// Given holds the settings handed over at start: plain names and values (float64, bool, string or
+// []string). Times are milliseconds; names that end in _ms say so. A missing name means that the rule or
+// ability is absent.
 type Given map[string]any
 
 // Num returns the number under name, or otherwise.
@@ -170,7 +172,8 @@
 }
 
 // Instance is what a front calls: every event in the order it happened, with the clock in milliseconds. The
-// actions are appended to out, which the caller owns and may reuse. An instance shares nothing with another.
+// actions are appended to out, which the caller owns and may reuse. An instance shares nothing with
+// another.
 type Instance interface {
 	Step(now float64, ev *Event, out []Action) []Action
 }
