--- /dev/null
+++ b/internal/benchwire/benchwire_test.go
@@ -0,0 +1,129 @@
+package benchwire
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"liftshift/rules"
+)
+
+// host keeps what it is told; instance 3 runs.
+type host struct {
+	given   rules.Given
+	seed    uint64
+	stopped []int
+	events  []rules.Event
+	now     float64
+}
+
+func (h *host) Attach(_ int, seed uint64, given rules.Given) error {
+	h.seed, h.given = seed, given
+	return nil
+}
+func (h *host) Stop(instance int) error { h.stopped = append(h.stopped, instance); return nil }
+func (h *host) Event(instance int, now float64, ev *rules.Event) error {
+	if instance != 3 {
+		return io.ErrUnexpectedEOF
+	}
+	h.now, h.events = now, append(h.events, *ev)
+	return nil
+}
+
+func play(lines ...string) (*host, uint64, error) {
+	h := &host{}
+	text := "BEGIN_BATCH\tClock=1500\tseq=12\n" + strings.Join(lines, "\n") + "\nEOF_BATCH\n"
+	seq, err := NewReader(strings.NewReader(strings.ReplaceAll(text, "\n\n", "\n"))).Batch(h)
+	return h, seq, err
+}
+
+func TestEvents(t *testing.T) {
+	h, seq, err := play("ARRIVAL\tI=3\tHandle=t/b\tTableGroup=11\tTable=91f0\tTierClass=look\tWantMb=384\t"+
+		"DropDead=8652250\tEstimate=12000\tNewThing=1", "TIMER\tI=3\tKeyBack=77",
+		"VERDICT\tI=3\tHandle=t/b\tExecutor=5\tCode=completed\tSpent=18500\tOver=1\tUsedUp=69728\tLoad=1,0.5",
+		"CHANGE\tI=3\tHandle=t/b\tN=1\tWhat=3\tX=2")
+	assert.NoError(t, err)
+	assert.Equal(t, uint64(12), seq)
+	assert.Equal(t, 1.5, h.now)
+	assert.Equal(t, rules.Event{Kind: rules.Taken, Search: "t/b", Group: 11, Key: "91f0", Offering: "look", NeedMB: 384,
+		Until: 8652.25, WorkMS: 12}, h.events[0])
+	assert.Equal(t, uint64(77), h.events[1].Token)
+	v := h.events[2]
+	assert.Equal(t, []any{rules.Handled, 18.5, true, 17.0, 384.0, uint32(5), []float64{1, 0.5}},
+		[]any{v.Outcome, v.TookMS, v.Over, v.SpentMS, v.UsedMB, v.Executor, v.Report})
+	assert.Equal(t, rules.Event{Kind: rules.Noted, Search: "t/b", Shot: 1, Note: rules.Waits, Value: 2}, h.events[3])
+}
+
+func TestBanksAreReusedWithinABatch(t *testing.T) {
+	h, _, err := play("SNAPSHOT_ROWS\tBank=2\tRecords=1", "ITEM\tExecutor=7\tType=a\tAvailability=active\tUpSince=2000",
+		"ENDPOINTS\tI=3\tKind=restored\tBank=2", "SNAPSHOT_ROWS\tBank=2", "ENDPOINTS\tI=3\tKind=replace\tBank=2",
+		"ENDPOINTS\tI=3\tKind=unavailable")
+	assert.NoError(t, err)
+	assert.Equal(t, rules.Entry{Executor: 7, Kind: "a", UpSince: 2}, h.events[0].Entries[0])
+	assert.Empty(t, h.events[1].Entries)
+	assert.Equal(t, rules.NoList, h.events[2].List)
+}
+
+func TestSettingsTakeOurNames(t *testing.T) {
+	h, _, err := play("STOP\tI=3", `ATTACH	I=3	Nonce64=9	Settings={"Siblings": 2, "Odd": [1], "Kinds": ["safe"], `+
+		`"Classes": [{"Name": "safe", "Idempotency": "keyed", "Aim": 2000, "KindsOpen": ["probe"]}], `+
+		`"FamilyInfo": {"ClassLoad": [true], "ClassThreads": [2]}}`)
+	assert.NoError(t, err)
+	assert.Equal(t, []int{3}, h.stopped)
+	assert.Equal(t, rules.Began, h.events[0].Kind)
+	assert.Equal(t, rules.Given{"controllers": 2.0, "kind.0.name": "safe", "offering.0.name": "safe",
+		"offering.0.effect": "labelled", "offering.0.due_ms": 2.0, "offering.0.kinds": []string{"probe"},
+		"offering.0.holds_group": true, "offering.0.threads": 2.0}, h.given)
+}
+
+func TestMalformedLinesAreNamed(t *testing.T) {
+	for line, want := range map[string]string{
+		"NONSENSE\tI=3":                                       "line 2: unknown event",
+		"TIMER\tI=3\tKeyBack=x":                               "line 2: TIMER: KeyBack",
+		"TIMER\tI=3\tKeyBack":                                 "line 2: TIMER: a part without a name",
+		"TIMER\tI=4":                                          "line 2: TIMER:",
+		"VERDICT\tI=3\tHandle=t/b":                            "line 2: VERDICT: needs Handle Code",
+		"VERDICT\tI=3\tHandle=t/b\tCode=fine":                 "unknown outcome",
+		"ARRIVAL\tI=3\tHandle=t/b\tTierClass=x":               "needs Handle TierClass DropDead",
+		"CHANGE\tI=3\tHandle=t/b\tWhat=9":                     "unknown note 9",
+		"CHANGE\tI=3\tHandle=t/b\tWhat=1\tX=NaN":              "not a number",
+		"ENDPOINTS\tI=3\tKind=update\tBank=5":                 "no list numbered 5",
+		"ENDPOINTS\tI=3\tKind=wrong":                          "unknown kind of list",
+		"SNAPSHOT_ROWS\tBank=1\tRecords=2\nITEM\tExecutor=1":  "ITEM with its Executor expected",
+		"SNAPSHOT_ROWS\tBank=16":                              "no list numbered 16",
+		"SNAPSHOT_ROWS\tRecords=1\nITEM\tAvailability=active": "ITEM with its Executor expected",
+		"ATTACH\tI=3\tSettings={":                             "ATTACH: Settings",
+		"ATTACH\tI=3":                                         "Settings is missing",
+		"MESSAGE\tI=3\tData=%":                                "MESSAGE: Data",
+	} {
+		_, _, err := play(line)
+		assert.ErrorContains(t, err, want, line)
+	}
+	for text, want := range map[string]string{"EOF_BATCH\n": "BEGIN_BATCH expected", "BEGIN_BATCH\tseq=1\n": "Clock is missing",
+		"BEGIN_BATCH\tClock=1\tseq=1\n": "no EOF_BATCH", "BEGIN_BATCH\tClock=1": "breaks off"} {
+		_, err := NewReader(strings.NewReader(text)).Batch(&host{})
+		assert.ErrorContains(t, err, want)
+	}
+	_, err := NewReader(strings.NewReader("")).Batch(&host{})
+	assert.Equal(t, io.EOF, err)
+}
+
+func TestActions(t *testing.T) {
+	for want, a := range map[string]rules.Action{
+		"ASSIGN\tI=3\tHandle=t/b\tExecutor=7\n":            {Kind: rules.Send, Search: "t/b", Executor: 7},
+		"RESOURCES\tI=3\tHandle=t/b\tGrantMb=64\tPrio=2\n": {Kind: rules.Terms, Search: "t/b", GrantMB: 64, Level: 2},
+		"CALL_OFF\tI=3\tHandle=t/b\tN=1\n":                 {Kind: rules.CallOff, Search: "t/b", Shot: 1},
+		"TURN_AWAY\tI=3\tHandle=t/b\tComeBack=2500\n":      {Kind: rules.Deny, Search: "t/b", AfterMS: 2.5},
+		"TURN_AWAY\tI=3\tHandle=t/b\n":                     {Kind: rules.Deny, Search: "t/b"},
+		"REPORT_FAILURE\tI=3\tHandle=t/b\n":                {Kind: rules.WriteOff, Search: "t/b"},
+		"SLEEP\tI=3\tDelay=20000\tKeyBack=0\n":             {Kind: rules.Wake, AfterMS: 20},
+		"PROBE\tI=3\tExecutor=7\n":                         {Kind: rules.Probe, Executor: 7},
+		"LISTEN\tI=3\tActive=1\n":                          {Kind: rules.Listen},
+		"LOG\tI=3\tBodyText=two known\n":                   {Kind: rules.Log, Text: "two known"},
+	} {
+		assert.Equal(t, want, string(Append(nil, 3, &a)))
+	}
+	assert.Equal(t, "FINISHED\tseq=12\n", string(AppendEnd(nil, 12)))
+}
--- /dev/null
+++ b/rules/helpers_test.go
@@ -0,0 +1,51 @@
+package rules
+
+// given is a deployment with one offering of each effect.
+func given(more Given) Given {
+	g := Given{
+		"controllers": 1.0, "most_shots": 4.0, "may_call_off": true, "may_probe": true, "priorities": true,
+		"grants": true, "told_every_ms": 1000.0, "warm_up_ms": 10000.0, "cold_from": 0.3, "fall_multiple": 3.0,
+		"fall_ms": 2000.0, "tells_come_back": true, "longest_come_back_ms": 500.0,
+		"kind.0.name": "big", "kind.0.cores": 8.0, "kind.0.ram_mb": 16000.0,
+		"kind.1.name": "odd", "kind.1.cores": 8.0, "kind.1.ram_mb": 16000.0,
+	}
+	for i, o := range []struct{ name, effect string }{{"read", "redoable"}, {"mark", "labelled"}, {"once", "irreversible"}} {
+		at := "offering." + string(rune('0'+i)) + "."
+		g[at+"name"], g[at+"effect"], g[at+"scope"], g[at+"window_ms"] = o.name, o.effect, "all", 5000.0
+		g[at+"due_ms"], g[at+"gain"], g[at+"late_share"], g[at+"threads"] = 1000.0, 1.0, 0.5, 1.0
+	}
+	for k, v := range more {
+		g[k] = v
+	}
+	return g
+}
+
+// gateway is an instance at 1000 ms that knows the executors 1 to n.
+func gateway(n int, more Given) *Gateway {
+	g := New(7, given(more))
+	var list []Entry
+	for i := range n {
+		list = append(list, Entry{Executor: uint32(i + 1), Place: "here", Kind: "big"})
+	}
+	g.Step(1000, &Event{Kind: Listed, List: Restored, Entries: list}, nil)
+	return g
+}
+
+// take hands g a search of 100 ms that has until 9000.
+func take(g *Gateway, now float64, id, offering string) []Action {
+	return g.Step(now, &Event{Kind: Taken, Search: id, Offering: offering, NeedMB: 100, WorkMS: 100, Until: 9000}, nil)
+}
+
+func ended(g *Gateway, now float64, id string, n int, o Outcome) []Action {
+	return g.Step(now, &Event{Kind: Ended, Search: id, Shot: n, Outcome: o, Over: o == Handled}, nil)
+}
+
+// kinds are the actions' kinds, wake-ups left out.
+func kinds(actions []Action) (k []ActionKind) {
+	for _, a := range actions {
+		if a.Kind != Wake {
+			k = append(k, a.Kind)
+		}
+	}
+	return k
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -240,11 +240,11 @@
 	g.gather()
 	slices.SortFunc(g.waiting, func(a, b int) int {
 		s, t := &g.slab.places[a], &g.slab.places[b]
-		return cmp.Or(cmp.Compare(g.density(t), g.density(s)), cmp.Compare(s.seq, t.seq))
+		return cmp.Or(cmp.Compare(t.earns, s.earns), cmp.Compare(s.seq, t.seq))
 	})
 	for _, i := range g.waiting {
 		s := &g.slab.places[i]
-		if g.density(s) == 0 || s.fired > 0 && g.maySend(s, 0) == never {
+		if s.earns == 0 || s.fired > 0 && g.maySend(s, 0) == never {
 			g.search(i, hopeless)
 		} else if g.full {
 			continue // no executor has room for a single thread, so nobody need ask again in this pass
@@ -524,7 +524,7 @@
 		x := g.at(n.Executor)
 		if x < 0 {
 			x = len(g.executors)
-			old := g.now - g.given.Num("warm_up_ms", 0)
+			old := max(0, g.now-g.given.Num("warm_up_ms", 0))
 			g.executors = append(g.executors, executor{id: n.Executor, state: fit, pace: 1, proven: true,
 				upSince: old})
 		}
--- /dev/null
+++ b/rules/rules_test.go
@@ -0,0 +1,291 @@
+package rules
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestAFreshSearchIsSentAtTheTopLevel(t *testing.T) {
+	out := take(gateway(2, nil), 1000, "a", "read")
+	assert.Equal(t, []ActionKind{Terms, Send}, kinds(out))
+	assert.Equal(t, 3, out[0].Level)
+	assert.Equal(t, 100.0, out[0].GrantMB)
+}
+
+func TestLevelsByHand(t *testing.T) {
+	// 0.9^n * 10^4 over 100, in thirds of two decades: 3 up to n = 7, 2 up to 21, 1 up to 36, then 0.
+	for n, want := range map[int]int{0: 3, 7: 3, 8: 2, 21: 2, 22: 1, 36: 1, 37: 0, 60: 0} {
+		assert.Equal(t, want, levelOf(max(pFloor, pTop*math.Pow(decay, float64(n)))), "after %d quanta", n)
+	}
+}
+
+func TestOnsetByHand(t *testing.T) {
+	// 10+10+20+160 = 200; a quarter is 50: 10+10+15+15.
+	assert.InDelta(t, 15, onsetOf([]float64{10, 10, 20, 160}), 1e-9)
+	assert.Zero(t, onsetOf(nil))
+}
+
+func TestDecayStartsPastTheOnsetAndOnlyOnceTwentyHaveFinished(t *testing.T) {
+	g := gateway(1, nil)
+	take(g, 1000, "a", "read")
+	s := &g.slab.places[0]
+	g.onset = 300
+	s.last().ran, s.quanta, g.now = 2000, 0, 3000
+	g.age(s, s.last())
+	assert.Equal(t, 3, s.level, "nothing has finished")
+	for range onsetLeast {
+		g.finished.add(3000, 300)
+	}
+	s.last().ran, s.quanta = 1180, 0
+	g.age(s, s.last()) // 12 quanta, of which 9 past the onset
+	assert.InDelta(t, pTop*math.Pow(decay, 9), s.p, 1e-6)
+	assert.Equal(t, 2, s.level)
+	assert.Equal(t, Action{Kind: Terms, Search: "a", GrantMB: 100, Level: 2}, g.out[len(g.out)-1])
+	marked := len(g.out)
+	g.age(s, s.last())
+	assert.Len(t, g.out, marked, "re-marked without a change of level")
+}
+
+func TestWaitingIsNotRunning(t *testing.T) {
+	g := gateway(1, nil)
+	take(g, 1000, "a", "mark")
+	g.Step(1010, &Event{Kind: Noted, Search: "a", Note: Waits, Value: 1}, nil)
+	g.Step(1030, &Event{Kind: Noted, Search: "a", Note: Progress, Value: 0}, nil)
+	g.Step(1050, &Event{Kind: Rang}, nil)
+	assert.Zero(t, g.slab.places[0].last().ran, "a share that does not grow is no sign of running")
+	g.Step(1060, &Event{Kind: Noted, Search: "a", Note: Progress, Value: 0.2}, nil)
+	g.Step(1070, &Event{Kind: Rang}, nil)
+	assert.Equal(t, float64(beatMS), g.slab.places[0].last().ran)
+}
+
+func TestOrderIsTheSameEverywhereAndLoadsWalkItFromTheEnd(t *testing.T) {
+	a, b := gateway(5, nil), New(99, given(nil))
+	b.Step(0, &Event{Kind: Listed, List: Whole, Entries: []Entry{
+		{Executor: 5, Kind: "big"}, {Executor: 3, Kind: "big"}, {Executor: 1, Kind: "big"}, {Executor: 4, Kind: "big"},
+		{Executor: 2, Kind: "big"}}}, nil)
+	x, y := take(a, 1000, "a", "read"), take(b, 1000, "b", "read")
+	assert.Equal(t, x[1].Executor, y[1].Executor)
+	var first [8]int
+	for group := range uint64(400) {
+		best, last := uint32(1), uint32(1)
+		for id := uint32(2); id <= 8; id++ {
+			if order(group, id, false, false) > order(group, best, false, false) {
+				best = id
+			}
+			if order(group, id, true, false) < order(group, last, true, false) {
+				last = id
+			}
+		}
+		assert.Equal(t, best, last)
+		first[best-1]++
+	}
+	for _, n := range first {
+		assert.InDelta(t, 50, n, 25, "groups are spread evenly")
+	}
+}
+
+func TestABoundedExecutorIsSkippedAndAFullOneWaitedFor(t *testing.T) {
+	g := gateway(2, nil)
+	first := take(g, 1000, "a", "read")[1].Executor
+	for x := range g.executors {
+		if e := &g.executors[x]; e.id == first {
+			e.threads = 10
+		}
+	}
+	assert.NotEqual(t, first, take(g, 1000, "b", "read")[1].Executor, "past the bound")
+	g.executors[0].threads, g.executors[1].threads = 11, 12
+	assert.Equal(t, uint32(1), take(g, 1000, "c", "read")[1].Executor, "fewest threads a core")
+	g.executors[0].threads, g.executors[1].threads = 30, 30
+	assert.Empty(t, take(g, 1000, "d", "read"))
+	g.executors[1].threads = 1
+	assert.Equal(t, []ActionKind{Terms, Send}, kinds(g.Step(1020, &Event{Kind: Rang}, nil)))
+}
+
+func TestEveryAnswerComesBeforeTheClientGivesUp(t *testing.T) {
+	g := gateway(0, nil)
+	assert.Empty(t, take(g, 1000, "a", "once"), "no executor")
+	assert.Equal(t, []ActionKind{Deny}, kinds(g.Step(8960, &Event{Kind: Rang}, nil)))
+	assert.Empty(t, g.slab.byID)
+	g = gateway(1, nil)
+	take(g, 1000, "b", "once")
+	assert.Equal(t, []ActionKind{WriteOff, CallOff, Probe}, kinds(g.Step(8980, &Event{Kind: Rang}, nil)))
+	assert.Empty(t, kinds(ended(g, 8990, "b", 0, Recalled)))
+	assert.Empty(t, g.slab.byID)
+}
+
+func TestNoSecondEffect(t *testing.T) {
+	for _, c := range []struct {
+		offering string
+		outcome  Outcome
+		want     []ActionKind
+	}{
+		{"read", Severed, []ActionKind{Terms, Send}}, {"mark", Erred, []ActionKind{Terms, Send}},
+		{"once", Erred, []ActionKind{WriteOff}}, {"once", Severed, []ActionKind{WriteOff}},
+		{"once", Full, []ActionKind{Terms, Send}}, {"once", Refused, []ActionKind{Terms, Send}},
+	} {
+		g := gateway(3, nil)
+		take(g, 1000, "a", c.offering)
+		assert.Equal(t, c.want, kinds(ended(g, 1010, "a", 0, c.outcome)), "%s after %d", c.offering, c.outcome)
+	}
+	g := gateway(3, nil)
+	take(g, 1000, "a", "mark")
+	assert.Equal(t, []ActionKind{Deny}, kinds(ended(g, 5990, "a", 0, Erred)), "past the window")
+	g = gateway(3, Given{"offering.1.scope": "zone"})
+	take(g, 1000, "a", "mark")
+	for x := range g.executors {
+		g.executors[x].place = []string{"there", "here"}[min(1, (x+2-g.slab.places[0].last().executor)%3)]
+	}
+	g.executors[g.slab.places[0].last().executor].standing = Gone
+	s := &g.slab.places[0]
+	s.state, s.out, s.shots[0].out = waiting, 0, false
+	assert.False(t, g.mayDeny(s), "repeats are dropped in one place alone")
+	for x := range g.executors {
+		same := g.executors[x].place == g.executors[s.shots[0].executor].place
+		assert.Equal(t, same && g.executors[x].standing == Active, g.maySend(s, x) == yes)
+	}
+}
+
+func TestNothingNewToADrainingExecutor(t *testing.T) {
+	g := gateway(1, nil)
+	g.Step(1000, &Event{Kind: Listed, Entries: []Entry{{Executor: 1, Kind: "big", Standing: Leaving}}}, nil)
+	assert.Empty(t, take(g, 1001, "a", "read"))
+	g = gateway(2, nil)
+	g.Step(1000, &Event{Kind: Listed, List: Whole, Entries: []Entry{{Executor: 2, Kind: "big"}}}, nil)
+	assert.Equal(t, uint32(2), take(g, 1001, "a", "read")[1].Executor, "what a whole list leaves out is gone")
+}
+
+func TestAColdExecutorGetsItsPartOfTheBudget(t *testing.T) {
+	// 3 * 0.3 * 8 cores * 2000 ms, of which six tenths, between two: 4320 ms of work.
+	g := gateway(1, Given{"controllers": 2.0})
+	g.Step(1500, &Event{Kind: Listed, Entries: []Entry{{Executor: 1, Kind: "big", UpSince: 1400}}}, nil)
+	e, o := &g.executors[0], &g.offerings[0]
+	assert.Equal(t, chilled, e.state)
+	o.usual = 1000
+	e.coldSent.add(1500, 3300)
+	assert.True(t, g.warmEnough(o, e))
+	e.coldSent.add(1500, 100)
+	assert.False(t, g.warmEnough(o, e))
+	g.now = 4000
+	assert.True(t, g.warmEnough(o, e), "the window has passed")
+}
+
+func TestSearchesOfAKeyRunInTurnAndTheKeyRests(t *testing.T) {
+	g := gateway(3, Given{"offering.0.in_order": true, "key_rest_ms": 400.0})
+	keyed := func(id string) []ActionKind {
+		return kinds(g.Step(1000, &Event{Kind: Taken, Search: id, Offering: "read", Key: "k", WorkMS: 9, Until: 9000}, nil))
+	}
+	assert.Equal(t, []ActionKind{Terms, Send}, keyed("a"))
+	assert.Empty(t, keyed("b"))
+	assert.Equal(t, []ActionKind{CallOff}, kinds(g.Step(1010, &Event{Kind: Left, Search: "a"}, nil)))
+	assert.Empty(t, kinds(ended(g, 1020, "a", 0, Recalled)), "the key rests")
+	assert.Empty(t, kinds(g.Step(1400, &Event{Kind: Rang}, nil)))
+	assert.Equal(t, []ActionKind{Terms, Send}, kinds(g.Step(1425, &Event{Kind: Rang}, nil)))
+}
+
+func TestPlacementHoldsWithAllElseDown(t *testing.T) {
+	g := gateway(2, Given{"offering.0.kinds": []string{"odd"}})
+	assert.Empty(t, take(g, 1000, "a", "read"))
+	g.Step(1010, &Event{Kind: Listed, Entries: []Entry{{Executor: 9, Kind: "odd"}}}, nil)
+	assert.Equal(t, uint32(9), g.executors[g.slab.places[0].last().executor].id)
+	assert.True(t, g.executors[2].scarce)
+	assert.NotEqual(t, uint32(9), take(g, 1020, "b", "mark")[1].Executor, "others leave the scarce one alone")
+}
+
+func TestFurtherShotsAreRationed(t *testing.T) {
+	g := gateway(3, Given{"ration_span_ms": 10000.0, "ration_floor": 1.0, "ration_share": 0.1})
+	take(g, 1000, "a", "read")
+	assert.Equal(t, []ActionKind{Terms, Send}, kinds(ended(g, 1010, "a", 0, Full)), "the floor")
+	assert.Empty(t, kinds(ended(g, 1020, "a", 1, Full)))
+	for i := range 9 {
+		g.takes.add(1030, float64(i))
+	}
+	assert.Equal(t, []ActionKind{Terms, Send}, kinds(g.Step(1040, &Event{Kind: Rang}, nil)), "a tenth of ten")
+}
+
+func TestShotsLeft(t *testing.T) {
+	g := gateway(3, Given{"most_shots": 2.0})
+	take(g, 1000, "a", "read")
+	ended(g, 1010, "a", 0, Full)
+	assert.Equal(t, []ActionKind{Deny}, kinds(ended(g, 1020, "a", 1, Full)), "given up at once")
+}
+
+func TestABadPlanIsCalledOffAndSentAnew(t *testing.T) {
+	g := gateway(2, nil)
+	take(g, 1000, "a", "read")
+	g.slab.places[0].last().ran = 1000
+	out := g.Step(2000, &Event{Kind: Noted, Search: "a", Note: Progress, Value: 0.05}, nil)
+	assert.Equal(t, []ActionKind{CallOff}, kinds(out))
+	assert.Equal(t, []ActionKind{Terms, Send}, kinds(ended(g, 2010, "a", 0, Recalled)))
+}
+
+func TestAReaderBehindALoadGoesElsewhere(t *testing.T) {
+	g := gateway(2, Given{"offering.0.stands_behind": true})
+	at := take(g, 1000, "a", "read")[1].Executor
+	out := g.Step(1005, &Event{Kind: Noted, Search: "a", Note: Waits, Value: 2}, nil)
+	assert.Equal(t, []ActionKind{CallOff}, kinds(out))
+	out = ended(g, 1010, "a", 0, Recalled)
+	assert.NotEqual(t, at, out[1].Executor)
+}
+
+func TestALostReplyIsNoticed(t *testing.T) {
+	g := gateway(1, nil)
+	take(g, 1000, "a", "read")
+	take(g, 1000, "b", "read")
+	g.Step(2000, &Event{Kind: Noted, Search: "b", Note: Progress, Value: 0.5}, nil)
+	assert.Empty(t, kinds(g.Step(2500, &Event{Kind: Rang}, nil)))
+	assert.Equal(t, []ActionKind{CallOff, Probe}, kinds(g.Step(2610, &Event{Kind: Rang}, nil)))
+}
+
+func TestASilentExecutorIsSetAsideAndComesBackColdAfterProbes(t *testing.T) {
+	g := gateway(3, nil)
+	take(g, 1000, "a", "read")
+	x := g.slab.places[0].last().executor
+	e := &g.executors[x]
+	out := g.Step(1600, &Event{Kind: Rang}, nil)
+	assert.Contains(t, kinds(out), Probe)
+	probe := Event{Kind: Probed, Executor: e.id, Outcome: TimedOut}
+	g.Step(1850, &probe, nil)
+	out = g.Step(2400, &Event{Kind: Rang}, nil)
+	assert.Contains(t, kinds(out), CallOff)
+	assert.Equal(t, aside, e.state)
+	out = ended(g, 2405, "a", 0, Recalled)
+	assert.NotEqual(t, e.id, out[1].Executor)
+	probe.Outcome = Handled
+	g.Step(2900, &probe, nil)
+	assert.Equal(t, aside, e.state)
+	g.Step(3400, &probe, nil)
+	assert.Equal(t, chilled, e.state)
+	assert.Equal(t, 13400.0, e.coldUntil)
+	assert.False(t, e.proven, "one shot at a time until it has done work")
+}
+
+func TestErrorsInARowSetAside(t *testing.T) {
+	g := gateway(3, nil)
+	take(g, 1000, "a", "read")
+	x := g.slab.places[0].last().executor
+	g.executors[x].bad = badInARow - 2
+	ended(g, 1000, "a", 0, Erred)
+	assert.Equal(t, fit, g.executors[x].state)
+	g.executors[x].restUntil = 0
+	take(g, 1000, "b", "read")
+	ended(g, 1000, "b", 0, Erred)
+	assert.Equal(t, aside, g.executors[x].state)
+}
+
+func TestWhenHalfLookBadNobodyIsSetAside(t *testing.T) {
+	g := gateway(4, nil)
+	for x := range 4 {
+		g.suspect(x)
+	}
+	assert.Equal(t, []state{aside, aside, fit, fit},
+		[]state{g.executors[0].state, g.executors[1].state, g.executors[2].state, g.executors[3].state})
+}
+
+func TestAHopelessSearchIsDeniedAtOnceWithATimeToComeBack(t *testing.T) {
+	g := gateway(1, nil)
+	out := g.Step(1000, &Event{Kind: Taken, Search: "a", Offering: "read", WorkMS: 5000, Until: 2000}, nil)
+	assert.Equal(t, Deny, out[0].Kind)
+	assert.InDelta(t, 375, out[0].AfterMS, 125)
+}
--- a/rules/slab.go
+++ b/rules/slab.go
@@ -40,6 +40,7 @@
 	due      float64
 	until    float64
 	p        float64 // the paper's priority
+	earns    float64 // gain for its work, as of this pass
 	quanta   int     // quanta of running time already counted
 	level    int
 	shots    [mostShots]shot
@@ -368,7 +369,7 @@
 	g.held = append(g.held[:0], g.seen...)
 	for i := range g.slab.places {
 		if s := &g.slab.places[i]; s.used && s.state == waiting {
-			g.waiting = append(g.waiting, i)
+			g.waiting, s.earns = append(g.waiting, i), g.density(s)
 		} else if s.out > 0 && g.offerings[s.offering].holds {
 			g.held = append(g.held, holding{s.group, s.last().executor, math.Inf(1)})
 		}
