--- a/rules/rules.go
+++ b/rules/rules.go
@@ -263,7 +263,7 @@
 	switch {
 	case g.now+least > s.until-closingMS:
 		return 0
-	case g.now+least*o.slow > s.due:
+	case g.now+least > s.due:
 		return o.gain * o.late / s.work
 	}
 	return o.gain / s.work
