--- a/rules/rules.go
+++ b/rules/rules.go
@@ -333,7 +333,11 @@
 
 // grant is the memory that a shot at s takes on e.
 func (g *Gateway) grant(s *search, e *executor) float64 {
-	return min(s.need*g.offerings[s.offering].memory, e.ram*g.given.Num("largest_share", 1))
+	wants := s.need // executors that set the grants themselves go by the estimate
+	if g.given.Is("grants") {
+		wants *= g.offerings[s.offering].memory
+	}
+	return min(wants, e.ram*g.given.Num("largest_share", 1))
 }
 
 // fire sends the shot that was placed, at the top level.
@@ -499,9 +503,6 @@
 		o.worked += learnt * (min(ev.SpentMS, slowCap*s.work) - o.worked)
 		o.estimated += learnt * (s.estimate - o.estimated)
 	}
-	if ev.UsedMB > 0 && s.need > 0 {
-		o.memory += learnt * (ev.UsedMB/s.need*memorySpare - o.memory)
-	}
 }
 
 // list takes news of the list.
