--- a/rules/rules.go
+++ b/rules/rules.go
@@ -141,12 +141,12 @@
 	}
 	k := slices.IndexFunc(g.offerings, func(o offering) bool { return o.name == ev.Offering })
 	if k < 0 { // an offering that the settings don't name: nothing is known that would let it run
-		g.do(Action{Kind: WriteOff, Search: ev.Search})
+		g.do(Action{Kind: Deny, Search: ev.Search})
 		return
 	}
 	o, s := &g.offerings[k], &g.slab.places[g.slab.take(ev.Search)]
 	g.seq++
-	s.seq, s.offering, s.group, s.taken, s.until = g.seq, k, ev.Group, g.now, ev.Until
+	s.seq, s.offering, s.group, s.until = g.seq, k, ev.Group, ev.Until
 	if o.inOrder {
 		s.key = ev.Key
 	}
@@ -157,9 +157,7 @@
 	if s.work <= 0 {
 		s.work = max(o.usual, 1)
 	}
-	if o.usual == 0 {
-		o.usual = s.work
-	}
+	o.usual = cmp.Or(o.usual, s.work)
 	o.usual += fade * (s.work - o.usual)
 	s.due = g.now + o.due + o.stretch*s.work/float64(o.threads)
 	g.takes.add(g.now, 1)
@@ -224,15 +222,7 @@
 // no harm.
 func (g *Gateway) mayDeny(s *search) bool {
 	o := &g.offerings[s.offering]
-	if o.effect == "redoable" || o.effect == "labelled" && o.scope == "all" {
-		return true
-	}
-	for k := range s.fired {
-		if s.shots[k].doubt {
-			return false
-		}
-	}
-	return true
+	return o.effect == "redoable" || o.effect == "labelled" && o.scope == "all" || !s.mayHaveRun()
 }
 
 // place sends what waits, the most gain for its work first, and gives up what can't earn any more.
@@ -279,9 +269,7 @@
 		limit = shortPerCore
 	}
 	g.full = true
-	best, spare := -1, -1
-	var bestRank, spareRank uint64
-	var spareFill float64
+	best, bestFill, bestRank := -1, 0.0, uint64(0)
 	for x := range g.executors {
 		e := &g.executors[x]
 		part := g.share() * (1 + spread*math.Sqrt((1/g.share()-1)/e.cores))
@@ -299,19 +287,16 @@
 		threads := float64(e.threads + o.threads)
 		memory := (e.memory + g.grant(s, e)) / (e.ram * part)
 		rank := order(s.group, e.id, o.holds, e.scarce && o.kinds == nil)
-		if threads <= boundPerCore*room && memory <= 1 && (best < 0 || rank > bestRank) {
-			best, bestRank = x, rank
+		fill := 0.0 // within the bound the order decides, past it the threads
+		if threads > boundPerCore*room || memory > 1 {
+			fill = 1 + float64(e.threads)/room
 		}
-		fill := float64(e.threads) / room
-		if (threads <= limit*room && memory <= 1 || e.threads == 0) &&
-			(spare < 0 || fill < spareFill || fill == spareFill && rank > spareRank) {
-			spare, spareFill, spareRank = x, fill, rank
+		if (fill == 0 || threads <= limit*room && memory <= 1 || e.threads == 0) &&
+			(best < 0 || fill < bestFill || fill == bestFill && rank > bestRank) {
+			best, bestFill, bestRank = x, fill, rank
 		}
 	}
-	if best >= 0 {
-		return best
-	}
-	return spare
+	return best
 }
 
 // order ranks an executor for a table group, the same at every controller. A load walks the order from its
@@ -419,7 +404,7 @@
 	h.noted = g.now
 	switch ev.Note {
 	case Waits:
-		h.waits, h.waitsFor = Waits, ev.Value
+		h.waits = Waits
 		g.dirty = true
 		// A reader that stands still behind a load, which may be another controller's, goes elsewhere at once: it
 		// has done nothing yet that would be lost. Harms only by the shot that it uses up.
@@ -511,13 +496,9 @@
 		g.askAt = g.now + askMS
 		return
 	}
-	if ev.List != Changes {
-		for x := range g.executors {
-			e := &g.executors[x]
-			if !slices.ContainsFunc(ev.Entries, func(n Entry) bool { return n.Executor == e.id }) {
-				e.standing = Gone
-				g.lost(x, g.now, true)
-			}
+	for x := range g.executors {
+		if ev.List != Changes { // what a whole list leaves out is gone
+			g.executors[x].standing = Gone
 		}
 	}
 	for k := range ev.Entries {
@@ -536,7 +517,10 @@
 			g.judge(x, restarted)
 			g.lost(x, n.UpSince, true)
 		}
-		if e.standing = n.Standing; e.standing == Gone {
+		e.standing = n.Standing
+	}
+	for x := range g.executors {
+		if g.executors[x].standing == Gone {
 			g.lost(x, g.now, true)
 		}
 	}
@@ -591,12 +575,7 @@
 }
 
 // notesMS is the time between notes.
-func (g *Gateway) notesMS() float64 {
-	if every := g.given.Num("told_every_ms", 0); every > 0 {
-		return every
-	}
-	return blindMS
-}
+func (g *Gateway) notesMS() float64 { return cmp.Or(g.given.Num("told_every_ms", 0), blindMS) }
 
 // probed takes the result of a probe.
 func (g *Gateway) probed(ev *Event) {
@@ -644,11 +623,7 @@
 	for x := range g.executors {
 		g.watch(x)
 	}
-	for key, until := range g.rests {
-		if g.now >= until {
-			delete(g.rests, key)
-		}
-	}
+	g.endRests()
 }
 
 // age adds a beat of running time to a shot and lets its priority decay; the level is marked anew when it
@@ -657,18 +632,16 @@
 	if h.waits != 0 {
 		return // waiting is not running
 	}
+	o := &g.offerings[s.offering]
 	h.ran += min(beatMS, g.now-h.sent)
 	for float64(s.quanta+1)*quantumMS <= h.ran {
 		s.quanta++
-		if g.finished.count() >= onsetLeast && float64(s.quanta)*quantumMS > g.onset {
+		// A load keeps its priority (paper, 3.2, custom priorities): demoted, it would hold up its readers longer.
+		if g.finished.count() >= onsetLeast && float64(s.quanta)*quantumMS > g.onset && !o.holds {
 			s.p = max(pFloor, decay*s.p)
 		}
 	}
-	level := levelOf(s.p)
-	if g.offerings[s.offering].holds {
-		level = topLevel // a demoted load would hold its group's readers up for longer
-	}
-	if level != s.level && s.state == running {
+	if level := levelOf(s.p); level != s.level {
 		s.level = level
 		g.terms(s)
 	}
--- a/rules/slab.go
+++ b/rules/slab.go
@@ -20,7 +20,6 @@
 	grant    float64
 	threads  int
 	waits    NoteKind // 0: runs; else Waits
-	waitsFor float64  // 1 memory, 2 a load
 	spilled  bool
 	out      bool // no outcome yet
 	doubt    bool // out, or ended without proof that it never ran
@@ -36,7 +35,6 @@
 	estimate float64 // work as estimated by the client, ms
 	work     float64 // the same, corrected: work of all threads
 	seq      uint64  // order of taking
-	taken    float64
 	due      float64
 	until    float64
 	p        float64 // the paper's priority
@@ -375,3 +373,17 @@
 		}
 	}
 }
+
+// mayHaveRun tells whether a shot is out or ended without proof that it never ran.
+func (s *search) mayHaveRun() bool {
+	return slices.ContainsFunc(s.shots[:s.fired], func(h shot) bool { return h.doubt })
+}
+
+// endRests forgets the keys that rest no longer.
+func (g *Gateway) endRests() {
+	for key, until := range g.rests {
+		if g.now >= until {
+			delete(g.rests, key)
+		}
+	}
+}
