A search that lacks only the ration is denied at once

The client's next try is a fresh search, whose first shot is not rationed. It harms where clients don't retry.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -185,7 +185,7 @@
 			}
 		}
 	}
-	if s.fired > 0 && g.given["ration_span_ms"] != nil && !g.rationLeft() {
+	if s.fired > 0 && !g.rationLeft() {
 		return notNow
 	}
 	if s.key != "" && (g.now < g.rests[s.key] || g.earlier(s)) {
@@ -203,6 +203,9 @@
 // rationLeft tells whether one more shot beyond a search's first stays within the ration.
 func (g *Gateway) rationLeft() bool {
 	length := g.given.Num("ration_span_ms", 0)
+	if length == 0 {
+		return true
+	}
 	g.extras.forget(g.now - length - beatMS)
 	g.takes.forget(g.now - length)
 	return float64(g.extras.count()+1) <= g.given.Num("ration_floor", 0)+
@@ -234,7 +237,7 @@
 	})
 	for _, i := range g.waiting {
 		s := &g.slab.places[i]
-		if s.earns == 0 || s.fired > 0 && g.maySend(s, 0) == never {
+		if s.earns == 0 || s.fired > 0 && (g.maySend(s, 0) == never || g.mayDeny(s) && !g.rationLeft()) {
 			g.search(i, hopeless)
 		} else if g.full {
 			continue // no executor has room for a single thread, so nobody need ask again in this pass
@@ -440,8 +443,7 @@
 // mayFollow tells whether a search has a shot left and the ration allows one.
 func (g *Gateway) mayFollow(s *search) bool {
 	return g.given.Is("may_call_off") && s.fired < mostShots &&
-		float64(s.fired) < g.given.Num("most_shots", mostShots) &&
-		(g.given["ration_span_ms"] == nil || g.rationLeft())
+		float64(s.fired) < g.given.Num("most_shots", mostShots) && g.rationLeft()
 }
 
 // ended takes the outcome of a shot.
