A stall of its own is counted as running time and judges nobody; late and cheap is denied

Searches sure to be late, whose late answers earn a tenth, filled the line until their hard limit; they are denied at once now (constant lateLeast), which also guards against long lines after any jam and harms where estimates lie far too high. And after a stall, notes still in line made shots look forgotten and executors silent, and running time was counted short; for one beat nobody is judged.

--- a/rules/helpers_test.go
+++ b/rules/helpers_test.go
@@ -9,7 +9,8 @@
 		"kind.0.name": "big", "kind.0.cores": 8.0, "kind.0.ram_mb": 16000.0,
 		"kind.1.name": "odd", "kind.1.cores": 8.0, "kind.1.ram_mb": 16000.0,
 	}
-	for i, o := range []struct{ name, effect string }{{"read", "redoable"}, {"mark", "labelled"}, {"once", "irreversible"}} {
+	effects := []struct{ name, effect string }{{"read", "redoable"}, {"mark", "labelled"}, {"once", "irreversible"}}
+	for i, o := range effects {
 		at := "offering." + string(rune('0'+i)) + "."
 		g[at+"name"], g[at+"effect"], g[at+"scope"], g[at+"window_ms"] = o.name, o.effect, "all", 5000.0
 		g[at+"due_ms"], g[at+"gain"], g[at+"late_share"], g[at+"threads"] = 1000.0, 1.0, 0.5, 1.0
@@ -33,7 +34,8 @@
 
 // take hands g a search of 100 ms that has until 9000.
 func take(g *Gateway, now float64, id, offering string) []Action {
-	return g.Step(now, &Event{Kind: Taken, Search: id, Offering: offering, NeedMB: 100, WorkMS: 100, Until: 9000}, nil)
+	ev := Event{Kind: Taken, Search: id, Offering: offering, NeedMB: 100, WorkMS: 100, Until: 9000}
+	return g.Step(now, &ev, nil)
 }
 
 func ended(g *Gateway, now float64, id string, n int, o Outcome) []Action {
@@ -49,3 +51,9 @@
 	}
 	return k
 }
+
+// beat lets g look at what runs, one beat after the last.
+func beat(g *Gateway, now float64) []Action {
+	g.beatAt = now - beatMS
+	return g.Step(now, &Event{Kind: Rang}, nil)
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -24,16 +24,17 @@
 	topLevel   = 3     // highest level on the engines
 
 	// Room on an executor.
-	boundPerCore = 1.2 // running threads a core at which routing skips it: half of a search's time is reading
-	fullPerCore  = 1.7 // threads a core past which work is lost: a search waits here (paper's wait queue)
-	shortPerCore = 2.2 // the same for searches shorter than the onset, which leave again at once
-
-	askMS  = 1000 // ms until a list out of reach is asked for again: longer than most calls take
-	crowd  = 50   // searches waiting from which they are gone through once a tick, not at each event
-	spread = 1.0  // how far a part of an executor is widened, as several parts are rarely full at once
+	boundPerCore = 1.2  // running threads a core at which routing skips it: half of a search's time is reading
+	fullPerCore  = 1.7  // threads a core past which work is lost: a search waits here (paper's wait queue)
+	shortPerCore = 2.2  // the same for searches shorter than the onset, which leave again at once
+	lateLeast    = 0.25 // share of the gain that a late answer must earn for a search to wait for it
+	crowd        = 50   // searches waiting from which they are gone through once a tick, not at each event
+	spread       = 1.0  // how far a part of an executor is widened, as several parts are rarely full at once
 
 	// Judging shots and executors.
+	askMS       = 1000  // ms until a list out of reach is asked for again: longer than most calls take
 	beatMS      = 20    // ms between looks at what runs: a fifth of a quantum
+	stallMS     = 100   // ms between beats from which this instance itself stood still: five beats
 	closingMS   = 25    // ms before the client gives up at which it gets its answer: one beat and a tick
 	noteLate    = 1.5   // note intervals until a running shot must have been told of: one, and its phase
 	noteSlack   = 1.2   // note intervals without any sign after a missed probe: one, and some jitter
@@ -171,7 +172,7 @@
 	if s.state != waiting || s.out > 0 || g.now >= s.until-closingMS {
 		return notNow // a second shot beside the first is never sent
 	}
-	if s.fired >= mostShots || float64(s.fired) >= g.given.Num("most_shots", mostShots) {
+	if !g.shotsLeft(s) {
 		return never
 	}
 	for k := range s.fired {
@@ -244,6 +245,8 @@
 		} else if x := g.choose(s); x >= 0 {
 			g.target = x
 			g.search(i, placed)
+		} else if o := &g.offerings[s.offering]; o.late < lateLeast && g.now+s.work/float64(o.threads) > s.due {
+			g.search(i, hopeless) // sure to be late, and then worth little: it would only fill the line
 		}
 	}
 	g.dirty = false
@@ -403,12 +406,10 @@
 func (g *Gateway) note(i int, h *shot, ev *Event) {
 	s := &g.slab.places[i]
 	o, e := &g.offerings[s.offering], &g.executors[h.executor]
-	e.heard, e.missed = g.now, false
-	h.noted = g.now
+	e.heard, e.missed, h.noted = g.now, false, g.now
 	switch ev.Note {
 	case Waits:
-		h.waits = Waits
-		g.dirty = true
+		h.waits, g.dirty = Waits, true
 		// A reader that stands still behind a load, which may be another controller's, goes elsewhere at once: it
 		// has done nothing yet that would be lost. Harms only by the shot that it uses up.
 		if ev.Value == 2 {
@@ -440,10 +441,13 @@
 	}
 }
 
-// mayFollow tells whether a search has a shot left and the ration allows one.
+// mayFollow tells whether a shot called off could be followed by another.
 func (g *Gateway) mayFollow(s *search) bool {
-	return g.given.Is("may_call_off") && s.fired < mostShots &&
-		float64(s.fired) < g.given.Num("most_shots", mostShots) && g.rationLeft()
+	return g.given.Is("may_call_off") && g.shotsLeft(s) && g.rationLeft()
+}
+
+func (g *Gateway) shotsLeft(s *search) bool {
+	return float64(s.fired) < min(mostShots, g.given.Num("most_shots", mostShots))
 }
 
 // ended takes the outcome of a shot.
@@ -454,8 +458,7 @@
 	g.dirty = true
 	switch ev.Outcome {
 	case Handled:
-		e.heard, e.missed = g.now, false
-		e.proven, e.bad = true, 0
+		e.heard, e.missed, e.proven, e.bad = g.now, false, true, 0
 		g.learn(s, o, e, h, ev)
 	case Full:
 		e.restUntil = g.now + restMS
@@ -508,9 +511,8 @@
 		x := g.at(n.Executor)
 		if x < 0 {
 			x = len(g.executors)
-			old := max(0, g.now-g.given.Num("warm_up_ms", 0))
 			g.executors = append(g.executors, executor{id: n.Executor, state: fit, pace: 1, proven: true,
-				upSince: old})
+				upSince: max(0, g.now-g.given.Num("warm_up_ms", 0))})
 		}
 		e := &g.executors[x]
 		e.read(g.given, g.offerings, n)
@@ -586,12 +588,10 @@
 		return
 	}
 	e := &g.executors[x]
-	e.probeOut = false
-	if e.missed = ev.Outcome != Handled; e.missed {
+	e.probeOut, e.missed = false, ev.Outcome != Handled
+	if e.answers++; e.missed {
 		e.answers = 0
-		return
-	}
-	if e.answers++; e.state == aside && e.answers >= probesBack*e.strikes {
+	} else if e.state == aside && e.answers >= probesBack*e.strikes {
 		g.judge(x, answered)
 	}
 }
@@ -599,7 +599,8 @@
 // beat looks at all that runs: levels, time left, executors under suspicion.
 func (g *Gateway) beat() {
 	g.do(Action{Kind: Wake, AfterMS: beatMS})
-	g.dirty = true
+	gap := g.now - cmp.Or(g.beatAt, g.now-beatMS)
+	g.dirty, g.beatAt = true, g.now
 	g.readOnset()
 	if g.given.Text("list_comes") == "asked" && g.now >= g.askAt {
 		g.askAt = math.Inf(1)
@@ -607,22 +608,19 @@
 	}
 	for i := range g.slab.places {
 		s := &g.slab.places[i]
-		if !s.used || s.state == over {
-			continue
-		}
-		if g.now >= s.until-closingMS && !s.bound {
+		switch {
+		case !s.used || s.state == over:
+		case g.now >= s.until-closingMS && !s.bound:
 			g.search(i, hopeless)
-			continue
-		}
-		if s.state == running {
-			h := s.last()
-			g.age(s, h)
-			if g.forgotten(s, h) {
+		case s.state == running:
+			g.age(s, s.last(), gap)
+			if gap < stallMS && g.forgotten(s, s.last()) {
 				g.search(i, doomed)
 			}
 		}
 	}
-	for x := range g.executors {
+	// After a stall of its own, signs of work may still stand in line behind this beat: nobody is judged.
+	for x := 0; gap < stallMS && x < len(g.executors); x++ {
 		g.watch(x)
 	}
 	g.endRests()
@@ -630,12 +628,12 @@
 
 // age adds a beat of running time to a shot and lets its priority decay; the level is marked anew when it
 // changes.
-func (g *Gateway) age(s *search, h *shot) {
+func (g *Gateway) age(s *search, h *shot, gap float64) {
 	if h.waits != 0 {
 		return // waiting is not running
 	}
 	o := &g.offerings[s.offering]
-	h.ran += min(beatMS, g.now-h.sent)
+	h.ran += min(gap, g.now-h.sent)
 	for float64(s.quanta+1)*quantumMS <= h.ran {
 		s.quanta++
 		// A load keeps its priority (paper, 3.2, custom priorities): demoted, it would hold up its readers longer.
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -33,18 +33,18 @@
 	s := &g.slab.places[0]
 	g.onset = 300
 	s.last().ran, s.quanta, g.now = 2000, 0, 3000
-	g.age(s, s.last())
+	g.age(s, s.last(), 0)
 	assert.Equal(t, 3, s.level, "nothing has finished")
 	for range onsetLeast {
 		g.finished.add(3000, 300)
 	}
-	s.last().ran, s.quanta = 1180, 0
-	g.age(s, s.last()) // 12 quanta, of which 9 past the onset
+	s.last().ran, s.quanta = 1200, 0
+	g.age(s, s.last(), 0) // 12 quanta, of which 9 past the onset
 	assert.InDelta(t, pTop*math.Pow(decay, 9), s.p, 1e-6)
 	assert.Equal(t, 2, s.level)
 	assert.Equal(t, Action{Kind: Terms, Search: "a", GrantMB: 100, Level: 2}, g.out[len(g.out)-1])
 	marked := len(g.out)
-	g.age(s, s.last())
+	g.age(s, s.last(), 0)
 	assert.Len(t, g.out, marked, "re-marked without a change of level")
 }
 
@@ -53,18 +53,18 @@
 	take(g, 1000, "a", "mark")
 	g.Step(1010, &Event{Kind: Noted, Search: "a", Note: Waits, Value: 1}, nil)
 	g.Step(1030, &Event{Kind: Noted, Search: "a", Note: Progress, Value: 0}, nil)
-	g.Step(1050, &Event{Kind: Rang}, nil)
+	beat(g, 1050)
 	assert.Zero(t, g.slab.places[0].last().ran, "a share that does not grow is no sign of running")
 	g.Step(1060, &Event{Kind: Noted, Search: "a", Note: Progress, Value: 0.2}, nil)
-	g.Step(1070, &Event{Kind: Rang}, nil)
+	beat(g, 1070)
 	assert.Equal(t, float64(beatMS), g.slab.places[0].last().ran)
 }
 
 func TestOrderIsTheSameEverywhereAndLoadsWalkItFromTheEnd(t *testing.T) {
 	a, b := gateway(5, nil), New(99, given(nil))
 	b.Step(0, &Event{Kind: Listed, List: Whole, Entries: []Entry{
-		{Executor: 5, Kind: "big"}, {Executor: 3, Kind: "big"}, {Executor: 1, Kind: "big"}, {Executor: 4, Kind: "big"},
-		{Executor: 2, Kind: "big"}}}, nil)
+		{Executor: 5, Kind: "big"}, {Executor: 3, Kind: "big"}, {Executor: 1, Kind: "big"},
+		{Executor: 4, Kind: "big"}, {Executor: 2, Kind: "big"}}}, nil)
 	x, y := take(a, 1000, "a", "read"), take(b, 1000, "b", "read")
 	assert.Equal(t, x[1].Executor, y[1].Executor)
 	var first [8]int
@@ -100,17 +100,17 @@
 	g.executors[0].threads, g.executors[1].threads = 30, 30
 	assert.Empty(t, take(g, 1000, "d", "read"))
 	g.executors[1].threads = 1
-	assert.Equal(t, []ActionKind{Terms, Send}, kinds(g.Step(1020, &Event{Kind: Rang}, nil)))
+	assert.Equal(t, []ActionKind{Terms, Send}, kinds(beat(g, 1020)))
 }
 
 func TestEveryAnswerComesBeforeTheClientGivesUp(t *testing.T) {
 	g := gateway(0, nil)
 	assert.Empty(t, take(g, 1000, "a", "once"), "no executor")
-	assert.Equal(t, []ActionKind{Deny}, kinds(g.Step(8960, &Event{Kind: Rang}, nil)))
+	assert.Equal(t, []ActionKind{Deny}, kinds(beat(g, 8960)))
 	assert.Empty(t, g.slab.byID)
 	g = gateway(1, nil)
 	take(g, 1000, "b", "once")
-	assert.Equal(t, []ActionKind{WriteOff, CallOff, Probe}, kinds(g.Step(8980, &Event{Kind: Rang}, nil)))
+	assert.Equal(t, []ActionKind{WriteOff, CallOff, Probe}, kinds(beat(g, 8980)))
 	assert.Empty(t, kinds(ended(g, 8990, "b", 0, Recalled)))
 	assert.Empty(t, g.slab.byID)
 }
@@ -174,14 +174,15 @@
 func TestSearchesOfAKeyRunInTurnAndTheKeyRests(t *testing.T) {
 	g := gateway(3, Given{"offering.0.in_order": true, "key_rest_ms": 400.0})
 	keyed := func(id string) []ActionKind {
-		return kinds(g.Step(1000, &Event{Kind: Taken, Search: id, Offering: "read", Key: "k", WorkMS: 9, Until: 9000}, nil))
+		ev := Event{Kind: Taken, Search: id, Offering: "read", Key: "k", WorkMS: 9, Until: 9000}
+		return kinds(g.Step(1000, &ev, nil))
 	}
 	assert.Equal(t, []ActionKind{Terms, Send}, keyed("a"))
 	assert.Empty(t, keyed("b"))
 	assert.Equal(t, []ActionKind{CallOff}, kinds(g.Step(1010, &Event{Kind: Left, Search: "a"}, nil)))
 	assert.Empty(t, kinds(ended(g, 1020, "a", 0, Recalled)), "the key rests")
-	assert.Empty(t, kinds(g.Step(1400, &Event{Kind: Rang}, nil)))
-	assert.Equal(t, []ActionKind{Terms, Send}, kinds(g.Step(1425, &Event{Kind: Rang}, nil)))
+	assert.Empty(t, kinds(beat(g, 1400)))
+	assert.Equal(t, []ActionKind{Terms, Send}, kinds(beat(g, 1425)))
 }
 
 func TestPlacementHoldsWithAllElseDown(t *testing.T) {
@@ -198,7 +199,7 @@
 	g := gateway(3, more)
 	take(g, 1000, "a", "read")
 	assert.Equal(t, []ActionKind{Terms, Send}, kinds(ended(g, 1010, "a", 0, Full)), "the floor")
-	assert.Equal(t, []ActionKind{Deny}, kinds(ended(g, 1020, "a", 1, Full)), "a next try of the client is not rationed")
+	assert.Equal(t, []ActionKind{Deny}, kinds(ended(g, 1020, "a", 1, Full)), "a next try is not rationed")
 	for range 9 {
 		g.takes.add(1030, 1)
 	}
@@ -237,8 +238,8 @@
 	take(g, 1000, "a", "read")
 	take(g, 1000, "b", "read")
 	g.Step(2000, &Event{Kind: Noted, Search: "b", Note: Progress, Value: 0.5}, nil)
-	assert.Empty(t, kinds(g.Step(2500, &Event{Kind: Rang}, nil)))
-	assert.Equal(t, []ActionKind{CallOff, Probe}, kinds(g.Step(2610, &Event{Kind: Rang}, nil)))
+	assert.Empty(t, kinds(beat(g, 2500)))
+	assert.Equal(t, []ActionKind{CallOff, Probe}, kinds(beat(g, 2610)))
 }
 
 func TestASilentExecutorIsSetAsideAndComesBackColdAfterProbes(t *testing.T) {
@@ -246,11 +247,11 @@
 	take(g, 1000, "a", "read")
 	x := g.slab.places[0].last().executor
 	e := &g.executors[x]
-	out := g.Step(1600, &Event{Kind: Rang}, nil)
+	out := beat(g, 1600)
 	assert.Contains(t, kinds(out), Probe)
 	probe := Event{Kind: Probed, Executor: e.id, Outcome: TimedOut}
 	g.Step(1850, &probe, nil)
-	out = g.Step(2400, &Event{Kind: Rang}, nil)
+	out = beat(g, 2400)
 	assert.Contains(t, kinds(out), CallOff)
 	assert.Equal(t, aside, e.state)
 	out = ended(g, 2405, "a", 0, Recalled)
@@ -292,3 +293,23 @@
 	assert.Equal(t, Deny, out[0].Kind)
 	assert.InDelta(t, 375, out[0].AfterMS, 125)
 }
+
+func TestAStallOfItsOwnJudgesNobody(t *testing.T) {
+	g := gateway(1, nil)
+	take(g, 1000, "a", "read")
+	take(g, 1000, "b", "read")
+	beat(g, 1020)
+	g.Step(3500, &Event{Kind: Noted, Search: "b", Note: Progress, Value: 0.5}, nil)
+	assert.Empty(t, kinds(g.Step(3500, &Event{Kind: Rang}, nil)), "the note of a may stand in line")
+	assert.Equal(t, 2500.0, g.slab.places[0].last().ran, "it ran all the while")
+	assert.Contains(t, kinds(beat(g, 3520)), CallOff)
+}
+
+func TestASearchSureToBeLateWaitsOnlyForWhatPays(t *testing.T) {
+	for late, want := range map[float64][]ActionKind{0.1: {Deny}, 0.5: nil} {
+		g := gateway(0, Given{"offering.0.late_share": late})
+		take(g, 1000, "a", "read")
+		assert.Empty(t, kinds(beat(g, 1800)))
+		assert.Equal(t, want, kinds(beat(g, 1950)))
+	}
+}
--- a/rules/slab.go
+++ b/rules/slab.go
@@ -239,6 +239,7 @@
 	held      []holding // as of this pass
 	seen      []holding // told by notes
 	placedAt  float64
+	beatAt    float64
 	full      bool    // no executor has room, as of this pass
 	askAt     float64 // when the list is to be asked for
 }
