--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -313,3 +313,21 @@
 		assert.Equal(t, want, kinds(beat(g, 1950)))
 	}
 }
+
+func TestTheOrdinaryPathAllocatesNothing(t *testing.T) {
+	g, out := gateway(4, nil), make([]Action, 0, 64)
+	taken := Event{Kind: Taken, Search: "a", Offering: "read", NeedMB: 100, WorkMS: 100, Until: 9e9}
+	done := Event{Kind: Ended, Search: "a", Outcome: Handled, Over: true}
+	rang, now := Event{Kind: Rang}, 1000.0
+	round := func() {
+		now += 100
+		out = g.Step(now, &taken, out[:0])
+		out = g.Step(now+50, &rang, out[:0])
+		done.Executor = g.executors[g.slab.places[0].last().executor].id
+		out = g.Step(now+90, &done, out[:0])
+	}
+	for range 500 {
+		round()
+	}
+	assert.Zero(t, testing.AllocsPerRun(500, round))
+}
