--- a/rules/rules.go
+++ b/rules/rules.go
@@ -43,7 +43,7 @@
 	blindMS     = 2000  // ms taken as the note interval where no notes come
 	probeMS     = 500   // ms between probes of an executor under suspicion: two probe time-outs
 	probesBack  = 2     // probes in a row that bring an executor back: one may be luck
-	badInARow   = 3     // errors, refusals or breaks in a row that set aside; one, fresh from a return
+	badInARow   = 5     // failures in a row that set aside: breaks hit good executors too; one, fresh from a return
 	restMS      = 300   // ms that an executor is left alone after it refused
 	coldMargin  = 0.6   // part of the cold budget that is used: what a search weighs is a guess
 	fade        = 0.1   // weight of the newest figure in fading means
@@ -463,8 +463,10 @@
 	case Full:
 		e.restUntil = g.now + restMS
 	case Erred, Refused, Severed:
-		e.restUntil = g.now + restMS
-		if e.bad++; e.bad >= badInARow || !e.proven {
+		if e.bad++; e.bad > 1 || ev.Outcome == Refused {
+			e.restUntil = g.now + restMS
+		}
+		if e.bad >= badInARow || !e.proven {
 			g.suspect(h.executor)
 		}
 	}
