--- a/rules/rules.go
+++ b/rules/rules.go
@@ -43,7 +43,7 @@
 	blindMS     = 2000  // ms taken as the note interval where no notes come
 	probeMS     = 500   // ms between probes of an executor under suspicion: two probe time-outs
 	probesBack  = 2     // probes in a row that bring an executor back: one may be luck
-	badInARow   = 5     // failures in a row that set aside: breaks hit good executors too; one, fresh from a return
+	badInARow   = 5     // failures in a row that set aside, as breaks hit good executors too; one, after a return
 	restMS      = 300   // ms that an executor is left alone after it refused
 	coldMargin  = 0.6   // part of the cold budget that is used: what a search weighs is a guess
 	fade        = 0.1   // weight of the newest figure in fading means
@@ -651,13 +651,13 @@
 
 // forgotten tells whether a shot has missed a note while its executor goes on working: its reply, or the
 // shot itself, is lost. It catches lost replies, cut streams and shots dropped by an executor, whatever the
-// cause. It harms where notes alone are lost: then a good shot is called off. Where no notes come it does
-// nothing.
+// cause. It harms where notes alone are lost: then a good shot is called off. It leaves alone a shot in line
+// for memory, which sends none, and does nothing where no notes come.
 func (g *Gateway) forgotten(s *search, h *shot) bool {
 	every := g.given.Num("told_every_ms", 0)
 	e := &g.executors[h.executor]
-	return every > 0 && g.now-h.noted > noteLate*every+slackMS && e.heard > h.noted && e.state != aside &&
-		g.offerings[s.offering].effect != "irreversible" && g.mayFollow(s)
+	return every > 0 && g.now-h.noted > noteLate*every+slackMS && h.waits == 0 && e.heard > h.noted &&
+		e.state != aside && g.offerings[s.offering].effect != "irreversible" && g.mayFollow(s)
 }
 
 // levelOf is the level of a priority.
