--- a/rules/rules.go
+++ b/rules/rules.go
@@ -43,7 +43,7 @@
 	blindMS     = 2000  // ms taken as the note interval where no notes come
 	probeMS     = 500   // ms between probes of an executor under suspicion: two probe time-outs
 	probesBack  = 2     // probes in a row that bring an executor back: one may be luck
-	badInARow   = 5     // failures in a row that set aside, as breaks hit good executors too; one, after a return
+	badInARow   = 5     // failures in a row that set aside, as breaks hit good ones too; one, after a return
 	restMS      = 300   // ms that an executor is left alone after it refused
 	coldMargin  = 0.6   // part of the cold budget that is used: what a search weighs is a guess
 	fade        = 0.1   // weight of the newest figure in fading means
@@ -292,7 +292,7 @@
 		}
 		threads := float64(e.threads + o.threads)
 		memory := (e.memory + g.grant(s, e)) / (e.ram * part)
-		rank := order(s.group, e.id, o.holds, e.scarce && o.kinds == nil)
+		rank := order(s.group, e.id, e.scarce && o.kinds == nil)
 		fill := 0.0 // within the bound the order decides, past it the threads
 		if threads > boundPerCore*room || memory > 1 {
 			fill = 1 + float64(e.threads)/room
@@ -305,17 +305,13 @@
 	return best
 }
 
-// order ranks an executor for a table group, the same at every controller. A load walks the order from its
-// far end, so that it does not hold its group where the readers go first. Executors of a kind that some
+// order ranks an executor for a table group, the same at every controller. Executors of a kind that some
 // offering is bound to come last for the others.
-func order(group uint64, id uint32, fromEnd, last bool) uint64 {
+func order(group uint64, id uint32, last bool) uint64 {
 	h := (group+1)*0x9E3779B97F4A7C15 ^ (uint64(id)+1)*0xC2B2AE3D27D4EB4F
 	h = (h ^ h>>30) * 0xBF58476D1CE4E5B9
 	h = (h ^ h>>27) * 0x94D049BB133111EB
 	h ^= h >> 31
-	if fromEnd {
-		h = ^h
-	}
 	if h >>= 1; !last {
 		h |= 1 << 63
 	}
