--- a/rules/rules.go
+++ b/rules/rules.go
@@ -49,7 +49,7 @@
 	fade        = 0.1   // weight of the newest figure in fading means
 	learnt      = 0.02  // weight of one answer's true cost: estimates are wrong by offering, and that stays
 	seenMS      = 2000  // ms that a load met once is taken to go on: a part of what loads take
-	badPlan     = 5.0   // times its expected running time at which a shot's plan counts as bad
+	badPlan     = 4.0   // times its expected running time at which a shot's plan counts as bad
 	badPlanMS   = 400   // ms that a shot runs before its plan is judged
 	slowCap     = 4.0   // most that one shot can say of an executor's pace, so that bad plans don't
 	slowFrom    = 1.6   // slowness against the others from which an executor's bound shrinks
