--- a/rules/rules.go
+++ b/rules/rules.go
@@ -25,7 +25,7 @@
 
 	// Room on an executor.
 	boundPerCore = 1.2  // running threads a core at which routing skips it: half of a search's time is reading
-	fullPerCore  = 1.7  // threads a core past which work is lost: a search waits here (paper's wait queue)
+	fullPerCore  = 1.5  // threads a core past which work is lost: a search waits here (paper's wait queue)
 	shortPerCore = 2.2  // the same for searches shorter than the onset, which leave again at once
 	lateLeast    = 0.25 // share of the gain that a late answer must earn for a search to wait for it
 	crowd        = 50   // searches waiting from which they are gone through once a tick, not at each event
