--- a/rules/rules.go
+++ b/rules/rules.go
@@ -25,6 +25,11 @@
 
 	// Room on an executor.
 	boundPerCore = 1.2  // running threads a core at which routing skips it: half of a search's time is reading
+	drainPerCore = 1.5  // threads a core at which what was sent counts as done
+	freshMS      = 400  // ms that a load report counts
+	asksPerTake  = 2    // probes for load reports that each search allows
+	asksSaved    = 10   // most of those kept for later
+	busyThreads  = 2.5  // threads a core on an executor whose disks are always busy
 	fullPerCore  = 1.5  // threads a core past which work is lost: a search waits here (paper's wait queue)
 	shortPerCore = 2.2  // the same for searches shorter than the onset, which leave again at once
 	lateLeast    = 0.25 // share of the gain that a late answer must earn for a search to wait for it
@@ -161,6 +166,7 @@
 	o.usual = cmp.Or(o.usual, s.work)
 	o.usual += fade * (s.work - o.usual)
 	s.due = g.now + o.due + o.stretch*s.work/float64(o.threads)
+	g.asks = min(asksSaved, g.asks+asksPerTake)
 	g.takes.add(g.now, 1)
 	g.dirty = true
 }
@@ -218,8 +224,10 @@
 func (g *Gateway) warmEnough(o *offering, e *executor) bool {
 	length := g.given.Num("fall_ms", 2000)
 	e.coldSent.forget(g.now - length - beatMS)
-	budget := g.given.Num("fall_multiple", 1) * g.given.Num("cold_from", 0.1) * e.cores * length
-	return e.coldSent.total()+o.usual <= coldMargin*budget*g.share()
+	budget := coldMargin * g.given.Num("fall_multiple", 1) * g.given.Num("cold_from", 0.1) * e.cores * length
+	n := max(1, g.given.Num("controllers", 1))
+	turns := max(1, min(n, math.Floor(budget/max(1, o.usual))))
+	return math.Mod(g.given.Num("slot", 0)+float64(e.id), n) < turns && e.coldSent.total()+o.usual <= budget/turns
 }
 
 // mayDeny is the one place that decides whether a search may be denied: that promises that a new try does
@@ -278,9 +286,14 @@
 	best, bestFill, bestRank := -1, 0.0, uint64(0)
 	for x := range g.executors {
 		e := &g.executors[x]
-		part := g.share() * (1 + spread*math.Sqrt((1/g.share()-1)/e.cores))
-		room := e.cores * part / max(1, e.pace/slowFrom)
-		g.full = g.full && e.threads > 0 && float64(e.threads+1) > shortPerCore*room
+		busy, part, memory := float64(e.threads), g.part(e), e.memory
+		if g.fresh(e) {
+			busy, part, memory = e.seen, 1, e.seenMemory
+		}
+		slowed := max(1, e.pace/slowFrom)
+		room := e.cores * part / slowed
+		now := min(1, room*room)
+		g.full = g.full && busy > 0 && busy+1 > shortPerCore*room
 		if g.now < e.restUntil || !e.proven && e.out > 0 || (o.behind || o.holds) && g.holds(s.group, x) {
 			continue
 		}
@@ -290,21 +303,53 @@
 			g.full = false
 			break
 		}
-		threads := float64(e.threads + o.threads)
-		memory := (e.memory + g.grant(s, e)) / (e.ram * part)
+		threads := busy + float64(o.threads)
+		memory = (memory + g.grant(s, e)) / (e.ram * part)
 		rank := order(s.group, e.id, e.scarce && o.kinds == nil)
 		fill := 0.0 // within the bound the order decides, past it the threads
-		if threads > boundPerCore*room || memory > 1 {
-			fill = 1 + float64(e.threads)/room
+		if threads*now > boundPerCore*room || memory*now > 1 || (1-now)*g.owed(e) > 0 {
+			fill = 1 + now*busy/room + (1-now)*g.owed(e)*slowed/e.cores
 		}
-		if (fill == 0 || threads <= limit*room && memory <= 1 || e.threads == 0) &&
+		if (fill == 0 || threads <= limit*room && memory <= 1 || busy == 0) &&
 			(best < 0 || fill < bestFill || fill == bestFill && rank > bestRank) {
 			best, bestFill, bestRank = x, fill, rank
 		}
 	}
+	if best >= 0 && g.asked(best) {
+		return -1
+	}
 	return best
 }
 
+// part is this controller's part of an executor, widened, as several parts are rarely full at once.
+func (g *Gateway) part(e *executor) float64 {
+	return g.share() * (1 + spread*math.Sqrt((1/g.share()-1)/e.cores))
+}
+
+// fresh tells whether the load that an executor has reported still counts.
+func (g *Gateway) fresh(e *executor) bool { return e.seenAt > 0 && g.now < e.seenAt+freshMS }
+
+// asked tells whether the load report of an executor is to be waited for before anything goes there: where
+// this controller's part is below one thread, its own threads say nothing of how full it is.
+func (g *Gateway) asked(x int) bool {
+	e := &g.executors[x]
+	if g.given.Text("report_comes") != "probes" || g.fresh(e) || g.part(e)*e.cores >= 1 {
+		return false
+	}
+	if !e.probeOut && g.asks >= 1 {
+		g.asks--
+		e.probeOut, e.probed = true, g.now
+		g.do(Action{Kind: Probe, Executor: e.id})
+	}
+	return e.probeOut
+}
+
+// owed is the work, in ms of one thread, that this controller has sent to an executor beyond what its part
+// of it has done since. Where that part is below one thread, the threads running now say nothing.
+func (g *Gateway) owed(e *executor) float64 {
+	return max(0, e.owed-(g.now-e.owedAt)*drainPerCore*e.cores*g.share())
+}
+
 // order ranks an executor for a table group, the same at every controller. Executors of a kind that some
 // offering is bound to come last for the others.
 func order(group uint64, id uint32, last bool) uint64 {
@@ -333,6 +378,8 @@
 	o := &g.offerings[s.offering]
 	s.p, s.quanta, s.level = pTop, 0, topLevel
 	g.lend(s, g.target, g.grant(s, e))
+	e.owed, e.owedAt = g.owed(e)+s.work, g.now
+	e.seen, e.seenMemory = e.seen+float64(o.threads), e.seenMemory+g.grant(s, e)
 	if g.now < e.coldUntil {
 		e.coldSent.add(g.now, o.usual)
 	}
@@ -587,8 +634,23 @@
 	}
 	e := &g.executors[x]
 	e.probeOut, e.missed = false, ev.Outcome != Handled
+	if g.dirty = true; len(ev.Report) > 0 {
+		e.seen, e.seenMemory, e.seenAt = 0, 0, g.now
+		for k, name := range g.given.Names("report")[:len(ev.Report)] {
+			switch name {
+			case "inflight":
+				e.seen += ev.Report[k]
+			case "x0":
+				e.seenMemory = ev.Report[k] * e.ram
+			case "x1":
+				e.seen += ev.Report[k] * busyThreads * e.cores
+			case "queue":
+				e.seen += ev.Report[k]
+			}
+		}
+	}
 	if e.answers++; e.missed {
-		e.answers = 0
+		e.answers, e.restUntil = 0, g.now+restMS
 	} else if e.state == aside && e.answers >= probesBack*e.strikes {
 		g.judge(x, answered)
 	}
@@ -664,7 +726,9 @@
 // readOnset reads the least running time below which the queries finished lately spent onsetShare of
 // theirs.
 func (g *Gateway) readOnset() {
-	g.finished.forget(g.now - onsetMS)
+	if g.finished.count() > onsetLeast {
+		g.finished.forget(g.now - onsetMS)
+	}
 	if g.now < g.onsetAt+onsetEvery {
 		return
 	}
@@ -709,7 +773,7 @@
 		if e.state == aside && g.now > e.asideAt+every*float64(e.strikes) {
 			g.judge(x, answered)
 		}
-	} else if look && !e.probeOut && g.now >= e.probed+probeMS {
+	} else if look && !e.probeOut && g.now >= e.probed+probeMS/math.Sqrt(g.share()) {
 		e.probeOut, e.probed = true, g.now
 		g.do(Action{Kind: Probe, Executor: e.id})
 	}
--- a/rules/slab.go
+++ b/rules/slab.go
@@ -206,6 +206,11 @@
 	restUntil  float64
 	coldUntil  float64
 	coldSent   span
+	owed       float64 // work sent beyond what this controller's part has done, as of owedAt
+	owedAt     float64
+	seen       float64 // threads there of all controllers, as last reported, and ours since
+	seenMemory float64
+	seenAt     float64
 }
 
 // holding is a table group that a load holds on an executor.
@@ -241,6 +246,7 @@
 	placedAt  float64
 	beatAt    float64
 	full      bool    // no executor has room, as of this pass
+	asks      float64 // probes for load reports that may still be sent
 	askAt     float64 // when the list is to be asked for
 }
 
