Controllers that may message add up what is out, blurred so that they don't herd

Cause: at hundreds of controllers nobody sees the load of an executor. Three of them gather what each has out and tell all in four bits an executor.

--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -456,7 +456,7 @@
 	text := func(name, s string) { b = append(append(append(b, '\t'), name...), s...) }
 	name := [...]string{rules.Send: "ASSIGN", rules.Terms: "RESOURCES", rules.CallOff: "CALL_OFF",
 		rules.Deny: "TURN_AWAY", rules.WriteOff: "REPORT_FAILURE", rules.Wake: "SLEEP", rules.Probe: "PROBE",
-		rules.Listen: "LISTEN", rules.Log: "LOG"}[a.Kind]
+		rules.Listen: "LISTEN", rules.Log: "LOG", rules.Tell: "SHARE"}[a.Kind]
 	b = append(b, name...)
 	num("I=", int64(instance))
 	switch a.Kind {
@@ -484,6 +484,13 @@
 		num("Executor=", int64(a.Executor))
 	case rules.Listen:
 		num("Active=", 1)
+	case rules.Tell:
+		if a.Peer < 0 {
+			text("Dest=", "*")
+		} else {
+			num("Dest=", int64(a.Peer))
+		}
+		b = base64.StdEncoding.AppendEncode(append(b, "\tData="...), a.Data)
 	case rules.Log:
 		text("BodyText=", a.Text)
 	}
--- a/internal/benchwire/given.go
+++ b/internal/benchwire/given.go
@@ -12,7 +12,7 @@
 var renamed = map[string]string{
 	"Siblings": "controllers", "SlotNo": "slot", "Resolution": "beat_ms", "Discovery": "list_comes",
 	"Zone":              "place",
-	"Bounds.Cancelling": "may_call_off", "Bounds.Probing": "may_probe", "Bounds.ParallelTries": "may_run_two",
+	"Bounds.Cancelling": "may_call_off", "Bounds.Probing": "may_probe", "Bounds.Peers": "may_tell", "Bounds.ParallelTries": "may_run_two",
 	"Bounds.RetryAfter": "tells_come_back", "Bounds.MaxRetryAfter": "longest_come_back_ms",
 	"Bounds.MaxAttempts": "most_shots", "Bounds.MostHeld": "most_held", "Callers.MarksRetry": "marks_repeats",
 	"Classes.*.Name": "offering.*.name", "Classes.*.Idempotency": "offering.*.effect",
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -26,10 +26,17 @@
 	// Room on an executor.
 	boundPerCore = 1.2  // running threads a core at which routing skips it: half of a search's time is reading
 	drainPerCore = 1.5  // threads a core at which what was sent counts as done
-	freshMS      = 400  // ms that a load report counts
+	freshMS      = 600  // ms that a load report counts
+	badNewsMS    = 1500 // ms that one counts that leaves no room
+	posts        = 3    // controllers that add up what the others tell
+	tellMS       = 250  // ms between tellings
+	toldStep     = 0.2  // threads a core in each of the sixteen steps told
+	toldMS       = 3000 // ms that a telling counts
+	blur         = 0.4
 	asksPerTake  = 2    // probes for load reports that each search allows
+	asksPerMS    = 1e-3 // the same for time going by, so that what waits can go on asking
 	asksSaved    = 10   // most of those kept for later
-	busyThreads  = 2.5  // threads a core on an executor whose disks are always busy
+	busyThreads  = 1.2  // threads a core on an executor whose disks are always busy
 	fullPerCore  = 1.5  // threads a core past which work is lost: a search waits here (paper's wait queue)
 	shortPerCore = 2.2  // the same for searches shorter than the onset, which leave again at once
 	lateLeast    = 0.25 // share of the gain that a late answer must earn for a search to wait for it
@@ -132,6 +139,9 @@
 		g.probed(ev)
 	case Rang:
 		g.beat()
+		g.tell()
+	case Heard:
+		g.heard(ev.FromPeer, ev.Data)
 	}
 	if g.dirty && (now > g.placedAt || len(g.waiting) < crowd) {
 		g.place()
@@ -289,6 +299,9 @@
 		busy, part, memory := float64(e.threads), g.part(e), e.memory
 		if g.fresh(e) {
 			busy, part, memory = e.seen, 1, e.seenMemory
+			if g.blind(e) && g.given.Is("may_tell") { // so that not all controllers run to the same one
+				busy *= 1 + blur*(2*g.chance()-1)
+			}
 		}
 		slowed := max(1, e.pace/slowFrom)
 		room := e.cores * part / slowed
@@ -321,19 +334,97 @@
 	return best
 }
 
+// tell lets a few controllers know what this one has out. Those add up what they were told and let all know
+// how full each executor is, in four bits. A lost message is made good by the next, and without any the owed
+// work decides.
+func (g *Gateway) tell() {
+	if !g.given.Is("may_tell") || g.now < g.tellAt || len(g.executors) == 0 || !g.blind(&g.executors[0]) {
+		return
+	}
+	g.tellAt = g.now + tellMS*(0.9+0.2*g.chance())
+	slot, n := int(g.given.Num("slot", 0)), int(g.given.Num("controllers", 1))
+	g.mail = append(g.mail[:0], 0)
+	for x := range g.executors {
+		if e := &g.executors[x]; e.threads > 0 {
+			g.mail = e.pack(g.mail)
+		}
+	}
+	for p := range min(posts, n) {
+		if p == slot {
+			g.heard(p, g.mail)
+		} else {
+			g.do(Action{Kind: Tell, Peer: p, Data: g.mail})
+		}
+	}
+	if slot >= posts {
+		return
+	}
+	for x := range g.executors {
+		g.executors[x].sum, g.executors[x].sumMemory = 0, 0
+	}
+	for p := range g.told {
+		if g.now < g.told[p].at+toldMS {
+			g.unpack(g.told[p].mail)
+		}
+	}
+	order, check := g.byID()
+	g.sums = append(g.sums[:0], 1, check)
+	for k, x := range order {
+		e := &g.executors[x]
+		level := byte(min(15, math.Round(max(e.sum/e.cores, e.sumMemory*fullPerCore)/toldStep)))
+		if k%2 == 0 {
+			g.sums = append(g.sums, level)
+		} else {
+			g.sums[len(g.sums)-1] |= level << 4
+		}
+	}
+	g.do(Action{Kind: Tell, Peer: -1, Data: g.sums})
+	g.heard(slot, g.sums)
+}
+
+// heard takes a message: what one controller has out, or how full the executors are.
+func (g *Gateway) heard(from int, data []byte) {
+	if len(data) < 1 {
+		return
+	}
+	if data[0] == 0 {
+		for from >= len(g.told) {
+			g.told = append(g.told, telling{})
+		}
+		g.told[from].at, g.told[from].mail = g.now, append(g.told[from].mail[:0], data[1:]...)
+		return
+	}
+	order, check := g.byID()
+	if len(data) != 2+(len(order)+1)/2 || data[1] != check {
+		return
+	}
+	for k, x := range order {
+		e := &g.executors[x]
+		e.seen = float64(data[2+k/2]>>(k%2*4)&15) * toldStep * e.cores
+		e.seenMemory, e.seenAt = 0, g.now
+	}
+	g.dirty = true
+}
+
 // part is this controller's part of an executor, widened, as several parts are rarely full at once.
 func (g *Gateway) part(e *executor) float64 {
 	return g.share() * (1 + spread*math.Sqrt((1/g.share()-1)/e.cores))
 }
 
+// blind tells that this controller's part of an executor is below one thread.
+func (g *Gateway) blind(e *executor) bool { return g.part(e)*e.cores < 1 }
+
 // fresh tells whether the load that an executor has reported still counts.
-func (g *Gateway) fresh(e *executor) bool { return e.seenAt > 0 && g.now < e.seenAt+freshMS }
+// Bad news counts for longer, so that nobody runs back into a line.
+func (g *Gateway) fresh(e *executor) bool {
+	return e.seenAt > 0 && (g.now < e.seenAt+freshMS || e.seen > shortPerCore*e.cores && g.now < e.seenAt+badNewsMS)
+}
 
 // asked tells whether the load report of an executor is to be waited for before anything goes there: where
 // this controller's part is below one thread, its own threads say nothing of how full it is.
 func (g *Gateway) asked(x int) bool {
 	e := &g.executors[x]
-	if g.given.Text("report_comes") != "probes" || g.fresh(e) || g.part(e)*e.cores >= 1 {
+	if g.given.Text("report_comes") != "probes" || g.fresh(e) || !g.blind(e) {
 		return false
 	}
 	if !e.probeOut && g.asks >= 1 {
@@ -341,7 +432,7 @@
 		e.probeOut, e.probed = true, g.now
 		g.do(Action{Kind: Probe, Executor: e.id})
 	}
-	return e.probeOut
+	return g.now < g.reportedAt+blindMS
 }
 
 // owed is the work, in ms of one thread, that this controller has sent to an executor beyond what its part
@@ -635,8 +726,12 @@
 	e := &g.executors[x]
 	e.probeOut, e.missed = false, ev.Outcome != Handled
 	if g.dirty = true; len(ev.Report) > 0 {
-		e.seen, e.seenMemory, e.seenAt = 0, 0, g.now
-		for k, name := range g.given.Names("report")[:len(ev.Report)] {
+		e.seen, e.seenMemory, e.seenAt, g.reportedAt = 0, 0, g.now, g.now
+		for k, name := range g.given.Names("report") {
+			switch {
+			case k >= len(ev.Report):
+				continue
+			}
 			switch name {
 			case "inflight":
 				e.seen += ev.Report[k]
@@ -645,7 +740,9 @@
 			case "x1":
 				e.seen += ev.Report[k] * busyThreads * e.cores
 			case "queue":
-				e.seen += ev.Report[k]
+				if ev.Report[k] > 0.5 { // what comes now stands in line
+					e.seen += shortPerCore * e.cores
+				}
 			}
 		}
 	}
@@ -661,6 +758,7 @@
 	g.do(Action{Kind: Wake, AfterMS: beatMS})
 	gap := g.now - cmp.Or(g.beatAt, g.now-beatMS)
 	g.dirty, g.beatAt = true, g.now
+	g.asks = min(asksSaved, g.asks+gap*asksPerMS)
 	g.readOnset()
 	if g.given.Text("list_comes") == "asked" && g.now >= g.askAt {
 		g.askAt = math.Inf(1)
--- a/rules/slab.go
+++ b/rules/slab.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"cmp"
 	"hash/crc32"
 	"math"
 	"slices"
@@ -211,6 +212,8 @@
 	seen       float64 // threads there of all controllers, as last reported, and ours since
 	seenMemory float64
 	seenAt     float64
+	sum        float64 // threads there, while told figures are added up
+	sumMemory  float64
 }
 
 // holding is a table group that a load holds on an executor.
@@ -222,32 +225,76 @@
 
 // Gateway is one instance.
 type Gateway struct {
-	given     Given
-	seed      uint64
-	draws     uint32
-	now       float64
-	out       []Action
-	slab      slab
-	offerings []offering
-	executors []executor
-	rests     map[string]float64 // order key: rests until
-	takes     span
-	extras    span
-	finished  span // running times of finished searches
-	onset     float64
-	onsetAt   float64
-	target    int  // the executor that the search being placed goes to
-	dirty     bool // something changed that may let a waiting search go
-	seq       uint64
-	waiting   []int
-	sorted    []float64
-	held      []holding // as of this pass
-	seen      []holding // told by notes
-	placedAt  float64
-	beatAt    float64
-	full      bool    // no executor has room, as of this pass
-	asks      float64 // probes for load reports that may still be sent
-	askAt     float64 // when the list is to be asked for
+	given      Given
+	seed       uint64
+	draws      uint32
+	now        float64
+	out        []Action
+	slab       slab
+	offerings  []offering
+	executors  []executor
+	rests      map[string]float64 // order key: rests until
+	takes      span
+	extras     span
+	finished   span // running times of finished searches
+	onset      float64
+	onsetAt    float64
+	target     int  // the executor that the search being placed goes to
+	dirty      bool // something changed that may let a waiting search go
+	seq        uint64
+	waiting    []int
+	sorted     []float64
+	held       []holding // as of this pass
+	seen       []holding // told by notes
+	placedAt   float64
+	beatAt     float64
+	full       bool    // no executor has room, as of this pass
+	asks       float64 // probes for load reports that may still be sent
+	reportedAt float64
+	tellAt     float64
+	mail       []byte
+	sums       []byte
+	told       []telling // by controller, at those that add up
+	askAt      float64   // when the list is to be asked for
+}
+
+// pack appends to mail what is out at an executor: 12 bits of its id, 6 of threads, 6 of memory as a share.
+func (e *executor) pack(mail []byte) []byte {
+	n := e.tag()<<12 | uint32(min(63, e.threads))<<6 | uint32(min(63, math.Round(64*e.memory/e.ram)))
+	return append(mail, byte(n>>16), byte(n>>8), byte(n))
+}
+
+func (e *executor) tag() uint32 { return e.id * 0x9E3779B1 >> 20 }
+
+// unpack adds up what a mail says of each executor that this instance knows.
+func (g *Gateway) unpack(mail []byte) {
+	for ; len(mail) >= 3; mail = mail[3:] {
+		n := uint32(mail[0])<<16 | uint32(mail[1])<<8 | uint32(mail[2])
+		for x := range g.executors {
+			if e := &g.executors[x]; e.tag() == n>>12 {
+				e.sum += float64(n >> 6 & 63)
+				e.sumMemory += float64(n&63) / 64
+			}
+		}
+	}
+}
+
+// byID gives the active executors in the order of their ids, and a check on which they are.
+func (g *Gateway) byID() (order []int, check byte) {
+	for x := range g.executors {
+		if g.executors[x].standing == Active {
+			order = append(order, x)
+			check += byte(g.executors[x].tag())
+		}
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(g.executors[a].id, g.executors[b].id) })
+	return order, check
+}
+
+// telling is what another controller has out, as it last told.
+type telling struct {
+	at   float64
+	mail []byte
 }
 
 // New starts an instance with nothing but its settings and its seed.
--- a/rules/types.go
+++ b/rules/types.go
@@ -156,6 +156,7 @@
 	Probe                      // probe Executor
 	Listen                     // subscribe to the list
 	Log                        // Text for the operators
+	Tell                       // Data to the controller numbered Peer, or to all if that is below 0
 )
 
 // Action is one thing that an instance wants done, in the order given.
@@ -169,6 +170,8 @@
 	AfterMS  float64
 	Token    uint64
 	Text     string
+	Peer     int
+	Data     []byte // read before the next Step
 }
 
 // Instance is what a front calls: every event in the order it happened, with the clock in milliseconds. The
