--- a/rules/rules.go
+++ b/rules/rules.go
@@ -32,7 +32,7 @@
 	tellMS       = 250  // ms between tellings
 	toldStep     = 0.2  // threads a core in each of the sixteen steps told
 	toldMS       = 3000 // ms that a telling counts
-	blur         = 0.4
+	blur         = 0.5
 	asksPerTake  = 2    // probes for load reports that each search allows
 	asksPerMS    = 1e-3 // the same for time going by, so that what waits can go on asking
 	asksSaved    = 10   // most of those kept for later
@@ -56,6 +56,7 @@
 	probeMS     = 500   // ms between probes of an executor under suspicion: two probe time-outs
 	probesBack  = 2     // probes in a row that bring an executor back: one may be luck
 	badInARow   = 5     // failures in a row that set aside, as breaks hit good ones too; one, after a return
+	mostBad     = 5 // doublings of that with each further failure in a row
 	restMS      = 300   // ms that an executor is left alone after it refused
 	coldMargin  = 0.6   // part of the cold budget that is used: what a search weighs is a guess
 	fade        = 0.1   // weight of the newest figure in fading means
@@ -297,10 +298,11 @@
 	for x := range g.executors {
 		e := &g.executors[x]
 		busy, part, memory := float64(e.threads), g.part(e), e.memory
+		blurred := 1.0
 		if g.fresh(e) {
 			busy, part, memory = e.seen, 1, e.seenMemory
 			if g.blind(e) && g.given.Is("may_tell") { // so that not all controllers run to the same one
-				busy *= 1 + blur*(2*g.chance()-1)
+				blurred *= 1 + blur*(2*g.chance()-1)
 			}
 		}
 		slowed := max(1, e.pace/slowFrom)
@@ -320,8 +322,8 @@
 		memory = (memory + g.grant(s, e)) / (e.ram * part)
 		rank := order(s.group, e.id, e.scarce && o.kinds == nil)
 		fill := 0.0 // within the bound the order decides, past it the threads
-		if threads*now > boundPerCore*room || memory*now > 1 || (1-now)*g.owed(e) > 0 {
-			fill = 1 + now*busy/room + (1-now)*g.owed(e)*slowed/e.cores
+		if threads*blurred*now > boundPerCore*room || memory*now > 1 || (1-now)*g.owed(e) > 0 {
+			fill = 1 + now*busy*blurred/room + (1-now)*g.owed(e)*slowed/e.cores
 		}
 		if (fill == 0 || threads <= limit*room && memory <= 1 || busy == 0) &&
 			(best < 0 || fill < bestFill || fill == bestFill && rank > bestRank) {
@@ -598,7 +600,7 @@
 		e.restUntil = g.now + restMS
 	case Erred, Refused, Severed:
 		if e.bad++; e.bad > 1 || ev.Outcome == Refused {
-			e.restUntil = g.now + restMS
+			e.restUntil = g.now + restMS*math.Exp2(float64(min(e.bad, mostBad)))
 		}
 		if e.bad >= badInARow || !e.proven {
 			g.suspect(h.executor)
