--- a/rules/rules.go
+++ b/rules/rules.go
@@ -33,6 +33,7 @@
 	toldStep     = 0.2  // threads a core in each of the sixteen steps told
 	toldMS       = 3000 // ms that a telling counts
 	blur         = 0.5
+	warning      = 4
 	asksPerTake  = 2    // probes for load reports that each search allows
 	asksPerMS    = 1e-3 // the same for time going by, so that what waits can go on asking
 	asksSaved    = 10   // most of those kept for later
@@ -56,7 +57,7 @@
 	probeMS     = 500   // ms between probes of an executor under suspicion: two probe time-outs
 	probesBack  = 2     // probes in a row that bring an executor back: one may be luck
 	badInARow   = 5     // failures in a row that set aside, as breaks hit good ones too; one, after a return
-	mostBad     = 5 // doublings of that with each further failure in a row
+	mostBad     = 5     // doublings of that with each further failure in a row
 	restMS      = 300   // ms that an executor is left alone after it refused
 	coldMargin  = 0.6   // part of the cold budget that is used: what a search weighs is a guess
 	fade        = 0.1   // weight of the newest figure in fading means
@@ -347,8 +348,12 @@
 	slot, n := int(g.given.Num("slot", 0)), int(g.given.Num("controllers", 1))
 	g.mail = append(g.mail[:0], 0)
 	for x := range g.executors {
-		if e := &g.executors[x]; e.threads > 0 {
-			g.mail = e.pack(g.mail)
+		threads := g.executors[x].threads
+		if e := &g.executors[x]; g.now < e.restUntil || e.state == aside && e.bad > 0 {
+			threads += warning // a dead executor looks empty otherwise
+		}
+		if threads > 0 {
+			g.mail = g.executors[x].pack(g.mail, threads)
 		}
 	}
 	for p := range min(posts, n) {
@@ -545,7 +550,8 @@
 	e.heard, e.missed, h.noted = g.now, false, g.now
 	switch ev.Note {
 	case Waits:
-		h.waits, g.dirty = Waits, true
+		g.line(h, true)
+		g.dirty = true
 		// A reader that stands still behind a load, which may be another controller's, goes elsewhere at once: it
 		// has done nothing yet that would be lost. Harms only by the shot that it uses up.
 		if ev.Value == 2 {
@@ -561,7 +567,8 @@
 		}
 	case Progress:
 		if ev.Value > h.share { // a shot that stands still goes on telling the share that it has
-			h.share, h.waits = ev.Value, 0
+			h.share = ev.Value
+			g.line(h, false)
 		}
 		e.proven = e.proven || ev.Value > 0
 		least := s.work / float64(o.threads)
@@ -602,7 +609,7 @@
 		if e.bad++; e.bad > 1 || ev.Outcome == Refused {
 			e.restUntil = g.now + restMS*math.Exp2(float64(min(e.bad, mostBad)))
 		}
-		if e.bad >= badInARow || !e.proven {
+		if e.bad >= badInARow || !e.proven || ev.Outcome == Refused && g.blind(e) {
 			g.suspect(h.executor)
 		}
 	}
@@ -877,7 +884,12 @@
 		e.probeOut, e.probed = true, g.now
 		g.do(Action{Kind: Probe, Executor: e.id})
 	}
-	if e.state != aside && (e.missed && quiet > noteSlack*every+slackMS || quiet > noteMany*every+slackMS) {
+	// A shot in line for memory sends no notes: where all of ours are, silence is none without a missed probe.
+	slack := noteMany
+	if e.missed && e.lined < e.out {
+		slack = noteSlack
+	}
+	if e.state != aside && quiet > slack*every+slackMS && (e.missed || e.lined < e.out) {
 		g.suspect(x)
 	}
 }
--- a/rules/slab.go
+++ b/rules/slab.go
@@ -192,6 +192,7 @@
 	state      state
 	threads    int     // of this instance's shots there
 	memory     float64 // granted to them, MB
+	lined      int     // of them, known to stand in line
 	out        int     // shots there without an outcome
 	heard      float64 // last sign of work: a note or an outcome
 	busySince  float64
@@ -259,8 +260,8 @@
 }
 
 // pack appends to mail what is out at an executor: 12 bits of its id, 6 of threads, 6 of memory as a share.
-func (e *executor) pack(mail []byte) []byte {
-	n := e.tag()<<12 | uint32(min(63, e.threads))<<6 | uint32(min(63, math.Round(64*e.memory/e.ram)))
+func (e *executor) pack(mail []byte, threads int) []byte {
+	n := e.tag()<<12 | uint32(min(63, threads))<<6 | uint32(min(63, math.Round(64*e.memory/e.ram)))
 	return append(mail, byte(n>>16), byte(n>>8), byte(n))
 }
 
@@ -386,8 +387,20 @@
 	return h
 }
 
+// line counts a shot as standing in a line of its executor, or not.
+func (g *Gateway) line(h *shot, waits bool) {
+	e := &g.executors[h.executor]
+	if h.waits != 0 {
+		h.waits, e.lined = 0, e.lined-1
+	}
+	if waits {
+		h.waits, e.lined = Waits, e.lined+1
+	}
+}
+
 func (g *Gateway) settle(s *search, h *shot, doubt bool) {
 	e := &g.executors[h.executor]
+	g.line(h, false)
 	h.out, h.doubt = false, doubt
 	s.out, e.out, e.threads, e.memory = s.out-1, e.out-1, e.threads-h.threads, e.memory-h.grant
 }
