--- a/rules/rules.go
+++ b/rules/rules.go
@@ -321,7 +321,11 @@
 		}
 		threads := busy + float64(o.threads)
 		memory = (memory + g.grant(s, e)) / (e.ram * part)
-		rank := order(s.group, e.id, e.scarce && o.kinds == nil)
+		group := s.group
+		if o.holds && g.blind(e) { // controllers that don't see each other's loads spread them
+			group += uint64(g.given.Num("slot", 0)) << 32
+		}
+		rank := order(group, e.id, e.scarce && o.kinds == nil && !o.holds)
 		fill := 0.0 // within the bound the order decides, past it the threads
 		if threads*blurred*now > boundPerCore*room || memory*now > 1 || (1-now)*g.owed(e) > 0 {
 			fill = 1 + now*busy*blurred/room + (1-now)*g.owed(e)*slowed/e.cores
