--- a/rules/slab.go
+++ b/rules/slab.go
@@ -255,13 +255,15 @@
 	tellAt     float64
 	mail       []byte
 	sums       []byte
+	wanted     float64 // threads that all controllers hold back
+	heards     uint64
 	told       []telling // by controller, at those that add up
 	askAt      float64   // when the list is to be asked for
 }
 
 // pack appends to mail what is out at an executor: 12 bits of its id, 6 of threads, 6 of memory as a share.
-func (e *executor) pack(mail []byte, threads int) []byte {
-	n := e.tag()<<12 | uint32(min(63, threads))<<6 | uint32(min(63, math.Round(64*e.memory/e.ram)))
+func (e *executor) pack(mail []byte, threads int, chance float64) []byte {
+	n := e.tag()<<12 | uint32(min(63, threads))<<6 | uint32(min(63, math.Floor(64*e.memory/e.ram+chance)))
 	return append(mail, byte(n>>16), byte(n>>8), byte(n))
 }
 
@@ -312,19 +314,24 @@
 			late: given.Num(at+"late_share", 0), inOrder: given.Is(at + "in_order"),
 			holds: given.Is(at + "holds_group"), behind: given.Is(at + "stands_behind"),
 			threads: int(max(1, given.Num(at+"threads", 1))), kinds: given.Names(at + "kinds"),
-			places: given.Names(at + "places"), slow: 1, memory: 1})
+			places: given.Names(at + "places"), slow: 1, memory: memoryStart})
 	}
 }
 
 // chance draws a number from 0 up to 1.
 func (g *Gateway) chance() float64 {
 	g.draws++
-	var b [12]byte
+	return g.odds(uint64(g.draws))
+}
+
+// odds is the number from 0 up to 1 that stands at n.
+func (g *Gateway) odds(n uint64) float64 {
+	var b [16]byte
 	for k := range 8 {
 		b[k] = byte(g.seed >> (8 * k))
 	}
-	for k := range 4 {
-		b[8+k] = byte(g.draws >> (8 * k))
+	for k := range 8 {
+		b[8+k] = byte(n >> (8 * k))
 	}
 	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
 }
