--- a/rules/rules.go
+++ b/rules/rules.go
@@ -29,11 +29,9 @@
 	freshMS      = 600  // ms that a load report counts
 	badNewsMS    = 1500 // ms that one counts that leaves no room
 	posts        = 3    // controllers that add up what the others tell
-	wantStep     = 4
 	tellMS       = 250  // ms between tellings
 	toldStep     = 0.2  // threads a core in each of the sixteen steps told
 	toldMS       = 3000 // ms that a telling counts
-	blur         = 0.5
 	warning      = 4
 	asksPerTake  = 2    // probes for load reports that each search allows
 	asksPerMS    = 1e-3 // the same for time going by, so that what waits can go on asking
@@ -68,7 +66,7 @@
 	badPlanMS   = 400   // ms that a shot runs before its plan is judged
 	slowCap     = 4.0   // most that one shot can say of an executor's pace, so that bad plans don't
 	slowFrom    = 1.6   // slowness against the others from which an executor's bound shrinks
-	memorySpare = 1.3  // memory granted for each MB that a spilling search turned out to need
+	memorySpare = 1.3   // memory granted for each MB that a spilling search turned out to need
 	memoryStart = 1.5   // the same before anything is known: spilling costs far more than memory too much
 	memoryEase  = 0.002 // how fast the grant shrinks again with each search that did not spill
 )
@@ -301,13 +299,8 @@
 	for x := range g.executors {
 		e := &g.executors[x]
 		busy, part, memory := float64(e.threads), g.part(e), e.memory
-		blurred, told := 1.0, false
 		if g.fresh(e) {
 			busy, part, memory = e.seen, 1, e.seenMemory
-			if g.blind(e) && g.given.Is("may_tell") { // so that not all controllers run to the same one
-				told = true
-				blurred *= 1 + blur*(2*g.chance()-1)
-			}
 		}
 		slowed := max(1, e.pace/slowFrom)
 		room := e.cores * part / slowed
@@ -330,15 +323,15 @@
 		}
 		rank := order(group, e.id, e.scarce && o.kinds == nil && !o.holds)
 		fill := 0.0 // within the bound the order decides, past it the threads
-		if threads*blurred*now > boundPerCore*room || memory*now > 1 || (1-now)*g.owed(e) > 0 {
-			fill = 1 + now*busy*blurred/room + (1-now)*g.owed(e)*slowed/e.cores
+		if threads*now > boundPerCore*room || memory*now > 1 || (1-now)*g.owed(e) > 0 {
+			fill = 1 + now*busy/room + (1-now)*g.owed(e)*slowed/e.cores
 		}
 		if (fill == 0 || threads <= limit*room && memory <= 1 || busy == 0) &&
 			(best < 0 || fill < bestFill || fill == bestFill && rank > bestRank) {
-			if told && busy > 0 {
-				if g.odds(s.seq*7919+g.heards*31+uint64(x)) > 1-busy/(limit*room) {
-					continue
-				}
+			// What is told to all at once would send all to the same one: the fuller, the fewer go at each telling.
+			if g.given.Is("may_tell") && g.blind(e) && g.fresh(e) &&
+				g.odds(s.seq*7919+uint64(e.seenAt)*31+uint64(x)) > 1-busy/(limit*room) {
+				continue
 			}
 			best, bestFill, bestRank = x, fill, rank
 		}
@@ -358,13 +351,7 @@
 	}
 	g.tellAt = g.now + tellMS*(0.9+0.2*g.chance())
 	slot, n := int(g.given.Num("slot", 0)), int(g.given.Num("controllers", 1))
-	threads := 0
-	for _, i := range g.waiting {
-		if s := &g.slab.places[i]; s.used && s.state == waiting {
-			threads += g.offerings[s.offering].threads
-		}
-	}
-	g.mail = append(g.mail[:0], 0, byte(min(255, threads)))
+	g.mail = append(g.mail[:0], 0)
 	for x := range g.executors {
 		threads := g.executors[x].threads
 		if e := &g.executors[x]; e.bad > 0 && (g.now < e.restUntil || e.state == aside) {
@@ -387,15 +374,13 @@
 	for x := range g.executors {
 		g.executors[x].sum, g.executors[x].sumMemory = 0, 0
 	}
-	want := 0.0
 	for p := range g.told {
-		if mail := g.told[p].mail; g.now < g.told[p].at+toldMS && len(mail) > 0 {
-			want += float64(mail[0])
-			g.unpack(mail[1:])
+		if g.now < g.told[p].at+toldMS {
+			g.unpack(g.told[p].mail)
 		}
 	}
 	order, check := g.byID()
-	g.sums = append(g.sums[:0], 1, check, byte(min(255, want/wantStep)))
+	g.sums = append(g.sums[:0], 1, check)
 	for k, x := range order {
 		e := &g.executors[x]
 		level := byte(min(15, math.Round(max(e.sum/e.cores, e.sumMemory*fullPerCore)/toldStep)))
@@ -422,13 +407,12 @@
 		return
 	}
 	order, check := g.byID()
-	if len(data) != 3+(len(order)+1)/2 || data[1] != check {
+	if len(data) != 2+(len(order)+1)/2 || data[1] != check {
 		return
 	}
-	g.wanted, g.heards = float64(data[2])*wantStep, g.heards+1
 	for k, x := range order {
 		e := &g.executors[x]
-		e.seen = float64(data[3+k/2]>>(k%2*4)&15) * toldStep * e.cores
+		e.seen = float64(data[2+k/2]>>(k%2*4)&15) * toldStep * e.cores
 		e.seenMemory, e.seenAt = 0, g.now
 	}
 	g.dirty = true
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -11,7 +11,7 @@
 	out := take(gateway(2, nil), 1000, "a", "read")
 	assert.Equal(t, []ActionKind{Terms, Send}, kinds(out))
 	assert.Equal(t, 3, out[0].Level)
-	assert.Equal(t, 100.0, out[0].GrantMB)
+	assert.Equal(t, 100*memoryStart, out[0].GrantMB)
 }
 
 func TestLevelsByHand(t *testing.T) {
--- a/rules/slab.go
+++ b/rules/slab.go
@@ -255,8 +255,6 @@
 	tellAt     float64
 	mail       []byte
 	sums       []byte
-	wanted     float64 // threads that all controllers hold back
-	heards     uint64
 	told       []telling // by controller, at those that add up
 	askAt      float64   // when the list is to be asked for
 }
