--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1,8 +1,7 @@
 // Every decision of liftshift stands in this file. A front makes an instance with New and hands it each
-// event, in order, through Step (the interface Instance in types.go); Step appends the actions it wants
-// done. Storage is in slab.go. The ordinary path is the design page's: send at the top level, demote by
-// running time past an onset, route by a hash order past a bound. docs/design.md lists what was added to it
-// and when that acts.
+// event, in order, through Step (the interface Instance in types.go), which appends the actions it wants
+// done. step.go routes each event to its function here; slab.go is storage. docs/design.md says what was
+// added to the design's ordinary path, and when that acts.
 package rules
 
 import (
@@ -31,7 +30,6 @@
 	posts        = 3    // controllers that add up what the others tell
 	tellMS       = 250  // ms between tellings
 	toldStep     = 0.2  // threads a core in each of the sixteen steps told
-	toldMS       = 3000 // ms that a telling counts
 	warning      = 4
 	asksPerTake  = 2    // probes for load reports that each search allows
 	asksPerMS    = 1e-3 // the same for time going by, so that what waits can go on asking
@@ -40,8 +38,7 @@
 	fullPerCore  = 1.5  // threads a core past which work is lost: a search waits here (paper's wait queue)
 	shortPerCore = 2.2  // the same for searches shorter than the onset, which leave again at once
 	lateLeast    = 0.25 // share of the gain that a late answer must earn for a search to wait for it
-	crowd        = 50   // searches waiting from which they are gone through once a tick, not at each event
-	spread       = 1.0  // how far a part of an executor is widened, as several parts are rarely full at once
+	crowd        = 50   // searches waiting that are a crowd: to go through them at each event costs too much
 
 	// Judging shots and executors.
 	askMS       = 1000  // ms until a list out of reach is asked for again: longer than most calls take
@@ -49,22 +46,19 @@
 	stallMS     = 100   // ms between beats from which this instance itself stood still: five beats
 	closingMS   = 25    // ms before the client gives up at which it gets its answer: one beat and a tick
 	noteLate    = 1.5   // note intervals until a running shot must have been told of: one, and its phase
-	noteSlack   = 1.2   // note intervals without any sign after a missed probe: one, and some jitter
 	noteMany    = 3.0   // note intervals without any sign though probes are answered
 	slackMS     = 100   // ms on top of both, for notes on their way
-	blindMS     = 2000  // ms taken as the note interval where no notes come
+	blindMS     = 2000  // ms without notes, reports or tellings after which there are none
 	probeMS     = 500   // ms between probes of an executor under suspicion: two probe time-outs
 	probesBack  = 2     // probes in a row that bring an executor back: one may be luck
 	badInARow   = 5     // failures in a row that set aside, as breaks hit good ones too; one, after a return
-	mostBad     = 5     // doublings of that with each further failure in a row
 	restMS      = 300   // ms that an executor is left alone after it refused
 	coldMargin  = 0.6   // part of the cold budget that is used: what a search weighs is a guess
 	fade        = 0.1   // weight of the newest figure in fading means
 	learnt      = 0.02  // weight of one answer's true cost: estimates are wrong by offering, and that stays
 	seenMS      = 2000  // ms that a load met once is taken to go on: a part of what loads take
-	badPlan     = 4.0   // times its expected running time at which a shot's plan counts as bad
+	badPlan     = 4.0   // times the expected running time at which a plan counts as bad; more tells no pace
 	badPlanMS   = 400   // ms that a shot runs before its plan is judged
-	slowCap     = 4.0   // most that one shot can say of an executor's pace, so that bad plans don't
 	slowFrom    = 1.6   // slowness against the others from which an executor's bound shrinks
 	memorySpare = 1.3   // memory granted for each MB that a spilling search turned out to need
 	memoryStart = 1.5   // the same before anything is known: spilling costs far more than memory too much
@@ -119,40 +113,6 @@
 	}
 }
 
-func (g *Gateway) search(i int, in input) { g.turn(searchTable, &g.slab.places[i].state, in, i) }
-func (g *Gateway) judge(x int, in input)  { g.turn(executorTable, &g.executors[x].state, in, x) }
-func (g *Gateway) do(a Action)            { g.out = append(g.out, a) }
-
-// Step takes one event and appends what is to be done about it.
-func (g *Gateway) Step(now float64, ev *Event, out []Action) []Action {
-	g.now, g.out = now, out
-	switch ev.Kind {
-	case Began:
-		g.do(Action{Kind: Wake, AfterMS: beatMS})
-	case Listed:
-		g.list(ev)
-	case Taken:
-		g.take(ev)
-	case Left, Ended, Noted, Streaming:
-		if i, ok := g.slab.find(ev.Search); ok {
-			g.news(i, ev)
-		}
-	case Probed:
-		g.probed(ev)
-	case Rang:
-		g.beat()
-		g.tell()
-	case Heard:
-		g.heard(ev.FromPeer, ev.Data)
-	}
-	if g.dirty && (now > g.placedAt || len(g.waiting) < crowd) {
-		g.place()
-	}
-	out, g.out = g.out, nil
-	return out
-}
-
-// take takes a search in hand.
 func (g *Gateway) take(ev *Event) {
 	if _, ok := g.slab.find(ev.Search); ok {
 		return
@@ -162,13 +122,7 @@
 		g.do(Action{Kind: Deny, Search: ev.Search})
 		return
 	}
-	o, s := &g.offerings[k], &g.slab.places[g.slab.take(ev.Search)]
-	g.seq++
-	s.seq, s.offering, s.group, s.until = g.seq, k, ev.Group, ev.Until
-	if o.inOrder {
-		s.key = ev.Key
-	}
-	s.need, s.estimate, s.work = ev.NeedMB, ev.WorkMS, ev.WorkMS
+	o, s := &g.offerings[k], g.hold(ev, k)
 	if o.estimated > 0 {
 		s.work *= o.worked / o.estimated
 	}
@@ -225,8 +179,8 @@
 	if length == 0 {
 		return true
 	}
-	g.extras.forget(g.now - length - beatMS)
-	g.takes.forget(g.now - length)
+	g.extras.forget(g.now-length-beatMS, 0)
+	g.takes.forget(g.now-length, 0)
 	return float64(g.extras.count()+1) <= g.given.Num("ration_floor", 0)+
 		g.given.Num("ration_share", 0)*float64(g.takes.count())
 }
@@ -235,20 +189,22 @@
 // growth of its capacity is not told, so the least that it has is taken until it must be warm.
 func (g *Gateway) warmEnough(o *offering, e *executor) bool {
 	length := g.given.Num("fall_ms", 2000)
-	e.coldSent.forget(g.now - length - beatMS)
+	e.coldSent.forget(g.now-length-beatMS, 0)
 	budget := coldMargin * g.given.Num("fall_multiple", 1) * g.given.Num("cold_from", 0.1) * e.cores * length
 	n := max(1, g.given.Num("controllers", 1))
 	turns := max(1, min(n, math.Floor(budget/max(1, o.usual))))
 	return math.Mod(g.given.Num("slot", 0)+float64(e.id), n) < turns && e.coldSent.total()+o.usual <= budget/turns
 }
 
-// mayDeny is the one place that decides whether a search may be denied: that promises that a new try does
-// no harm.
+// mayDeny is the one place that decides whether a search may be denied: a new try must do no harm.
 func (g *Gateway) mayDeny(s *search) bool {
 	o := &g.offerings[s.offering]
 	return o.effect == "redoable" || o.effect == "labelled" && o.scope == "all" || !s.mayHaveRun()
 }
 
+// placeNow tells whether to go through what waits: a crowd once a tick, not at each event.
+func (g *Gateway) placeNow() bool { return g.now > g.placedAt || len(g.waiting) < crowd }
+
 // place sends what waits, the most gain for its work first, and gives up what can't earn any more.
 func (g *Gateway) place() {
 	g.gather()
@@ -285,9 +241,8 @@
 	return o.gain / s.work
 }
 
-// choose gives the executor for a search, or -1: the first in its group's order with room, else the one
-// with the fewest threads a core that is not full. A search waits rather than stand still behind a load of
-// its own group.
+// choose gives the executor for a search, or -1: the first in its group's order with room, else the one with
+// the fewest threads a core that is not full. A search waits rather than stand behind a load of its group.
 func (g *Gateway) choose(s *search) int {
 	o := &g.offerings[s.offering]
 	limit := fullPerCore
@@ -309,11 +264,11 @@
 		if g.now < e.restUntil || !e.proven && e.out > 0 || (o.behind || o.holds) && g.holds(s.group, x) {
 			continue
 		}
-		if v := g.maySend(s, x); v == notHere {
-			continue
-		} else if v != yes {
+		if v := g.maySend(s, x); v == notNow || v == never {
 			g.full = false
 			break
+		} else if v == notHere {
+			continue
 		}
 		threads := busy + float64(o.threads)
 		memory = (memory + g.grant(s, e)) / (e.ram * part)
@@ -321,19 +276,18 @@
 		if o.holds && g.blind(e) { // controllers that don't see each other's loads spread them
 			group += uint64(g.given.Num("slot", 0)) << 32
 		}
-		rank := order(group, e.id, e.scarce && o.kinds == nil && !o.holds)
 		fill := 0.0 // within the bound the order decides, past it the threads
 		if threads*now > boundPerCore*room || memory*now > 1 || (1-now)*g.owed(e) > 0 {
 			fill = 1 + now*busy/room + (1-now)*g.owed(e)*slowed/e.cores
 		}
 		if (fill == 0 || threads <= limit*room && memory <= 1 || busy == 0) &&
-			(best < 0 || fill < bestFill || fill == bestFill && rank > bestRank) {
+			(best < 0 || fill < bestFill || fill == bestFill && order(group, e.id) > bestRank) {
 			// What is told to all at once would send all to the same one: the fuller, the fewer go at each telling.
 			if g.given.Is("may_tell") && g.blind(e) && g.fresh(e) &&
 				g.odds(s.seq*7919+uint64(e.seenAt)*31+uint64(x)) > 1-busy/(limit*room) {
 				continue
 			}
-			best, bestFill, bestRank = x, fill, rank
+			best, bestFill, bestRank = x, fill, order(group, e.id)
 		}
 	}
 	if best >= 0 && g.asked(best) {
@@ -343,84 +297,46 @@
 }
 
 // tell lets a few controllers know what this one has out. Those add up what they were told and let all know
-// how full each executor is, in four bits. A lost message is made good by the next, and without any the owed
-// work decides.
+// how full each executor is. A lost message is made good by the next; without any, the owed work decides.
 func (g *Gateway) tell() {
 	if !g.given.Is("may_tell") || g.now < g.tellAt || len(g.executors) == 0 || !g.blind(&g.executors[0]) {
 		return
 	}
 	g.tellAt = g.now + tellMS*(0.9+0.2*g.chance())
-	slot, n := int(g.given.Num("slot", 0)), int(g.given.Num("controllers", 1))
 	g.mail = append(g.mail[:0], 0)
 	for x := range g.executors {
-		threads := g.executors[x].threads
-		if e := &g.executors[x]; e.bad > 0 && (g.now < e.restUntil || e.state == aside) {
+		e, threads := &g.executors[x], g.executors[x].threads
+		if e.bad > 0 && (g.now < e.restUntil || e.state == aside) {
 			threads += warning // a dead executor looks empty otherwise
 		}
-		if threads > 0 {
-			g.mail = g.executors[x].pack(g.mail, threads, g.chance())
-		}
-	}
-	for p := range min(posts, n) {
-		if p == slot {
-			g.heard(p, g.mail)
-		} else {
-			g.do(Action{Kind: Tell, Peer: p, Data: g.mail})
-		}
-	}
-	if slot >= posts {
-		return
+		g.pack(e, threads)
 	}
-	for x := range g.executors {
-		g.executors[x].sum, g.executors[x].sumMemory = 0, 0
-	}
-	for p := range g.told {
-		if g.now < g.told[p].at+toldMS {
-			g.unpack(g.told[p].mail)
+	if g.post(posts) {
+		g.addUp(g.now - blindMS)
+		for x := range g.executors {
+			e := &g.executors[x]
+			e.level = math.Round(max(e.sum/e.cores, e.sumMemory*fullPerCore) / toldStep)
 		}
+		g.publish()
 	}
-	order, check := g.byID()
-	g.sums = append(g.sums[:0], 1, check)
-	for k, x := range order {
-		e := &g.executors[x]
-		level := byte(min(15, math.Round(max(e.sum/e.cores, e.sumMemory*fullPerCore)/toldStep)))
-		if k%2 == 0 {
-			g.sums = append(g.sums, level)
-		} else {
-			g.sums[len(g.sums)-1] |= level << 4
-		}
-	}
-	g.do(Action{Kind: Tell, Peer: -1, Data: g.sums})
-	g.heard(slot, g.sums)
 }
 
-// heard takes a message: what one controller has out, or how full the executors are.
+// heard takes a message: what another controller has out, or how full the executors are.
 func (g *Gateway) heard(from int, data []byte) {
-	if len(data) < 1 {
+	if !g.unpublish(from, data) {
 		return
 	}
-	if data[0] == 0 {
-		for from >= len(g.told) {
-			g.told = append(g.told, telling{})
+	for x := range g.executors {
+		if e := &g.executors[x]; e.standing == Active {
+			e.seen, e.seenMemory, e.seenAt = e.level*toldStep*e.cores, 0, g.now
 		}
-		g.told[from].at, g.told[from].mail = g.now, append(g.told[from].mail[:0], data[1:]...)
-		return
-	}
-	order, check := g.byID()
-	if len(data) != 2+(len(order)+1)/2 || data[1] != check {
-		return
-	}
-	for k, x := range order {
-		e := &g.executors[x]
-		e.seen = float64(data[2+k/2]>>(k%2*4)&15) * toldStep * e.cores
-		e.seenMemory, e.seenAt = 0, g.now
 	}
 	g.dirty = true
 }
 
-// part is this controller's part of an executor, widened, as several parts are rarely full at once.
+// part is this controller's part of an executor, widened by a spread, as parts are rarely full at once.
 func (g *Gateway) part(e *executor) float64 {
-	return g.share() * (1 + spread*math.Sqrt((1/g.share()-1)/e.cores))
+	return g.share() * (1 + math.Sqrt((1/g.share()-1)/e.cores))
 }
 
 // blind tells that this controller's part of an executor is below one thread.
@@ -453,20 +369,6 @@
 	return max(0, e.owed-(g.now-e.owedAt)*drainPerCore*e.cores*g.share())
 }
 
-// order ranks an executor for a table group, the same at every controller. Executors of a kind that some
-// offering is bound to come last for the others.
-func order(group uint64, id uint32, last bool) uint64 {
-	h := (group+1)*0x9E3779B97F4A7C15 ^ (uint64(id)+1)*0xC2B2AE3D27D4EB4F
-	h = (h ^ h>>30) * 0xBF58476D1CE4E5B9
-	h = (h ^ h>>27) * 0x94D049BB133111EB
-	h ^= h >> 31
-	if h >>= 1; !last {
-		h |= 1 << 63
-	}
-	return h
-}
-
-// grant is the memory that a shot at s takes on e.
 func (g *Gateway) grant(s *search, e *executor) float64 {
 	wants := s.need // executors that set the grants themselves go by the estimate
 	if g.given.Is("grants") {
@@ -493,16 +395,9 @@
 	g.do(Action{Kind: Send, Search: s.id, Executor: e.id})
 }
 
-// terms names the memory and the level of s.
+// terms names the memory and the level of s; what a deployment doesn't heed does no harm.
 func (g *Gateway) terms(s *search) {
-	if !g.given.Is("grants") && !g.given.Is("priorities") {
-		return
-	}
-	a := Action{Kind: Terms, Search: s.id, Level: s.level}
-	if g.given.Is("grants") && s.fired > 0 {
-		a.GrantMB = math.Ceil(s.last().grant)
-	}
-	g.do(a)
+	g.do(Action{Kind: Terms, Search: s.id, Level: s.level, GrantMB: math.Ceil(s.last().grant)})
 }
 
 // callOff stops waiting for the shots of a search that are out.
@@ -516,8 +411,7 @@
 	g.release(i)
 }
 
-// answer gives the final answer: denied where that is allowed, so that the client may come back, else
-// written off.
+// answer gives the final answer: denied where that is allowed, so that the client may come back.
 func (g *Gateway) answer(i int) {
 	s := &g.slab.places[i]
 	if g.mayDeny(s) {
@@ -532,23 +426,6 @@
 	g.callOff(i)
 }
 
-// news takes what an event says of a search in hand.
-func (g *Gateway) news(i int, ev *Event) {
-	s := &g.slab.places[i]
-	switch {
-	case ev.Kind == Left:
-		g.search(i, finished)
-	case ev.Shot < 0 || ev.Shot >= s.fired || !s.shots[ev.Shot].out:
-	case ev.Kind == Streaming:
-		s.bound = true
-	case ev.Kind == Noted:
-		g.note(i, &s.shots[ev.Shot], ev)
-	default:
-		g.ended(i, &s.shots[ev.Shot], ev)
-	}
-}
-
-// note takes a note of a running shot.
 func (g *Gateway) note(i int, h *shot, ev *Event) {
 	s := &g.slab.places[i]
 	o, e := &g.offerings[s.offering], &g.executors[h.executor]
@@ -557,8 +434,8 @@
 	case Waits:
 		g.line(h, true)
 		g.dirty = true
-		// A reader that stands still behind a load, which may be another controller's, goes elsewhere at once: it
-		// has done nothing yet that would be lost. Harms only by the shot that it uses up.
+		// A reader that stands behind a load, maybe another controller's, goes elsewhere at once: it has done
+		// nothing yet that would be lost. Harms only by the shot that it uses up.
 		if ev.Value == 2 {
 			g.seen = append(g.seen, holding{s.group, h.executor, g.now + seenMS})
 			if s.state == running && o.effect == "redoable" && h.share == 0 && g.mayFollow(s) {
@@ -579,9 +456,8 @@
 		least := s.work / float64(o.threads)
 		expected := least * max(1, o.slow) * max(1, e.pace)
 		projected := h.ran / max(h.share, 0.01)
-		// A bad plan, told by a pace far under that of the offering and the executor. It also catches a
-		// shot that an executor has forgotten; it harms when an estimate is far too low, hence the limit on
-		// what is left.
+		// A bad plan, told by a pace far under that of offering and executor. It also catches a shot that an
+		// executor has forgotten; it harms when an estimate is far too low, hence the limit on what is left.
 		if s.state == running && h.ran > badPlanMS && projected > badPlan*expected &&
 			projected-h.ran > 2*expected && o.effect == "redoable" && g.mayFollow(s) {
 			g.search(i, doomed)
@@ -598,7 +474,6 @@
 	return float64(s.fired) < min(mostShots, g.given.Num("most_shots", mostShots))
 }
 
-// ended takes the outcome of a shot.
 func (g *Gateway) ended(i int, h *shot, ev *Event) {
 	s := &g.slab.places[i]
 	o, e := &g.offerings[s.offering], &g.executors[h.executor]
@@ -612,7 +487,7 @@
 		e.restUntil = g.now + restMS
 	case Erred, Refused, Severed:
 		if e.bad++; e.bad > 1 || ev.Outcome == Refused {
-			e.restUntil = g.now + restMS*math.Exp2(float64(min(e.bad, mostBad)))
+			e.restUntil = g.now + restMS
 		}
 		if e.bad >= badInARow || !e.proven || ev.Outcome == Refused && g.blind(e) {
 			g.suspect(h.executor)
@@ -634,18 +509,17 @@
 func (g *Gateway) learn(s *search, o *offering, e *executor, h *shot, ev *Event) {
 	g.finished.add(g.now, h.ran)
 	ratio := h.ran / max(1, s.work/float64(o.threads))
-	o.slow += fade * (min(ratio, slowCap*o.slow+1) - o.slow)
-	e.pace += fade * (min(ratio/max(o.slow, 0.1), slowCap) - e.pace)
+	o.slow += fade * (min(ratio, badPlan*o.slow+1) - o.slow)
+	e.pace += fade * (min(ratio/max(o.slow, 0.1), badPlan) - e.pace)
 	if !h.spilled {
 		o.memory -= memoryEase * o.memory
 	}
 	if ev.SpentMS > 0 && s.estimate > 0 {
-		o.worked += learnt * (min(ev.SpentMS, slowCap*s.work) - o.worked)
+		o.worked += learnt * (min(ev.SpentMS, badPlan*s.work) - o.worked)
 		o.estimated += learnt * (s.estimate - o.estimated)
 	}
 }
 
-// list takes news of the list.
 func (g *Gateway) list(ev *Event) {
 	if ev.List == NoList {
 		g.askAt = g.now + askMS
@@ -658,14 +532,9 @@
 	}
 	for k := range ev.Entries {
 		n := &ev.Entries[k]
-		x := g.at(n.Executor)
-		if x < 0 {
-			x = len(g.executors)
-			g.executors = append(g.executors, executor{id: n.Executor, state: fit, pace: 1, proven: true,
-				upSince: max(0, g.now-g.given.Num("warm_up_ms", 0))})
-		}
+		x := g.enter(n, executor{id: n.Executor, state: fit, pace: 1, proven: true,
+			upSince: max(0, g.now-g.given.Num("warm_up_ms", 0))})
 		e := &g.executors[x]
-		e.read(g.given, g.offerings, n)
 		if n.UpSince > e.upSince {
 			e.upSince = n.UpSince
 			g.judge(x, restarted)
@@ -681,16 +550,15 @@
 	g.dirty = true
 }
 
-// evict calls off the shots at an executor just set aside that may run again elsewhere; an irreversible one
-// stays out, for the executor may only have been cut off.
+// evict calls off the shots at an executor set aside, but irreversible ones: it may only have been cut off.
 func (g *Gateway) evict(x int) {
 	e := &g.executors[x]
 	e.asideAt, e.answers, e.strikes = g.now, 0, e.strikes+1
 	g.lost(x, g.now, false)
 }
 
-// lost calls off the shots at x that went out before then: they can't end well any more. Unless surely
-// gone, only those that another shot may follow.
+// lost calls off the shots at x that went out before then; unless surely gone, only those that another shot
+// may follow.
 func (g *Gateway) lost(x int, before float64, surely bool) {
 	for i := range g.slab.places {
 		s := &g.slab.places[i]
@@ -701,8 +569,7 @@
 	}
 }
 
-// chill takes an executor as cold from now on, whatever the list says: it fell silent and may have started
-// anew.
+// chill takes an executor as cold from now on: it fell silent and may have started anew, list or no list.
 func (g *Gateway) chill(x int) {
 	e := &g.executors[x]
 	e.coldUntil = g.now + g.given.Num("warm_up_ms", 0)
@@ -718,9 +585,7 @@
 	for y := range g.executors {
 		if e := &g.executors[y]; e.standing == Active {
 			all++
-			if y != x && (e.state == aside || g.quiet(e) > g.notesMS()) {
-				bad++
-			}
+			bad += count(y != x && (e.state == aside || g.quiet(e) > g.notesMS()))
 		}
 	}
 	if 2*bad <= all {
@@ -728,10 +593,8 @@
 	}
 }
 
-// notesMS is the time between notes.
 func (g *Gateway) notesMS() float64 { return cmp.Or(g.given.Num("told_every_ms", 0), blindMS) }
 
-// probed takes the result of a probe.
 func (g *Gateway) probed(ev *Event) {
 	x := g.at(ev.Executor)
 	if x < 0 {
@@ -740,24 +603,11 @@
 	e := &g.executors[x]
 	e.probeOut, e.missed = false, ev.Outcome != Handled
 	if g.dirty = true; len(ev.Report) > 0 {
-		e.seen, e.seenMemory, e.seenAt, g.reportedAt = 0, 0, g.now, g.now
-		for k, name := range g.given.Names("report") {
-			switch {
-			case k >= len(ev.Report):
-				continue
-			}
-			switch name {
-			case "inflight":
-				e.seen += ev.Report[k]
-			case "x0":
-				e.seenMemory = ev.Report[k] * e.ram
-			case "x1":
-				e.seen += ev.Report[k] * busyThreads * e.cores
-			case "queue":
-				if ev.Report[k] > 0.5 { // what comes now stands in line
-					e.seen += shortPerCore * e.cores
-				}
-			}
+		e.seenAt, g.reportedAt = g.now, g.now
+		e.seenMemory = g.reported(ev, "x0") * e.ram
+		e.seen = g.reported(ev, "inflight") + g.reported(ev, "x1")*busyThreads*e.cores
+		if g.reported(ev, "queue") > 0.5 { // what comes now stands in line
+			e.seen += shortPerCore * e.cores
 		}
 	}
 	if e.answers++; e.missed {
@@ -798,8 +648,7 @@
 	g.endRests()
 }
 
-// age adds a beat of running time to a shot and lets its priority decay; the level is marked anew when it
-// changes.
+// age adds a beat of running time to a shot and lets its priority decay.
 func (g *Gateway) age(s *search, h *shot, gap float64) {
 	if h.waits != 0 {
 		return // waiting is not running
@@ -819,10 +668,9 @@
 	}
 }
 
-// forgotten tells whether a shot has missed a note while its executor goes on working: its reply, or the
-// shot itself, is lost. It catches lost replies, cut streams and shots dropped by an executor, whatever the
-// cause. It harms where notes alone are lost: then a good shot is called off. It leaves alone a shot in line
-// for memory, which sends none, and does nothing where no notes come.
+// forgotten tells whether a shot has missed a note while its executor goes on working: it catches lost
+// replies, cut streams and shots dropped by an executor. It harms where notes alone are lost. It leaves alone
+// a shot in line for memory, which sends none, and does nothing where no notes come.
 func (g *Gateway) forgotten(s *search, h *shot) bool {
 	every := g.given.Num("told_every_ms", 0)
 	e := &g.executors[h.executor]
@@ -830,33 +678,26 @@
 		e.state != aside && g.offerings[s.offering].effect != "irreversible" && g.mayFollow(s)
 }
 
-// levelOf is the level of a priority.
 func levelOf(p float64) int {
 	return int(math.Round(topLevel * math.Log(p/pFloor) / math.Log(pTop/pFloor)))
 }
 
-// readOnset reads the least running time below which the queries finished lately spent onsetShare of
-// theirs.
+// readOnset reads the least running time below which the queries finished lately spent onsetShare of theirs.
 func (g *Gateway) readOnset() {
-	if g.finished.count() > onsetLeast {
-		g.finished.forget(g.now - onsetMS)
-	}
+	g.finished.forget(g.now-onsetMS, onsetLeast) // it reaches back as far as it must for its twenty
 	if g.now < g.onsetAt+onsetEvery {
 		return
 	}
 	g.onsetAt = g.now
-	g.sorted = append(g.sorted[:0], g.finished.live()...)
-	slices.Sort(g.sorted)
-	g.onset = onsetOf(g.sorted)
+	g.onset = onsetOf(g.finished.sorted())
 }
 
 // onsetOf solves sum(min(t, onset)) = onsetShare * sum(t) for sorted running times t.
 func onsetOf(sorted []float64) float64 {
-	want := 0.0
+	want, below := 0.0, 0.0
 	for _, t := range sorted {
 		want += onsetShare * t
 	}
-	below := 0.0
 	for k, t := range sorted {
 		rest := float64(len(sorted) - k)
 		if below+t*rest >= want {
@@ -868,8 +709,7 @@
 }
 
 // watch probes an executor that is aside or shows no sign of work, and sets it aside when that goes on. It
-// catches silence, cut links, hung machines, and ones that answer probes but finish nothing. It harms where
-// all shots of this controller at an executor stand in line without notes.
+// catches silence, cut links, hung machines, and ones that answer probes but finish nothing.
 func (g *Gateway) watch(x int) {
 	e := &g.executors[x]
 	if e.state == chilled && g.now >= e.coldUntil {
@@ -892,7 +732,7 @@
 	// A shot in line for memory sends no notes: where all of ours are, silence is none without a missed probe.
 	slack := noteMany
 	if e.missed && e.lined < e.out {
-		slack = noteSlack
+		slack = noteLate
 	}
 	if e.state != aside && quiet > slack*every+slackMS && (e.missed || e.lined < e.out) {
 		g.suspect(x)
--- a/rules/slab.go
+++ b/rules/slab.go
@@ -82,6 +82,18 @@
 	s.free = append(s.free, i)
 }
 
+// hold takes a search of the offering at k in hand.
+func (g *Gateway) hold(ev *Event, k int) *search {
+	s := &g.slab.places[g.slab.take(ev.Search)]
+	g.seq++
+	s.seq, s.offering, s.group, s.until = g.seq, k, ev.Group, ev.Until
+	if g.offerings[k].inOrder {
+		s.key = ev.Key
+	}
+	s.need, s.estimate, s.work = ev.NeedMB, ev.WorkMS, ev.WorkMS
+	return s
+}
+
 // find returns the place of id.
 func (s *slab) find(id string) (int, bool) {
 	i, ok := s.byID[id]
@@ -94,6 +106,7 @@
 	amount []float64
 	head   int
 	sum    float64
+	copy   []float64
 }
 
 func (s *span) add(now, amount float64) {
@@ -107,9 +120,9 @@
 	s.sum += amount
 }
 
-// forget drops what is dated before.
-func (s *span) forget(before float64) {
-	for s.head < len(s.at) && s.at[s.head] < before {
+// forget drops what is dated before, but keeps the last few.
+func (s *span) forget(before float64, keep int) {
+	for s.head < len(s.at)-keep && s.at[s.head] < before {
 		s.sum -= s.amount[s.head]
 		s.head++
 	}
@@ -118,6 +131,13 @@
 	}
 }
 
+// sorted gives the live amounts in order; the next call reuses them.
+func (s *span) sorted() []float64 {
+	s.copy = append(s.copy[:0], s.live()...)
+	slices.Sort(s.copy)
+	return s.copy
+}
+
 func (s *span) count() int      { return len(s.at) - s.head }
 func (s *span) live() []float64 { return s.amount[s.head:] }
 func (s *span) total() float64  { return s.sum }
@@ -151,6 +171,11 @@
 	return false
 }
 
+// search plays an input to a search, judge to an executor; do adds an action.
+func (g *Gateway) search(i int, in input) { g.turn(searchTable, &g.slab.places[i].state, in, i) }
+func (g *Gateway) judge(x int, in input)  { g.turn(executorTable, &g.executors[x].state, in, x) }
+func (g *Gateway) do(a Action)            { g.out = append(g.out, a) }
+
 // verdict is the answer to whether a shot may be sent.
 type verdict uint8
 
@@ -188,7 +213,6 @@
 	cores, ram float64
 	standing   Standing
 	upSince    float64
-	scarce     bool // some offering may run on no other kind
 	state      state
 	threads    int     // of this instance's shots there
 	memory     float64 // granted to them, MB
@@ -215,6 +239,7 @@
 	seenAt     float64
 	sum        float64 // threads there, while told figures are added up
 	sumMemory  float64
+	level      float64 // how full, as told
 }
 
 // holding is a table group that a load holds on an executor.
@@ -244,7 +269,6 @@
 	dirty      bool // something changed that may let a waiting search go
 	seq        uint64
 	waiting    []int
-	sorted     []float64
 	held       []holding // as of this pass
 	seen       []holding // told by notes
 	placedAt   float64
@@ -254,42 +278,98 @@
 	reportedAt float64
 	tellAt     float64
 	mail       []byte
-	sums       []byte
+	levels     []byte
 	told       []telling // by controller, at those that add up
 	askAt      float64   // when the list is to be asked for
 }
 
-// pack appends to mail what is out at an executor: 12 bits of its id, 6 of threads, 6 of memory as a share.
-func (e *executor) pack(mail []byte, threads int, chance float64) []byte {
-	n := e.tag()<<12 | uint32(min(63, threads))<<6 | uint32(min(63, math.Floor(64*e.memory/e.ram+chance)))
-	return append(mail, byte(n>>16), byte(n>>8), byte(n))
+// pack appends to the mail what is out at an executor: 12 bits of its id, 6 of threads, 6 of memory as a
+// share, rounded by chance so that sums are right.
+func (g *Gateway) pack(e *executor, threads int) {
+	if threads > 0 {
+		share := math.Floor(64*e.memory/e.ram + g.chance())
+		n := e.tag()<<12 | uint32(min(63, threads))<<6 | uint32(min(63, share))
+		g.mail = append(g.mail, byte(n>>16), byte(n>>8), byte(n))
+	}
 }
 
 func (e *executor) tag() uint32 { return e.id * 0x9E3779B1 >> 20 }
 
-// unpack adds up what a mail says of each executor that this instance knows.
-func (g *Gateway) unpack(mail []byte) {
-	for ; len(mail) >= 3; mail = mail[3:] {
-		n := uint32(mail[0])<<16 | uint32(mail[1])<<8 | uint32(mail[2])
-		for x := range g.executors {
-			if e := &g.executors[x]; e.tag() == n>>12 {
-				e.sum += float64(n >> 6 & 63)
-				e.sumMemory += float64(n&63) / 64
+// post sends the mail to the first n controllers and tells whether this is one of them.
+func (g *Gateway) post(n int) (here bool) {
+	for p := range min(n, int(g.given.Num("controllers", 1))) {
+		if p == int(g.given.Num("slot", 0)) {
+			here = true
+			g.heard(p, g.mail)
+		} else {
+			g.do(Action{Kind: Tell, Peer: p, Data: g.mail})
+		}
+	}
+	return here
+}
+
+// addUp sums what the controllers told of each executor after since.
+func (g *Gateway) addUp(since float64) {
+	for x := range g.executors {
+		g.executors[x].sum, g.executors[x].sumMemory = 0, 0
+	}
+	for p := range g.told {
+		for mail := g.told[p].mail; g.told[p].at > since && len(mail) >= 3; mail = mail[3:] {
+			n := uint32(mail[0])<<16 | uint32(mail[1])<<8 | uint32(mail[2])
+			for x := range g.executors {
+				if e := &g.executors[x]; e.tag() == n>>12 {
+					e.sum += float64(n >> 6 & 63)
+					e.sumMemory += float64(n&63) / 64
+				}
 			}
 		}
 	}
 }
 
 // byID gives the active executors in the order of their ids, and a check on which they are.
-func (g *Gateway) byID() (order []int, check byte) {
+func (g *Gateway) byID() (ordered []int, check byte) {
 	for x := range g.executors {
 		if g.executors[x].standing == Active {
-			order = append(order, x)
+			ordered = append(ordered, x)
 			check += byte(g.executors[x].tag())
 		}
 	}
-	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(g.executors[a].id, g.executors[b].id) })
-	return order, check
+	slices.SortFunc(ordered, func(a, b int) int { return cmp.Compare(g.executors[a].id, g.executors[b].id) })
+	return ordered, check
+}
+
+// publish sends the level of each executor to all, in four bits.
+func (g *Gateway) publish() {
+	ordered, check := g.byID()
+	g.levels = append(g.levels[:0], 1, check)
+	for k, x := range ordered {
+		level := byte(min(15, g.executors[x].level))
+		if k%2 == 0 {
+			g.levels = append(g.levels, level)
+		} else {
+			g.levels[len(g.levels)-1] |= level << 4
+		}
+	}
+	g.do(Action{Kind: Tell, Peer: -1, Data: g.levels})
+	g.heard(int(g.given.Num("slot", 0)), g.levels)
+}
+
+// unpublish files a mail, or reads levels that are of the executors listed here and tells so.
+func (g *Gateway) unpublish(from int, data []byte) bool {
+	ordered, check := g.byID()
+	switch {
+	case from >= 0 && from < int(g.given.Num("controllers", 1)) && len(data) > 0 && data[0] == 0:
+		for from >= len(g.told) {
+			g.told = append(g.told, telling{})
+		}
+		g.told[from].at, g.told[from].mail = g.now, append(g.told[from].mail[:0], data[1:]...)
+	case len(data) == 2+(len(ordered)+1)/2 && data[0] == 1 && data[1] == check:
+		for k, x := range ordered {
+			g.executors[x].level = float64(data[2+k/2] >> (k % 2 * 4) & 15)
+		}
+		return true
+	}
+	return false
 }
 
 // telling is what another controller has out, as it last told.
@@ -316,6 +396,14 @@
 	}
 }
 
+// order hashes a group and an executor, without a seed: the same rank at every controller.
+func order(group uint64, id uint32) uint64 {
+	h := (group+1)*0x9E3779B97F4A7C15 ^ (uint64(id)+1)*0xC2B2AE3D27D4EB4F
+	h = (h ^ h>>30) * 0xBF58476D1CE4E5B9
+	h = (h ^ h>>27) * 0x94D049BB133111EB
+	return h ^ h>>31
+}
+
 // chance draws a number from 0 up to 1.
 func (g *Gateway) chance() float64 {
 	g.draws++
@@ -345,6 +433,14 @@
 	}
 }
 
+// reported gives the figure of a load report that goes by a name, or 0.
+func (g *Gateway) reported(ev *Event, name string) float64 {
+	if k := slices.Index(g.given.Names("report"), name); k >= 0 && k < len(ev.Report) {
+		return ev.Report[k]
+	}
+	return 0
+}
+
 // quiet is how long an executor with shots out has shown no sign of work.
 func (g *Gateway) quiet(e *executor) float64 {
 	if e.out == 0 {
@@ -363,18 +459,26 @@
 	return -1
 }
 
+// enter gives the place of a listed executor, which starts as fresh if it is new.
+func (g *Gateway) enter(n *Entry, fresh executor) int {
+	x := g.at(n.Executor)
+	if x < 0 {
+		x = len(g.executors)
+		g.executors = append(g.executors, fresh)
+	}
+	g.executors[x].read(g.given, n)
+	return x
+}
+
 // read takes over what the list says of an executor's machine.
-func (e *executor) read(given Given, offerings []offering, n *Entry) {
+func (e *executor) read(given Given, n *Entry) {
 	e.place, e.kind, e.cell = n.Place, n.Kind, n.Cell
-	e.cores, e.ram, e.scarce = 1, math.MaxFloat64, false
+	e.cores, e.ram = 1, math.MaxFloat64
 	for j := 0; given.Text("kind."+strconv.Itoa(j)+".name") != ""; j++ {
 		if at := "kind." + strconv.Itoa(j) + "."; given.Text(at+"name") == n.Kind {
 			e.cores, e.ram = given.Num(at+"cores", 1), given.Num(at+"ram_mb", math.MaxFloat64)
 		}
 	}
-	for k := range offerings {
-		e.scarce = e.scarce || slices.Contains(offerings[k].kinds, n.Kind)
-	}
 }
 
 // lend counts a shot of s as out, settle as back.
@@ -415,6 +519,15 @@
 	return slices.ContainsFunc(g.held, func(h holding) bool { return h.group == group && h.executor == x })
 }
 
+// shotOf gives the place of a search and the shot of it that an event speaks of, or nil if that is not out.
+func (g *Gateway) shotOf(ev *Event) (int, *shot) {
+	i, ok := g.slab.find(ev.Search)
+	if !ok || ev.Shot < 0 || ev.Shot >= g.slab.places[i].fired || !g.slab.places[i].shots[ev.Shot].out {
+		return i, nil
+	}
+	return i, &g.slab.places[i].shots[ev.Shot]
+}
+
 // last is the latest shot.
 func (s *search) last() *shot { return &s.shots[s.fired-1] }
 
@@ -459,3 +572,11 @@
 		}
 	}
 }
+
+// count is 1 for what is true.
+func count(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
