--- a/rules/rules.go
+++ b/rules/rules.go
@@ -24,45 +24,43 @@
 
 	// Room on an executor.
 	boundPerCore = 1.2  // running threads a core at which routing skips it: half of a search's time is reading
-	drainPerCore = 1.5  // threads a core at which what was sent counts as done
-	freshMS      = 600  // ms that a load report counts
-	badNewsMS    = 1500 // ms that one counts that leaves no room
-	posts        = 3    // controllers that add up what the others tell
-	tellMS       = 250  // ms between tellings
-	toldStep     = 0.2  // threads a core in each of the sixteen steps told
-	warning      = 4
-	asksPerTake  = 2    // probes for load reports that each search allows
+	drainPerCore = 1.5  // threads a core at which what was sent counts as done: a full executor's
+	freshMS      = 600  // ms that a load report or telling counts: what it tells of ends in about that time
+	posts        = 3    // controllers that add up what the others tell: some may stall or be dead
+	tellMS       = 250  // ms between tellings: half as often costs more gain than it saves in bytes
+	toldStep     = 0.2  // threads a core in each of the sixteen steps told, up to twice what is full
+	warning      = 4    // threads more told of an executor that fails: three such warnings fill it
+	asksPerTake  = 2    // probes for load reports that each search allows: a second choice, no more
 	asksPerMS    = 1e-3 // the same for time going by, so that what waits can go on asking
-	asksSaved    = 10   // most of those kept for later
-	busyThreads  = 1.2  // threads a core on an executor whose disks are always busy
+	asksSaved    = 10   // most of those kept for later: a burst's worth
+	busyThreads  = 1.2  // threads a core on an executor whose disks are always busy: half are kept by cores
 	fullPerCore  = 1.5  // threads a core past which work is lost: a search waits here (paper's wait queue)
 	shortPerCore = 2.2  // the same for searches shorter than the onset, which leave again at once
 	lateLeast    = 0.25 // share of the gain that a late answer must earn for a search to wait for it
 	crowd        = 50   // searches waiting that are a crowd: to go through them at each event costs too much
 
 	// Judging shots and executors.
-	askMS       = 1000  // ms until a list out of reach is asked for again: longer than most calls take
-	beatMS      = 20    // ms between looks at what runs: a fifth of a quantum
-	stallMS     = 100   // ms between beats from which this instance itself stood still: five beats
-	closingMS   = 25    // ms before the client gives up at which it gets its answer: one beat and a tick
-	noteLate    = 1.5   // note intervals until a running shot must have been told of: one, and its phase
-	noteMany    = 3.0   // note intervals without any sign though probes are answered
-	slackMS     = 100   // ms on top of both, for notes on their way
-	blindMS     = 2000  // ms without notes, reports or tellings after which there are none
-	probeMS     = 500   // ms between probes of an executor under suspicion: two probe time-outs
-	probesBack  = 2     // probes in a row that bring an executor back: one may be luck
-	badInARow   = 5     // failures in a row that set aside, as breaks hit good ones too; one, after a return
-	restMS      = 300   // ms that an executor is left alone after it refused
-	coldMargin  = 0.6   // part of the cold budget that is used: what a search weighs is a guess
-	fade        = 0.1   // weight of the newest figure in fading means
-	learnt      = 0.02  // weight of one answer's true cost: estimates are wrong by offering, and that stays
-	seenMS      = 2000  // ms that a load met once is taken to go on: a part of what loads take
-	badPlan     = 4.0   // times the expected running time at which a plan counts as bad; more tells no pace
-	badPlanMS   = 400   // ms that a shot runs before its plan is judged
-	slowFrom    = 1.6   // slowness against the others from which an executor's bound shrinks
-	memorySpare = 1.3   // memory granted for each MB that a spilling search turned out to need
-	memoryStart = 1.5   // the same before anything is known: spilling costs far more than memory too much
-	memoryEase  = 0.002 // how fast the grant shrinks again with each search that did not spill
+	askMS       = 1000 // ms until a list out of reach is asked for again: longer than most calls take
+	beatMS      = 20   // ms between looks at what runs: a fifth of a quantum
+	stallMS     = 100  // ms between beats from which this instance itself stood still: five beats
+	closingMS   = 25   // ms before the client gives up at which it gets its answer: one beat and a tick
+	noteLate    = 1.5  // note intervals until a running shot must have been told of: one, and its phase
+	noteMany    = 3.0  // note intervals without any sign though probes are answered
+	slackMS     = 100  // ms on top of both, for notes on their way
+	blindMS     = 2000 // ms without notes, reports or tellings after which there are none
+	probeMS     = 500  // ms between probes of an executor under suspicion: two probe time-outs
+	probesBack  = 2    // probes in a row that bring an executor back: one may be luck
+	badInARow   = 5    // failures in a row that set aside, as breaks hit good ones too; one, after a return
+	restMS      = 300  // ms that an executor is left alone after it refused
+	coldMargin  = 0.6  // part of the cold budget that is used: what a search weighs is a guess
+	fade        = 0.1  // weight of the newest figure in fading means
+	learnt      = 0.02 // weight of one answer's true cost: estimates are wrong by offering, and that stays
+	seenMS      = 2000 // ms that a load met once is taken to go on: a part of what loads take
+	badPlan     = 4.0  // times the expected running time at which a plan counts as bad; more tells no pace
+	badPlanMS   = 400  // ms that a shot runs before its plan is judged
+	slowFrom    = 1.6  // slowness against the others from which an executor's bound shrinks
+	memorySpare = 1.3  // memory granted for each MB that a spilling search turned out to need
+	memoryStart = 1.5  // the same before anything is known: spilling costs far more than memory too much
 )
 
 // States of a search, then of an executor.
@@ -164,10 +162,8 @@
 	if s.key != "" && (g.now < g.rests[s.key] || g.earlier(s)) {
 		return notNow
 	}
-	if !among(o.kinds, e.kind) || !among(o.places, e.place) {
-		return notHere
-	}
-	if e.standing != Active || e.state == aside || g.now < e.coldUntil && !g.warmEnough(o, e) {
+	if !among(o.kinds, e.kind) || !among(o.places, e.place) || e.standing != Active || e.state == aside ||
+		g.now < e.coldUntil && !g.warmEnough(o, e) {
 		return notHere
 	}
 	return yes
@@ -345,7 +341,7 @@
 // fresh tells whether the load that an executor has reported still counts.
 // Bad news counts for longer, so that nobody runs back into a line.
 func (g *Gateway) fresh(e *executor) bool {
-	return e.seenAt > 0 && (g.now < e.seenAt+freshMS || e.seen > shortPerCore*e.cores && g.now < e.seenAt+badNewsMS)
+	return e.seenAt > 0 && (g.now < e.seenAt+freshMS || e.seen > shortPerCore*e.cores && g.now < e.seenAt+blindMS)
 }
 
 // asked tells whether the load report of an executor is to be waited for before anything goes there: where
@@ -400,7 +396,6 @@
 	g.do(Action{Kind: Terms, Search: s.id, Level: s.level, GrantMB: math.Ceil(s.last().grant)})
 }
 
-// callOff stops waiting for the shots of a search that are out.
 func (g *Gateway) callOff(i int) {
 	s := &g.slab.places[i]
 	for k := range s.fired {
@@ -443,7 +438,6 @@
 			}
 		}
 	case Spills:
-		h.spilled = true
 		if s.need > 0 {
 			o.memory = max(o.memory, o.memory+fade*((h.grant+ev.Value)/s.need*memorySpare-o.memory))
 		}
@@ -505,15 +499,11 @@
 	g.release(i)
 }
 
-// learn takes what a handled shot tells of its offering and of its executor.
 func (g *Gateway) learn(s *search, o *offering, e *executor, h *shot, ev *Event) {
 	g.finished.add(g.now, h.ran)
 	ratio := h.ran / max(1, s.work/float64(o.threads))
 	o.slow += fade * (min(ratio, badPlan*o.slow+1) - o.slow)
 	e.pace += fade * (min(ratio/max(o.slow, 0.1), badPlan) - e.pace)
-	if !h.spilled {
-		o.memory -= memoryEase * o.memory
-	}
 	if ev.SpentMS > 0 && s.estimate > 0 {
 		o.worked += learnt * (min(ev.SpentMS, badPlan*s.work) - o.worked)
 		o.estimated += learnt * (s.estimate - o.estimated)
@@ -574,9 +564,7 @@
 	e := &g.executors[x]
 	e.coldUntil = g.now + g.given.Num("warm_up_ms", 0)
 	e.heard, e.busySince, e.bad, e.pace, e.missed, e.proven = g.now, g.now, 0, 1, false, false
-	if e.asideAt > 0 {
-		g.lost(x, e.asideAt, true)
-	}
+	g.lost(x, e.asideAt, true)
 }
 
 // suspect sets an executor aside, unless half of all look bad: then it is something that they share.
--- a/rules/slab.go
+++ b/rules/slab.go
@@ -21,9 +21,8 @@
 	grant    float64
 	threads  int
 	waits    NoteKind // 0: runs; else Waits
-	spilled  bool
-	out      bool // no outcome yet
-	doubt    bool // out, or ended without proof that it never ran
+	out      bool     // no outcome yet
+	doubt    bool     // out, or ended without proof that it never ran
 }
 
 // search is one place of the slab.
