--- a/rules/rules.go
+++ b/rules/rules.go
@@ -341,7 +341,7 @@
 // fresh tells whether the load that an executor has reported still counts.
 // Bad news counts for longer, so that nobody runs back into a line.
 func (g *Gateway) fresh(e *executor) bool {
-	return e.seenAt > 0 && (g.now < e.seenAt+freshMS || e.seen > shortPerCore*e.cores && g.now < e.seenAt+blindMS)
+	return e.seenAt > 0 && (g.now < e.seenAt+freshMS || e.seen > shortPerCore*e.cores && g.now < e.seenAt+2*freshMS)
 }
 
 // asked tells whether the load report of an executor is to be waited for before anything goes there: where
