--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -328,3 +328,137 @@
 	}
 	assert.Zero(t, testing.AllocsPerRun(500, round))
 }
+
+// many is a gateway over n executors whose part of each is far below one thread.
+func many(n int, more Given) *Gateway {
+	g := gateway(n, more)
+	g.given["controllers"], g.given["slot"] = 200.0, 0.0
+	return g
+}
+
+func TestTheOnsetReachesBackForItsTwenty(t *testing.T) {
+	g := gateway(1, nil)
+	for k := range 30 {
+		g.finished.add(float64(k), 100)
+	}
+	g.now = 60000
+	g.readOnset()
+	assert.Equal(t, onsetLeast, g.finished.count())
+	assert.InDelta(t, 25, g.onset, 1e-9)
+}
+
+func TestWhereOurPartIsSmallOwedWorkMovesTheNextSearchOn(t *testing.T) {
+	g := many(4, nil)
+	first := take(g, 1000, "a", "read")
+	second := take(g, 1000, "b", "read")
+	assert.NotEqual(t, first[1].Executor, second[1].Executor, "else all controllers herd on one")
+	e := &g.executors[g.slab.places[0].last().executor]
+	assert.Equal(t, 100.0, g.owed(e))
+	g.now += 100 / (drainPerCore * e.cores / 200)
+	assert.InDelta(t, 0, g.owed(e), 1e-6)
+}
+
+func TestAnExecutorIsAskedBeforeAShotWhereOurPartIsSmall(t *testing.T) {
+	g := many(2, Given{"report_comes": "probes", "report": []string{"queue", "x0", "x1"}})
+	g.reportedAt = 1000
+	out := take(g, 1000, "a", "read")
+	assert.Equal(t, []ActionKind{Probe}, kinds(out))
+	line := Event{Kind: Probed, Executor: out[0].Executor, Report: []float64{3, 0.2, 0.2}}
+	out = g.Step(1002, &line, nil)
+	assert.Equal(t, []ActionKind{Probe}, kinds(out), "a line there: another is asked")
+	assert.NotEqual(t, line.Executor, out[0].Executor)
+	room := Event{Kind: Probed, Executor: out[0].Executor, Report: []float64{0, 0.2, 0.2}}
+	out = g.Step(1004, &room, nil)
+	assert.Equal(t, []ActionKind{Terms, Send}, kinds(out))
+	assert.Equal(t, room.Executor, out[1].Executor)
+}
+
+func TestReportsThatStayOutAreNotWaitedFor(t *testing.T) {
+	g := many(2, Given{"report_comes": "probes", "report": []string{"queue"}})
+	assert.Equal(t, []ActionKind{Probe, Terms, Send}, kinds(take(g, 5000, "a", "read")))
+}
+
+func TestWhatControllersHaveOutIsAddedUpAndTold(t *testing.T) {
+	adds, tells := many(3, Given{"may_tell": true}), many(3, Given{"may_tell": true})
+	tells.given["slot"] = 7.0
+	e := &tells.executors[1]
+	e.threads, e.memory = 8, e.ram/2
+	tells.tell()
+	mail := tells.out[0]
+	assert.Equal(t, []ActionKind{Tell, Tell, Tell}, kinds(tells.out))
+	adds.Step(1010, &Event{Kind: Heard, FromPeer: 7, Data: mail.Data}, nil)
+	adds.tell()
+	told := adds.out[len(adds.out)-1]
+	assert.Equal(t, -1, told.Peer)
+	tells.Step(1020, &Event{Kind: Heard, FromPeer: 0, Data: told.Data}, nil)
+	assert.InDelta(t, 8, e.seen, toldStep*e.cores)
+	assert.Zero(t, tells.executors[0].seen)
+	tells.Step(1030, &Event{Kind: Heard, FromPeer: 0, Data: told.Data[:2]}, nil) // another list there: passed over
+	assert.Equal(t, 1020.0, e.seenAt)
+}
+
+func TestADeadExecutorIsToldAsFuller(t *testing.T) {
+	g := many(2, Given{"may_tell": true})
+	g.executors[0].bad, g.executors[0].state = 1, aside
+	g.tell()
+	g.addUp(0)
+	assert.Equal(t, float64(warning), g.executors[0].sum)
+	assert.Zero(t, g.executors[1].sum)
+}
+
+func TestNobodyGoesToAnExecutorToldAsFull(t *testing.T) {
+	g := many(2, Given{"may_tell": true})
+	for x := range g.executors {
+		e := &g.executors[x]
+		e.seen, e.seenAt = 3*e.cores*float64(x), 1000
+	}
+	for k := range 5 {
+		take(g, 1000, string(rune('a'+k)), "read")
+	}
+	assert.Zero(t, g.executors[1].out)
+	assert.Positive(t, g.executors[0].out)
+}
+
+func TestTheColdRotaKeepsTheBudgetWithHundredsOfControllers(t *testing.T) {
+	sent := 0.0
+	for slot := range 200 {
+		g := many(1, nil)
+		g.given["slot"] = float64(slot)
+		e, o := &g.executors[0], &g.offerings[0]
+		o.usual, e.coldUntil = 1000, 9000
+		for g.warmEnough(o, e) {
+			e.coldSent.add(g.now, o.usual)
+		}
+		sent += e.coldSent.total()
+	}
+	assert.Positive(t, sent, "some may warm it up")
+	assert.LessOrEqual(t, sent, coldMargin*3*0.3*8*2000)
+}
+
+func TestOneRefusedConnectionSetsAsideWhereOurPartIsSmall(t *testing.T) {
+	g := many(3, nil)
+	take(g, 1000, "a", "read")
+	x := g.slab.places[0].last().executor
+	ended(g, 1001, "a", 0, Refused)
+	assert.Equal(t, aside, g.executors[x].state)
+}
+
+func TestStandingInLineIsNoSilence(t *testing.T) {
+	g := gateway(3, nil)
+	take(g, 1000, "a", "read")
+	e := &g.executors[g.slab.places[0].last().executor]
+	g.line(g.slab.places[0].last(), true)
+	g.now = 8000
+	g.watch(g.slab.places[0].last().executor)
+	assert.Equal(t, fit, e.state)
+	e.missed = true
+	g.watch(g.slab.places[0].last().executor)
+	assert.Equal(t, aside, e.state, "missed probes still tell")
+}
+
+func TestNoControllersNamedAndAnEmptyListDoNoHarm(t *testing.T) {
+	g := gateway(0, Given{"controllers": 0.0, "may_tell": true, "report_comes": "probes"})
+	assert.Empty(t, kinds(take(g, 1000, "a", "read")))
+	assert.Empty(t, kinds(beat(g, 1020)))
+	assert.Equal(t, []ActionKind{Deny}, kinds(beat(g, 8990)))
+}
