--- a/internal/benchwire/benchwire_test.go
+++ b/internal/benchwire/benchwire_test.go
@@ -121,6 +121,8 @@
 		"SLEEP\tI=3\tDelay=20000\tKeyBack=0\n":             {Kind: rules.Wake, AfterMS: 20},
 		"PROBE\tI=3\tExecutor=7\n":                         {Kind: rules.Probe, Executor: 7},
 		"LISTEN\tI=3\tActive=1\n":                          {Kind: rules.Listen},
+		"SHARE\tI=3\tDest=*\tData=AQI=\n":                  {Kind: rules.Tell, Peer: -1, Data: []byte{1, 2}},
+		"SHARE\tI=3\tDest=4\tData=AQ==\n":                  {Kind: rules.Tell, Peer: 4, Data: []byte{1}},
 		"LOG\tI=3\tBodyText=two known\n":                   {Kind: rules.Log, Text: "two known"},
 	} {
 		assert.Equal(t, want, string(Append(nil, 3, &a)))
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -58,7 +58,6 @@
 	seenMS      = 2000 // ms that a load met once is taken to go on: a part of what loads take
 	badPlan     = 4.0  // times the expected running time at which a plan counts as bad; more tells no pace
 	badPlanMS   = 400  // ms that a shot runs before its plan is judged
-	slowFrom    = 1.6  // slowness against the others from which an executor's bound shrinks
 	memorySpare = 1.3  // memory granted for each MB that a spilling search turned out to need
 	memoryStart = 1.5  // the same before anything is known: spilling costs far more than memory too much
 )
@@ -253,8 +252,7 @@
 		if g.fresh(e) {
 			busy, part, memory = e.seen, 1, e.seenMemory
 		}
-		slowed := max(1, e.pace/slowFrom)
-		room := e.cores * part / slowed
+		room := e.cores * part
 		now := min(1, room*room)
 		g.full = g.full && busy > 0 && busy+1 > shortPerCore*room
 		if g.now < e.restUntil || !e.proven && e.out > 0 || (o.behind || o.holds) && g.holds(s.group, x) {
@@ -274,7 +272,7 @@
 		}
 		fill := 0.0 // within the bound the order decides, past it the threads
 		if threads*now > boundPerCore*room || memory*now > 1 || (1-now)*g.owed(e) > 0 {
-			fill = 1 + now*busy/room + (1-now)*g.owed(e)*slowed/e.cores
+			fill = 1 + now*busy/room + (1-now)*g.owed(e)/e.cores
 		}
 		if (fill == 0 || threads <= limit*room && memory <= 1 || busy == 0) &&
 			(best < 0 || fill < bestFill || fill == bestFill && order(group, e.id) > bestRank) {
