--- a/rules/rules.go
+++ b/rules/rules.go
@@ -25,6 +25,7 @@
 	// Room on an executor.
 	boundPerCore = 1.2  // running threads a core at which routing skips it: half of a search's time is reading
 	drainPerCore = 1.5  // threads a core at which what was sent counts as done: a full executor's
+	owedMS       = 1000 // ms a core of owed work that weigh as much as one thread a core: a search's length
 	freshMS      = 600  // ms that a load report or telling counts: what it tells of ends in about that time
 	posts        = 3    // controllers that add up what the others tell: some may stall or be dead
 	tellMS       = 250  // ms between tellings: half as often costs more gain than it saves in bytes
@@ -252,8 +253,8 @@
 		if g.fresh(e) {
 			busy, part, memory = e.seen, 1, e.seenMemory
 		}
-		room := e.cores * part
-		now := min(1, room*room)
+		room, ours := e.cores*part, g.part(e)*e.cores
+		now, far := min(1, room*room), 1-min(1, ours*ours)
 		g.full = g.full && busy > 0 && busy+1 > shortPerCore*room
 		if g.now < e.restUntil || !e.proven && e.out > 0 || (o.behind || o.holds) && g.holds(s.group, x) {
 			continue
@@ -270,9 +271,9 @@
 		if o.holds && g.blind(e) { // controllers that don't see each other's loads spread them
 			group += uint64(g.given.Num("slot", 0)) << 32
 		}
-		fill := 0.0 // within the bound the order decides, past it the threads
-		if threads*now > boundPerCore*room || memory*now > 1 || (1-now)*g.owed(e) > 0 {
-			fill = 1 + now*busy/room + (1-now)*g.owed(e)/e.cores
+		fill := 0.0 // within the bound the order decides, past it the threads, ours and all's
+		if threads*now > boundPerCore*room || memory*now > 1 || far*g.owed(e) > 0 {
+			fill = 1 + now*busy/room + far*g.owed(e)/e.cores/owedMS
 		}
 		if (fill == 0 || threads <= limit*room && memory <= 1 || busy == 0) &&
 			(best < 0 || fill < bestFill || fill == bestFill && order(group, e.id) > bestRank) {
