--- a/rules/rules.go
+++ b/rules/rules.go
@@ -181,15 +181,16 @@
 		g.given.Num("ration_share", 0)*float64(g.takes.count())
 }
 
-// warmEnough tells whether a search fits this controller's part of what a cold executor may be sent. The
-// growth of its capacity is not told, so the least that it has is taken until it must be warm.
+// warmEnough tells whether a search fits this controller's part of what a cold executor may be sent, by the
+// least capacity it has. Where a part is less than a search, only some controllers have a turn there.
 func (g *Gateway) warmEnough(o *offering, e *executor) bool {
 	length := g.given.Num("fall_ms", 2000)
 	e.coldSent.forget(g.now-length-beatMS, 0)
 	budget := coldMargin * g.given.Num("fall_multiple", 1) * g.given.Num("cold_from", 0.1) * e.cores * length
 	n := max(1, g.given.Num("controllers", 1))
 	turns := max(1, min(n, math.Floor(budget/max(1, o.usual))))
-	return math.Mod(g.given.Num("slot", 0)+float64(e.id), n) < turns && e.coldSent.total()+o.usual <= budget/turns
+	turn := math.Mod(g.given.Num("slot", 0)+float64(e.id), n)
+	return turn < turns && e.coldSent.total()+o.usual <= budget/turns
 }
 
 // mayDeny is the one place that decides whether a search may be denied: a new try must do no harm.
@@ -340,7 +341,8 @@
 // fresh tells whether the load that an executor has reported still counts.
 // Bad news counts for longer, so that nobody runs back into a line.
 func (g *Gateway) fresh(e *executor) bool {
-	return e.seenAt > 0 && (g.now < e.seenAt+freshMS || e.seen > shortPerCore*e.cores && g.now < e.seenAt+2*freshMS)
+	age := g.now - e.seenAt
+	return e.seenAt > 0 && (age < freshMS || e.seen > shortPerCore*e.cores && age < 2*freshMS)
 }
 
 // asked tells whether the load report of an executor is to be waited for before anything goes there: where
@@ -372,7 +374,7 @@
 	return min(wants, e.ram*g.given.Num("largest_share", 1))
 }
 
-// fire sends the shot that was placed, at the top level.
+// fire sends the shot placed, at the top level.
 func (g *Gateway) fire(i int) {
 	s, e := &g.slab.places[i], &g.executors[g.target]
 	o := &g.offerings[s.offering]
@@ -458,7 +460,6 @@
 	}
 }
 
-// mayFollow tells whether a shot called off could be followed by another.
 func (g *Gateway) mayFollow(s *search) bool {
 	return g.given.Is("may_call_off") && g.shotsLeft(s) && g.rationLeft()
 }
@@ -566,7 +567,7 @@
 	g.lost(x, e.asideAt, true)
 }
 
-// suspect sets an executor aside, unless half of all look bad: then it is something that they share.
+// suspect sets an executor aside, unless half of all look bad: then it is something they share.
 func (g *Gateway) suspect(x int) {
 	bad, all := 1, 0
 	for y := range g.executors {
