Memory counts half more for long searches, so that short ones find some

The bound in threads already leaves such room; the one in memory does now. It harms where memory is plentiful and reports are all there is.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -267,7 +267,7 @@
 			continue
 		}
 		threads := busy + float64(o.threads)
-		memory = (memory + g.grant(s, e)) / (e.ram * part)
+		memory = (memory + g.grant(s, e)) / (e.ram * part) * shortPerCore / limit
 		group := s.group
 		if o.holds && g.blind(e) { // controllers that don't see each other's loads spread them
 			group += uint64(g.given.Num("slot", 0)) << 32
