--- a/rules/rules.go
+++ b/rules/rules.go
@@ -267,7 +267,7 @@
 			continue
 		}
 		threads := busy + float64(o.threads)
-		memory = (memory + g.grant(s, e)) / (e.ram * part) * shortPerCore / limit
+		memory = (memory + g.grant(s, e)) / (e.ram * part)
 		group := s.group
 		if o.holds && g.blind(e) { // controllers that don't see each other's loads spread them
 			group += uint64(g.given.Num("slot", 0)) << 32
@@ -276,7 +276,7 @@
 		if threads*now > boundPerCore*room || memory*now > 1 || far*g.owed(e) > 0 {
 			fill = 1 + now*busy/room + far*g.owed(e)/e.cores/owedMS
 		}
-		if (fill == 0 || threads <= limit*room && memory <= 1 || busy == 0) &&
+		if (fill == 0 || threads <= limit*room && memory <= limit/shortPerCore || busy == 0) &&
 			(best < 0 || fill < bestFill || fill == bestFill && order(group, e.id) > bestRank) {
 			// What is told to all at once would send all to the same one: the fuller, the fewer go at each telling.
 			if g.given.Is("may_tell") && g.blind(e) && g.fresh(e) &&
