--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -462,3 +462,21 @@
 	assert.Empty(t, kinds(beat(g, 1020)))
 	assert.Equal(t, []ActionKind{Deny}, kinds(beat(g, 8990)))
 }
+
+func TestLongSearchesLeaveMemoryToShortOnesPastTheBound(t *testing.T) {
+	g := gateway(1, nil)
+	e := &g.executors[0]
+	e.threads, e.memory = 10, 0.8*e.ram
+	assert.Empty(t, kinds(take(g, 1000, "a", "read")))
+	g.onset = 200
+	assert.Equal(t, []ActionKind{Terms, Send}, kinds(take(g, 1000, "b", "mark"))[:2])
+}
+
+func TestGrantsStartAboveTheEstimateAndGrowWithSpilling(t *testing.T) {
+	g := gateway(1, nil)
+	take(g, 1000, "a", "read")
+	h := g.slab.places[0].last()
+	assert.Equal(t, 100*memoryStart, h.grant)
+	g.note(0, h, &Event{Kind: Noted, Note: Spills, Value: 250})
+	assert.InDelta(t, memoryStart+fade*(4*memorySpare-memoryStart), g.offerings[0].memory, 1e-9)
+}
