--- a/rules/rules.go
+++ b/rules/rules.go
@@ -357,6 +357,7 @@
 		e.probeOut, e.probed = true, g.now
 		g.do(Action{Kind: Probe, Executor: e.id})
 	}
+	g.full = g.asks < 1 && g.now < g.reportedAt+blindMS // nobody need ask again in this pass
 	return g.now < g.reportedAt+blindMS
 }
 
@@ -407,7 +408,6 @@
 	g.release(i)
 }
 
-// answer gives the final answer: denied where that is allowed, so that the client may come back.
 func (g *Gateway) answer(i int) {
 	s := &g.slab.places[i]
 	if g.mayDeny(s) {
