A planned stop is an event for the module; bounded answers; counters of the sockets in the log

At a planned stop the module takes the end as the hard limit of all in hand and all that still comes: long searches are denied or written off in time instead of being lost. Answers lined up and bodies of open searches have budgets of their own, so that one can't starve the other.

--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -161,6 +161,11 @@
 	d.Put(Item{Event: rules.Event{Kind: rules.Taken}, Search: s})
 }
 
+// Close tells the module that this controller stops: all that has been taken must be answered by then.
+func (d *Desk) Close(by float64) {
+	d.Put(Item{Event: rules.Event{Kind: rules.Closing, Until: by}})
+}
+
 // Stop ends Run and waits for it.
 func (d *Desk) Stop() {
 	close(d.stop)
@@ -374,7 +379,7 @@
 		if s.level != a.Level {
 			s.level = a.Level
 			for k := range s.fired {
-				if s.shots[k].out {
+				if s.shots[k].run != nil {
 					s.shots[k].run.Relevel(a.Level)
 				}
 			}
@@ -435,6 +440,9 @@
 	if s == nil || d.clock.Now() < s.Until {
 		return
 	}
+	if !s.answered {
+		d.tally.Late++
+	}
 	for n := range s.fired {
 		if s.shots[n].out {
 			d.halt(s, n, rules.TimedOut)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -18,11 +18,12 @@
 // Shares of the limits. They bound memory and sockets and decide nothing.
 const (
 	heapShare    = 0.7  // of the memory, for Go's own limit: the rest is for stacks, sockets and what is not yet swept
-	heldShare    = 0.25 // of the memory, for what waits for clients and executors
+	heldShare    = 0.12 // of the memory, for each of the bodies of open searches, and what waits to be written
 	heapGrowth   = 400  // percent that the heap grows between collections, as long as the limit is far
 	clientsShare = 0.55 // of the descriptors
 	linksShare   = 0.3  // of the descriptors, for executors
 	logRoom      = 1024 // lines that may wait to be written
+	countEvery   = 10 * time.Second
 )
 
 // The protocol's times for a planned stop.
@@ -41,16 +42,18 @@
 		runtime.GOMAXPROCS(min(runtime.GOMAXPROCS(0), max(1, int(n.Limits.Cores+0.5))))
 	}
 	g, clock := n.given, desk.NewClock()
-	budget := wire.NewBudget(int64(n.Limits.MemoryMB * heldShare * (1 << 20)))
+	held := int64(n.Limits.MemoryMB * heldShare * (1 << 20))
+	bodies, out := wire.NewBudget(held), wire.NewBudget(held)
 	d := desk.New(clock, rules.New(n.seed, g), log)
 	offerings, longest := offeringsOf(g)
-	front, err := wire.NewFront(n.Listen, offerings, d, clock, budget,
-		wire.Doors{Clients: share(n.Limits.Sockets, clientsShare), MostHeld: int(g.Num("most_held", 0))}, log)
+	front, err := wire.NewFront(n.Listen, offerings, d, clock, wire.Doors{
+		Clients: share(n.Limits.Sockets, clientsShare), MostHeld: int(g.Num("most_held", 0)), Bodies: bodies,
+		Answers: out}, log)
 	if err != nil {
 		return err
 	}
 	connect := g.Num("connect_ms", 250)
-	fleet := wire.NewFleet(d, clock, budget, wire.Reach{ConnectMS: connect, IdleMS: g.Num("idle_close_ms", 15000),
+	fleet := wire.NewFleet(d, clock, out, wire.Reach{ConnectMS: connect, IdleMS: g.Num("idle_close_ms", 15000),
 		PerLink: int(g.Num("shots_per_connection", 100)), Links: share(n.Limits.Sockets, linksShare),
 		Reports: len(g.Names("report")) > 0}, log)
 	peers, err := wire.NewPeers(n.PeerListen, n.Peers, n.PeersAll, d, log)
@@ -64,17 +67,35 @@
 	}
 	d.List = feed
 	go d.Run()
+	feed.Begin()
 	go peers.Run()
 	go feed.Run()
 	go front.Run()
 	front.Fit(true)
 	log.WithFields(logrus.Fields{"name": n.Name, "listen": n.Listen, "memory_mb": n.Limits.MemoryMB,
 		"sockets": n.Limits.Sockets, "procs": runtime.GOMAXPROCS(0)}).Info("start: serving")
-	<-ctx.Done()
+	count := func(line string) {
+		log.WithFields(logrus.Fields{"accepted": front.Accepted.Load(), "bad": front.Bad.Load(),
+			"framing_lost": front.LostFraming.Load(), "pauses": front.Pauses.Load(), "too_many": front.Full.Load(),
+			"dials": fleet.Dials.Load(), "dials_failed": fleet.Failed.Load(), "strays": fleet.Strays.Load(),
+			"malformed": fleet.Malformed.Load(), "polls": feed.Calls.Load(), "polls_lost": feed.Lost.Load(),
+			"polls_malformed": feed.Malformed.Load(), "told": peers.Sent.Load(), "heard": peers.Heard.Load(),
+			"told_dropped": peers.Dropped.Load(), "foreign": peers.Foreign.Load(), "bodies": bodies.Held(),
+			"unwritten": out.Held(), "goroutines": runtime.NumGoroutine()}).Info(line)
+	}
+	for tick := time.NewTicker(countEvery); ctx.Err() == nil; {
+		select {
+		case <-ctx.Done():
+			tick.Stop()
+		case <-tick.C:
+			count("sockets")
+		}
+	}
 
 	began := time.Now()
 	limit := frontLeaves + min(longestStop, longest)
 	front.Fit(false)
+	d.Close(clock.Now() + float64(limit-stopSpare)/float64(time.Millisecond))
 	log.WithFields(logrus.Fields{"open": d.Open(), "within": limit}).Info("stop: begun")
 	for time.Since(began) < limit-stopSpare/2 {
 		time.Sleep(stopLook)
@@ -84,8 +105,11 @@
 	}
 	front.Stop()
 	feed.Stop()
-	log.WithFields(logrus.Fields{"open": d.Open(), "took": time.Since(began)}).Info("stop: done")
 	d.Stop()
+	count("sockets: end")
+	fleet.Stop()
+	peers.Stop()
+	log.WithFields(logrus.Fields{"open": d.Open(), "took": time.Since(began)}).Info("stop: done")
 	return nil
 }
 
--- a/internal/wire/changelog.go
+++ b/internal/wire/changelog.go
@@ -103,10 +103,12 @@
 type Feed struct {
 	address string
 	fleet   *Fleet
-	queue   *desk.Desk
+	queue   Queue
 	log     logrus.FieldLogger
 	last    uint64
+	knownTo uint64
 	down    bool
+	known   []change
 	ask     chan struct{}
 	stop    chan struct{}
 
@@ -116,18 +118,24 @@
 	Calls, Lost, Malformed atomic.Uint64
 }
 
-// NewFeed returns a Feed that begins after the events of known, which it hands on.
-func NewFeed(address string, known []byte, fleet *Fleet, queue *desk.Desk, log logrus.FieldLogger) (*Feed, error) {
+// NewFeed returns a Feed that begins after the events of known.
+func NewFeed(address string, known []byte, fleet *Fleet, queue Queue, log logrus.FieldLogger) (*Feed, error) {
 	f := &Feed{address: address, fleet: fleet, queue: queue, log: log, ask: make(chan struct{}, 1),
 		stop: make(chan struct{})}
 	last, changes, err := readChanges(known)
 	if err != nil {
 		return nil, fmt.Errorf("known: %w", err)
 	}
-	f.apply(last, changes, rules.Restored)
+	f.known, f.knownTo = changes, last
 	return f, nil
 }
 
+// Begin hands on the events known at the start.
+func (f *Feed) Begin() {
+	f.apply(f.knownTo, f.known, rules.Restored)
+	f.known = nil
+}
+
 // apply hands on events that come after the last.
 func (f *Feed) apply(last uint64, changes []change, whole rules.ListKind) {
 	for _, c := range changes {
--- a/internal/wire/executors.go
+++ b/internal/wire/executors.go
@@ -32,7 +32,7 @@
 
 // Fleet is the executors' side: connections to each of them, and the shots and probes under way.
 type Fleet struct {
-	queue   *desk.Desk
+	queue   Queue
 	clock   desk.Clock
 	log     logrus.FieldLogger
 	budget  *Budget
@@ -44,7 +44,7 @@
 
 	mu       sync.Mutex
 	machines map[uint32]*machine
-	count    int // connections
+	all      map[*link]struct{} // connections, those of executors that are gone included
 	seq      uint64
 
 	Strays, Malformed, Dials, Failed atomic.Uint64
@@ -90,13 +90,13 @@
 }
 
 // NewFleet returns a Fleet without executors.
-func NewFleet(queue *desk.Desk, clock desk.Clock, budget *Budget, reach Reach, log logrus.FieldLogger) *Fleet {
+func NewFleet(queue Queue, clock desk.Clock, budget *Budget, reach Reach, log logrus.FieldLogger) *Fleet {
 	probe := "alive"
 	if reach.Reports {
 		probe = "stats"
 	}
 	return &Fleet{probe: probe, queue: queue, clock: clock, budget: budget, log: log, machines: map[uint32]*machine{},
-		connect: millis(reach.ConnectMS), idle: millis(reach.IdleMS * idleShare), perLink: max(1, reach.PerLink),
+		all: map[*link]struct{}{}, connect: millis(reach.ConnectMS), idle: millis(reach.IdleMS * idleShare), perLink: max(1, reach.PerLink),
 		links: max(1, reach.Links)}
 }
 
@@ -132,6 +132,17 @@
 	}
 }
 
+// Stop ends all connections.
+func (f *Fleet) Stop() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.links = 0
+	for l := range f.all {
+		l.leaving = true
+		l.end(true)
+	}
+}
+
 func (f *Fleet) retire(m *machine) {
 	for _, l := range m.links {
 		l.leave()
@@ -163,15 +174,15 @@
 			return l
 		}
 	}
-	if f.count >= f.links {
+	if len(f.all) >= f.links {
 		return nil
 	}
-	f.count++
 	l := &link{fleet: f, machine: m, used: now, open: map[string]*run{}, ends: map[string]bool{},
 		probes: map[string]uint64{}}
 	l.budget, l.patient, l.look, l.most = f.budget, f.connect, idleLook, mostLinedUp
 	l.quiet = l.stale
 	m.links = append(m.links, l)
+	f.all[l] = struct{}{}
 	go l.serve()
 	return l
 }
@@ -359,7 +370,7 @@
 	f := l.fleet
 	f.mu.Lock()
 	l.leaving = true
-	f.count--
+	delete(f.all, l)
 	l.machine.links = slices.DeleteFunc(l.machine.links, func(o *link) bool { return o == l })
 	runs := l.runs()
 	var tokens []uint64
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -26,6 +26,7 @@
 	lastWords    = 5 * time.Second
 	acceptAgain  = 50 * time.Millisecond
 	clientBuffer = 4 << 10
+	clientKernel = 128 << 10 // bytes that the system holds for one that doesn't read
 )
 
 // Offering is what a front has to know of an offering.
@@ -33,14 +34,16 @@
 
 // Front is the clients' side.
 type Front struct {
-	queue     *desk.Desk
+	queue     Queue
 	clock     desk.Clock
 	log       logrus.FieldLogger
-	budget    *Budget
+	bodies    *Budget // of searches that are open
+	answers   *Budget // lined up
 	offerings map[string]Offering
 	mostHeld  int
 	listener  net.Listener
 	places    chan struct{} // one for each connection there may be
+	stopped   chan struct{}
 	fit       atomic.Bool
 
 	mu      sync.Mutex
@@ -52,17 +55,18 @@
 // Doors are the figures that a Front keeps to.
 type Doors struct {
 	Clients, MostHeld int
+	Bodies, Answers   *Budget
 }
 
 // NewFront listens where clients connect.
-func NewFront(listen string, offerings map[string]Offering, queue *desk.Desk, clock desk.Clock, budget *Budget,
+func NewFront(listen string, offerings map[string]Offering, queue Queue, clock desk.Clock,
 	doors Doors, log logrus.FieldLogger) (*Front, error) {
 	l, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, err
 	}
-	return &Front{queue: queue, clock: clock, log: log, budget: budget, offerings: offerings, mostHeld: doors.MostHeld,
-		listener: l, places: make(chan struct{}, max(1, doors.Clients)), clients: map[*client]struct{}{}}, nil
+	return &Front{queue: queue, clock: clock, log: log, bodies: doors.Bodies, answers: doors.Answers, offerings: offerings,
+		mostHeld: doors.MostHeld, listener: l, stopped: make(chan struct{}), places: make(chan struct{}, max(1, doors.Clients)), clients: map[*client]struct{}{}}, nil
 }
 
 // Fit sets what the method probe answers.
@@ -75,7 +79,11 @@
 		case f.places <- struct{}{}:
 		default:
 			f.Pauses.Add(1)
-			f.places <- struct{}{}
+			select {
+			case f.places <- struct{}{}:
+			case <-f.stopped:
+				return
+			}
 		}
 		conn, err := f.listener.Accept()
 		if err != nil {
@@ -91,7 +99,10 @@
 		}
 		f.Accepted.Add(1)
 		c := &client{front: f, seen: f.clock.Now()}
-		c.conn, c.budget, c.patient, c.look, c.most = conn, f.budget, clientWrite, clientLook, mostAnswers
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetWriteBuffer(clientKernel)
+		}
+		c.conn, c.budget, c.patient, c.look, c.most = conn, f.answers, clientWrite, clientLook, mostAnswers
 		c.quiet = c.stale
 		f.mu.Lock()
 		f.clients[c] = struct{}{}
@@ -100,8 +111,16 @@
 	}
 }
 
-// Stop accepts no more.
-func (f *Front) Stop() { _ = f.listener.Close() }
+// Stop accepts no more and ends what is still connected.
+func (f *Front) Stop() {
+	close(f.stopped)
+	_ = f.listener.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.clients {
+		c.end(true)
+	}
+}
 
 // Written tells whether every answer has been written.
 func (f *Front) Written() bool {
@@ -155,7 +174,7 @@
 	c.open = nil
 	c.lock.Unlock()
 	for _, r := range left {
-		f.budget.give(r.held)
+		f.bodies.give(r.held)
 		f.queue.Put(desk.Item{Event: rules.Event{Kind: rules.Left, Search: r.req}, Client: c, Token: r.tag})
 	}
 	<-f.places
@@ -256,7 +275,7 @@
 	switch {
 	case twice:
 		return &fault{codeRequest, "id is open"}
-	case many || f.mostHeld > 0 && f.queue.Open() >= f.mostHeld || !f.budget.take(r.held):
+	case many || f.mostHeld > 0 && f.queue.Open() >= f.mostHeld || !f.bodies.take(r.held):
 		f.Full.Add(1)
 		return &fault{codeDenied, "too much is open here"}
 	}
@@ -283,7 +302,7 @@
 	}
 	c.lock.Unlock()
 	if k >= 0 {
-		c.front.budget.give(r.held)
+		c.front.bodies.give(r.held)
 		c.front.queue.Put(desk.Item{Event: rules.Event{Kind: rules.Left, Search: r.req}, Client: c, Token: r.tag})
 	}
 	if m.id != nil && string(m.id) != string(r.id) {
@@ -305,7 +324,7 @@
 	c.open = slices.Delete(c.open, k, k+1)
 	done := c.failing && len(c.open) == 0
 	c.lock.Unlock()
-	c.front.budget.give(r.held)
+	c.front.bodies.give(r.held)
 	c.push(func(b []byte) []byte { return write(b, r.id) })
 	if done {
 		c.end(false)
--- a/internal/wire/jsonrpc.go
+++ b/internal/wire/jsonrpc.go
@@ -12,7 +12,7 @@
 // Limits of a client's message.
 const (
 	mostHeadLines = 16
-	mostMessage   = 128 << 10
+	mostMessage   = 64 << 10
 )
 
 // The codes of errors.
--- a/internal/wire/peers.go
+++ b/internal/wire/peers.go
@@ -27,7 +27,7 @@
 // Peers sends and gets datagrams. Without an address to listen at, it drops what it is to send.
 type Peers struct {
 	conn  *net.UDPConn
-	queue *desk.Desk
+	queue Queue
 	log   logrus.FieldLogger
 	peers []netip.AddrPort
 	all   netip.AddrPort
@@ -37,7 +37,7 @@
 }
 
 // NewPeers listens where the others send to.
-func NewPeers(listen string, peers []string, all string, queue *desk.Desk, log logrus.FieldLogger) (*Peers, error) {
+func NewPeers(listen string, peers []string, all string, queue Queue, log logrus.FieldLogger) (*Peers, error) {
 	p := &Peers{queue: queue, log: log, out: make(chan datagram, mostTold)}
 	if listen == "" {
 		return p, nil
--- a/internal/wire/pipe.go
+++ b/internal/wire/pipe.go
@@ -11,8 +11,17 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"liftshift/internal/desk"
 )
 
+// Queue is the one way to who decides.
+type Queue interface {
+	Put(desk.Item)
+	Take(*desk.Search)
+	Open() int // searches taken and not answered
+}
+
 // errClosed is what a pipe reads once it was told to end.
 var errClosed = errors.New("closed on this side")
 
@@ -25,7 +34,7 @@
 // NewBudget returns a Budget of so many bytes.
 func NewBudget(most int64) *Budget { return &Budget{most: most} }
 
-// take tells whether n bytes more fit, and books them if so.
+// take books n bytes and tells whether they still fit; where they don't, they are not booked.
 func (b *Budget) take(n int) bool {
 	if b.held.Add(int64(n)) > b.most {
 		b.held.Add(int64(-n))
@@ -34,6 +43,9 @@
 	return true
 }
 
+// Held tells how many bytes are booked.
+func (b *Budget) Held() int64 { return b.held.Load() }
+
 func (b *Budget) give(n int) { b.held.Add(int64(-n)) }
 
 // pipe is a connection whose one goroutine reads and writes: Read first writes what has lined up, and is woken
@@ -57,7 +69,8 @@
 
 var past = time.Unix(1, 0)
 
-// push lines up bytes; false if there is no room for them, or the pipe has ended.
+// push lines up bytes; false if the pipe has ended. A pipe that has bytes lined up already, and for which there
+// is no room for more, ends: the other side doesn't read. One that has none is served whatever the others hold.
 func (p *pipe) push(write func([]byte) []byte) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -68,9 +81,12 @@
 	p.out = write(p.out)
 	n := len(p.out) - before
 	if before > 0 && len(p.out) > p.most || !p.budget.take(n) {
-		p.out, p.ended, p.cut = p.out[:before], true, true
-		p.wake()
-		return false
+		if before > 0 {
+			p.out, p.ended, p.cut = p.out[:before], true, true
+			p.wake()
+			return false
+		}
+		p.budget.give(-n)
 	}
 	p.wake()
 	return true
@@ -139,12 +155,18 @@
 	}
 }
 
-// keepRoom is the size of an output buffer that is worth keeping.
-const keepRoom = 16 << 10
+// keepRoom is the size of an output buffer that is worth keeping, writeStep what has to get through in the time
+// for a write: a slow reader is no dead one.
+const (
+	keepRoom  = 16 << 10
+	writeStep = 16 << 10
+)
 
-func (p *pipe) write(out []byte) error {
-	_ = p.conn.SetWriteDeadline(time.Now().Add(p.patient))
-	_, err := p.conn.Write(out)
+func (p *pipe) write(out []byte) (err error) {
+	for at := 0; at < len(out) && err == nil; at += writeStep {
+		_ = p.conn.SetWriteDeadline(time.Now().Add(p.patient))
+		_, err = p.conn.Write(out[at:min(len(out), at+writeStep)])
+	}
 	p.budget.give(len(out))
 	p.mu.Lock()
 	p.writing = false
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -124,9 +124,7 @@
 	if o.estimated > 0 {
 		s.work *= o.worked / o.estimated
 	}
-	if s.work <= 0 {
-		s.work = max(o.usual, 1)
-	}
+	s.work, s.until = cmp.Or(max(0, s.work), o.usual, 1), min(s.until, g.closing)
 	o.usual = cmp.Or(o.usual, s.work)
 	o.usual += fade * (s.work - o.usual)
 	s.due = g.now + o.due + o.stretch*s.work/float64(o.threads)
@@ -135,6 +133,15 @@
 	g.dirty = true
 }
 
+// stop makes a planned end of this instance the hard limit of all in hand and all that still comes: what
+// can't be handled by then is denied while the client has time to ask elsewhere, or written off.
+func (g *Gateway) stop(by float64) {
+	g.closing, g.dirty = by, true
+	for i := range g.slab.places {
+		g.slab.places[i].until = min(g.slab.places[i].until, by)
+	}
+}
+
 // maySend is the one place that decides whether a shot at s may go to executor x. notHere means
 // that this executor won't do, notNow that none will at this moment, never that none will any more.
 func (g *Gateway) maySend(s *search, x int) verdict {
@@ -156,10 +163,7 @@
 			}
 		}
 	}
-	if s.fired > 0 && !g.rationLeft() {
-		return notNow
-	}
-	if s.key != "" && (g.now < g.rests[s.key] || g.earlier(s)) {
+	if s.fired > 0 && !g.rationLeft() || s.key != "" && (g.now < g.rests[s.key] || g.earlier(s)) {
 		return notNow
 	}
 	if !among(o.kinds, e.kind) || !among(o.places, e.place) || e.standing != Active || e.state == aside ||
@@ -172,12 +176,9 @@
 // rationLeft tells whether one more shot beyond a search's first stays within the ration.
 func (g *Gateway) rationLeft() bool {
 	length := g.given.Num("ration_span_ms", 0)
-	if length == 0 {
-		return true
-	}
 	g.extras.forget(g.now-length-beatMS, 0)
 	g.takes.forget(g.now-length, 0)
-	return float64(g.extras.count()+1) <= g.given.Num("ration_floor", 0)+
+	return length == 0 || float64(g.extras.count()+1) <= g.given.Num("ration_floor", 0)+
 		g.given.Num("ration_share", 0)*float64(g.takes.count())
 }
 
@@ -319,15 +320,13 @@
 
 // heard takes a message: what another controller has out, or how full the executors are.
 func (g *Gateway) heard(from int, data []byte) {
-	if !g.unpublish(from, data) {
-		return
-	}
-	for x := range g.executors {
+	told := g.unpublish(from, data)
+	for x := 0; told && x < len(g.executors); x++ {
 		if e := &g.executors[x]; e.standing == Active {
 			e.seen, e.seenMemory, e.seenAt = e.level*toldStep*e.cores, 0, g.now
 		}
 	}
-	g.dirty = true
+	g.dirty = g.dirty || told
 }
 
 // part is this controller's part of an executor, widened by a spread, as parts are rarely full at once.
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -480,3 +480,16 @@
 	g.note(0, h, &Event{Kind: Noted, Note: Spills, Value: 250})
 	assert.InDelta(t, memoryStart+fade*(4*memorySpare-memoryStart), g.offerings[0].memory, 1e-9)
 }
+
+// A planned stop must not leave long searches to be lost, nor keep one that can't be handled any more.
+func TestAPlannedStopAnswersAllInTime(t *testing.T) {
+	g := gateway(1, nil)
+	take(g, 1000, "short", "read")
+	take(g, 1000, "once", "once")
+	g.Step(1100, &Event{Kind: Closing, Until: 1500}, nil)
+	out := g.Step(1110, &Event{Kind: Taken, Search: "long", Offering: "read", WorkMS: 5000, Until: 9000}, nil)
+	assert.Equal(t, []ActionKind{Deny}, kinds(out), "what can't end in time asks elsewhere at once")
+	assert.Empty(t, kinds(beat(g, 1460)))
+	out = beat(g, 1480)
+	assert.Equal(t, []ActionKind{Deny, CallOff, WriteOff, CallOff}, kinds(out))
+}
--- a/rules/slab.go
+++ b/rules/slab.go
@@ -280,6 +280,7 @@
 	levels     []byte
 	told       []telling // by controller, at those that add up
 	askAt      float64   // when the list is to be asked for
+	closing    float64   // when this instance stops; far off unless that is planned
 }
 
 // pack appends to the mail what is out at an executor: 12 bits of its id, 6 of threads, 6 of memory as a
@@ -379,7 +380,8 @@
 
 // New starts an instance with nothing but its settings and its seed.
 func New(seed uint64, given Given) *Gateway {
-	g := &Gateway{given: given, seed: seed, slab: newSlab(), rests: map[string]float64{}}
+	g := &Gateway{given: given, seed: seed, slab: newSlab(), rests: map[string]float64{},
+		closing: math.Inf(1)}
 	for i := 0; ; i++ {
 		at := "offering." + strconv.Itoa(i) + "."
 		if given.Text(at+"name") == "" {
--- a/rules/types.go
+++ b/rules/types.go
@@ -49,6 +49,7 @@
 	Rang                       // a timer is due
 	Streaming                  // a shot's answer has begun and belongs to the client
 	Heard                      // a message from another controller
+	Closing                    // the instance stops: by Until all it has taken must have its answer
 	eventKinds
 )
 
@@ -124,7 +125,7 @@
 	Key      string  // Taken: order key, or empty
 	NeedMB   float64 // Taken: memory estimate
 	WorkMS   float64 // Taken: work estimate
-	Until    float64 // Taken: clock at which the client gives up, ms
+	Until    float64 // Taken: clock at which the client gives up, ms; Closing: the last moment for answers
 	Repeat   bool    // Taken: the client marked it as a repeat
 
 	Outcome  Outcome // Ended, Probed
