--- a/internal/check/debug.go
+++ b/internal/check/debug.go
@@ -2,6 +2,9 @@
 
 package check
 
+// Debug tells which build this is.
+const Debug = true
+
 func fail(claim string) {
 	count(claim)
 	panic("does not hold: " + claim)
--- a/internal/check/release.go
+++ b/internal/check/release.go
@@ -2,4 +2,7 @@
 
 package check
 
+// Debug tells which build this is.
+const Debug = false
+
 func fail(claim string) { count(claim) }
--- /dev/null
+++ b/internal/desk/desk_test.go
@@ -0,0 +1,219 @@
+package desk
+
+import (
+	"io"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/assert"
+
+	"liftshift/rules"
+)
+
+// script is a module that answers each kind of event with fixed actions and keeps what it was told.
+type script struct {
+	on   map[rules.EventKind][]rules.Action
+	told []rules.Event
+}
+
+func (s *script) Step(_ float64, ev *rules.Event, out []rules.Action) []rules.Action {
+	s.told = append(s.told, *ev)
+	return append(out, s.on[ev.Kind]...)
+}
+
+// last is what the module was told last, of a kind.
+func (s *script) last(kind rules.EventKind) *rules.Event {
+	for k := len(s.told) - 1; k >= 0; k-- {
+		if s.told[k].Kind == kind {
+			return &s.told[k]
+		}
+	}
+	return nil
+}
+
+// side plays executors and client: it keeps what it was asked for.
+type side struct {
+	stopped Stopped
+	refuse  bool
+	sent    []Shot
+	did     []string
+	body    string
+}
+
+func (f *side) Send(s Shot) Run {
+	f.sent = append(f.sent, s)
+	if f.refuse {
+		return nil
+	}
+	return f
+}
+func (f *side) Probe(uint32, uint64) bool  { f.did = append(f.did, "probe"); return !f.refuse }
+func (f *side) Unanswered(uint32, uint64)  { f.did = append(f.did, "unanswered") }
+func (f *side) CallOff() Stopped           { f.did = append(f.did, "off"); return f.stopped }
+func (f *side) Relevel(int)                { f.did = append(f.did, "level") }
+func (f *side) Handled(_ uint64, b []byte) { f.did, f.body = append(f.did, "handled"), string(b) }
+func (f *side) Denied(uint64, float64)     { f.did = append(f.did, "denied") }
+func (f *side) WrittenOff(uint64)          { f.did = append(f.did, "written off") }
+
+// sent is a desk whose module has sent search a to executor 7 at level 3.
+func sent(f *side, on map[rules.EventKind][]rules.Action) (*Desk, *script) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	one := &script{on: map[rules.EventKind][]rules.Action{rules.Taken: {
+		{Kind: rules.Terms, Search: "a", GrantMB: 64, Level: 3}, {Kind: rules.Send, Search: "a", Executor: 7}}}}
+	for k, v := range on {
+		one.on[k] = v
+	}
+	d := New(NewClock(), one, log)
+	d.Executors, d.ProbeMS = f, 250
+	d.open.Add(1)
+	d.play(Item{Event: rules.Event{Kind: rules.Taken}, Search: search0(d, f)})
+	return d, one
+}
+
+func search0(d *Desk, f *side) *Search {
+	return &Search{ID: "a", Offering: "look", Until: d.clock.Now() + 1000, Client: f, Tag: 5}
+}
+
+func end(o rules.Outcome) Item {
+	return Item{Event: rules.Event{Kind: rules.Ended, Search: "a", Outcome: o}, Body: []byte("rows")}
+}
+
+func TestASearchIsSentHandledAndForgotten(t *testing.T) {
+	f := &side{}
+	d, one := sent(f, nil)
+	assert.Equal(t, []any{uint32(7), 64.0, 3, 0}, []any{f.sent[0].Executor, f.sent[0].GrantMB, f.sent[0].Level, f.sent[0].N})
+	assert.InDelta(t, 1000, f.sent[0].MaxMS, 100)
+	d.play(end(rules.Handled))
+	assert.Equal(t, "rows", f.body)
+	ev := one.last(rules.Ended)
+	assert.True(t, ev.Over)
+	assert.Equal(t, uint32(7), ev.Executor)
+	assert.Zero(t, d.Open())
+	assert.Empty(t, d.searches)
+	d.play(end(rules.Handled)) // nothing is answered twice
+	assert.Equal(t, []string{"handled"}, f.did)
+	assert.Equal(t, uint64(1), d.tally.Stray)
+}
+
+// An answer that is in the queue when its shot is called off counts, as long as nothing was answered.
+func TestAnAnswerOnItsWayGoesBeforeACallOff(t *testing.T) {
+	f := &side{stopped: Decided}
+	d, one := sent(f, map[rules.EventKind][]rules.Action{rules.Noted: {{Kind: rules.CallOff, Search: "a"}}})
+	d.play(Item{Event: rules.Event{Kind: rules.Noted, Search: "a"}})
+	assert.Nil(t, one.last(rules.Ended), "its end comes by itself")
+	d.play(end(rules.Handled))
+	assert.Equal(t, []string{"off", "handled"}, f.did)
+}
+
+func TestWhatACallOffComesTo(t *testing.T) {
+	for stopped, want := range map[Stopped]rules.Outcome{Halted: rules.Recalled, Unsent: rules.Superseded} {
+		f := &side{stopped: stopped}
+		d, one := sent(f, map[rules.EventKind][]rules.Action{rules.Noted: {{Kind: rules.CallOff, Search: "a"},
+			{Kind: rules.Terms, Search: "a", Level: 1}}}) // terms for a shot whose end stands in line
+		d.play(Item{Event: rules.Event{Kind: rules.Noted, Search: "a"}})
+		assert.Equal(t, want, one.last(rules.Ended).Outcome)
+		assert.Equal(t, []string{"off"}, f.did)
+	}
+}
+
+func TestAShotThatCannotGoOutIsRefused(t *testing.T) {
+	_, one := sent(&side{refuse: true}, nil)
+	assert.Equal(t, rules.Refused, one.last(rules.Ended).Outcome)
+}
+
+// Silence shows by the hard limit: the shot is told as timed out, whoever forgot to look.
+func TestSilenceShowsByTheHardLimit(t *testing.T) {
+	f := &side{}
+	d, one := sent(f, nil)
+	d.expire("a")
+	assert.Nil(t, one.last(rules.Ended), "not before it")
+	d.searches["a"].Until = d.clock.Now() - 1
+	d.expire("a")
+	assert.Equal(t, rules.TimedOut, one.last(rules.Ended).Outcome)
+	assert.Equal(t, uint64(1), d.tally.Late)
+}
+
+func TestDeniedOnceAndNothingAfter(t *testing.T) {
+	f := &side{}
+	d, _ := sent(f, map[rules.EventKind][]rules.Action{rules.Noted: {{Kind: rules.Deny, Search: "a"},
+		{Kind: rules.CallOff, Search: "a"}}})
+	d.play(Item{Event: rules.Event{Kind: rules.Noted, Search: "a"}})
+	d.play(end(rules.Handled))
+	assert.Equal(t, []string{"denied", "off"}, f.did)
+	assert.Zero(t, d.Open())
+}
+
+func TestAClientEndsItsOwnSearchesAlone(t *testing.T) {
+	f := &side{}
+	d, one := sent(f, nil)
+	d.play(Item{Event: rules.Event{Kind: rules.Left, Search: "a"}, Client: &side{}, Token: 5})
+	d.play(Item{Event: rules.Event{Kind: rules.Left, Search: "a"}, Client: f, Token: 4})
+	assert.Nil(t, one.last(rules.Left))
+	d.play(Item{Event: rules.Event{Kind: rules.Left, Search: "a"}, Client: f, Token: 5})
+	assert.NotNil(t, one.last(rules.Left))
+	assert.Zero(t, d.Open())
+}
+
+func TestAnIDThatIsOpenIsWrittenOffTheSecondTime(t *testing.T) {
+	f, other := &side{}, &side{}
+	d, _ := sent(f, nil)
+	s := search0(d, other)
+	d.open.Add(1)
+	d.play(Item{Event: rules.Event{Kind: rules.Taken}, Search: s})
+	assert.Equal(t, []string{"written off"}, other.did)
+	assert.Equal(t, 1, d.Open())
+	assert.Len(t, f.sent, 1)
+}
+
+func TestProbes(t *testing.T) {
+	probe := map[rules.EventKind][]rules.Action{rules.Rang: {{Kind: rules.Probe, Executor: 7}}}
+	f := &side{}
+	d, one := sent(f, probe)
+	d.play(Item{Event: rules.Event{Kind: rules.Rang}})
+	d.play(Item{Event: rules.Event{Kind: rules.Probed, Executor: 7}, Token: 9})
+	assert.Nil(t, one.last(rules.Probed), "an older probe's answer")
+	d.ProbeMS = 0
+	for d.timers[0].what != probes {
+		d.timers.pop()
+	}
+	d.timers[0].at = 0
+	d.due()
+	assert.Equal(t, rules.TimedOut, one.last(rules.Probed).Outcome)
+	assert.Equal(t, []string{"probe", "unanswered"}, f.did)
+	d, one = sent(&side{refuse: true}, probe)
+	d.play(Item{Event: rules.Event{Kind: rules.Rang}})
+	assert.Equal(t, rules.Refused, one.last(rules.Probed).Outcome)
+}
+
+func TestTimersComeInOrder(t *testing.T) {
+	var h timers
+	for k := range 200 {
+		h.push(timer{at: float64(k * 7919 % 200)})
+	}
+	for k := range 200 {
+		assert.Equal(t, float64(k), h.pop().at)
+	}
+}
+
+func TestRunStopsAndPutNeverHangsAfter(t *testing.T) {
+	d, one := sent(&side{}, map[rules.EventKind][]rules.Action{rules.Began: {{Kind: rules.Wake, AfterMS: 1, Token: 3}}})
+	go d.Run()
+	for range 2 * queueRoom {
+		d.Put(Item{Event: rules.Event{Kind: rules.Heard}})
+	}
+	assert.Eventually(t, func() bool { return len(d.queue) == 0 }, 5e9, 1e6)
+	d.Stop()
+	assert.Equal(t, uint64(3), one.last(rules.Rang).Token)
+	for range 2 * queueRoom {
+		d.Put(Item{})
+	}
+}
+
+func TestTheClockStandsOnUnixTime(t *testing.T) {
+	c := NewClock()
+	a := c.Now()
+	assert.InDelta(t, float64(c.start.UnixMilli()), a, 1000)
+	assert.GreaterOrEqual(t, c.Now(), a)
+	assert.Zero(t, c.until(a-5))
+}
--- a/internal/wire/statement.go
+++ b/internal/wire/statement.go
@@ -31,21 +31,24 @@
 		if s.kind != word {
 			continue
 		}
-		name := string(s.token)
-		if s.dotted() {
-			if n, ok := numbered(name); ok {
-				if table {
-					return n, true
-				}
-				if !found {
-					anywhere, found = n, true
-				}
+		first := string(s.token)
+		schema, last, parts := "", first, 1
+		for s.dotted() {
+			s.next()
+			if !s.next() {
+				break
 			}
-			for s.dotted() { // what hangs on the schema is no schema
-				s.next()
-				if !s.next() {
-					break
-				}
+			schema, last, parts = last, string(s.token), parts+1
+		}
+		if !table {
+			schema = first // of a column's name the schema is the first part, of a table's the last but one
+		}
+		if n, ok := numbered(schema); ok && parts > 1 {
+			if table {
+				return n, true
+			}
+			if !found {
+				anywhere, found = n, true
 			}
 		}
 		table = false
