--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# Targets for a developer's machine; .ci/run is what a submission has to pass.
+.PHONY: build test lint fuzz run clean
+
+build:
+	mkdir -p bin && go build -o bin/ ./cmd/...
+
+test:
+	go test ./...
+	go test -tags debug ./...
+	go test -race ./...
+
+lint:
+	go vet ./... && go vet -tags debug ./...
+	@test -z "$$(gofmt -l cmd internal rules)" || { gofmt -l cmd internal rules; exit 1; }
+
+# Ten seconds for each parser of the wire.
+fuzz:
+	@for t in $$(grep -ho 'func Fuzz[A-Za-z]*' internal/wire/*_test.go | cut -c6-); do \
+	  go test ./internal/wire -run '^$$' -fuzz "^$$t$$" -fuzztime 10s || exit 1; done
+
+# One controller with the example configuration; it serves on 127.0.0.1:9090 until Ctrl-C.
+run: build
+	RELAY_CONFIG=$${RELAY_CONFIG:-deploy/example.json} bin/liftshift
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/internal/service/service_test.go
@@ -0,0 +1,176 @@
+package service
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const settings = `{"Bounds": {"Cancelling": true, "ConnectTimeout": 250000, "IdleClose": 15000000, "MaxAttempts": 6,
+ "MaxRetryAfter": 500000, "RetryAfter": true, "Probing": true, "StreamsPerConn": 100},
+ "Classes": [{"Name": "look", "Idempotency": "safe", "Aim": 1000000, "HardLimit": 5000000, "Worth": 1}],
+ "FamilyInfo": {"KindCores": [8], "RamOfKindMb": [16384], "LargestShare": 0.4, "TellsEvery": 500000},
+ "Kinds": ["big"], "Siblings": 1}`
+
+// free is an address that nobody listens on.
+func free(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func node(t *testing.T, listen, changelog, executor string) *Node {
+	path := filepath.Join(t.TempDir(), "node.json")
+	require.NoError(t, os.WriteFile(path, fmt.Appendf(nil, `{"name":"n0","listen":"%s","seed":"8c1f30d27a5be964",
+		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"changelog":"%s","settings":%s,"known":{"seq":1,"results":[
+		{"seq":1,"fleet":{"snapshot":true,"endpoints":[{"name":"s-1","address":"%s","type":"big","status":"Ready"}]}}]}}`,
+		listen, changelog, settings, executor), 0o600))
+	t.Setenv("RELAY_CONFIG", path)
+	n, err := ReadNode()
+	require.NoError(t, err)
+	return n
+}
+
+// silentExecutor takes shots and never answers; it tells what it read.
+func silentExecutor(t *testing.T) (string, chan string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	heard := make(chan string, 10)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				b := make([]byte, 4096)
+				n, _ := c.Read(b)
+				heard <- string(b[:n])
+				_, _ = io.Copy(io.Discard, c)
+				c.Close()
+			}()
+		}
+	}()
+	return l.Addr().String(), heard
+}
+
+func dialUp(t *testing.T, at string) (c net.Conn) {
+	require.Eventually(t, func() (ok bool) {
+		var err error
+		c, err = net.Dial("tcp", at)
+		return err == nil
+	}, 5*time.Second, 5*time.Millisecond)
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	return c
+}
+
+func say(c net.Conn, text string) { fmt.Fprintf(c, "Content-Length: %d\r\n\r\n%s", len(text), text) }
+
+func answer(t *testing.T, r *bufio.Reader) string {
+	head, err := r.ReadString('\n')
+	require.NoError(t, err)
+	n := 0
+	_, _ = fmt.Sscanf(head, "Content-Length: %d", &n)
+	b := make([]byte, n+2)
+	_, err = io.ReadFull(r, b)
+	require.NoError(t, err)
+	return string(b[2:])
+}
+
+// A planned stop goes on accepting until the front has left, answers all it has taken, long searches too, and
+// leaves nothing behind.
+func TestAPlannedStopAnswersAllAndLeavesNothing(t *testing.T) {
+	executor, heard := silentExecutor(t)
+	n := node(t, free(t), free(t), executor)
+	before := runtime.NumGoroutine()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- Run(ctx, n, log) }()
+	c := dialUp(t, n.Listen)
+	r := bufio.NewReader(c)
+	search := `{"jsonrpc":"2.0","id":%d,"method":"look","params":{"req":"a%d","timeout":20000,"ms":50,"ram":9,"data":"eA=="}}`
+	say(c, `{"jsonrpc":"2.0","id":1,"method":"probe"}`)
+	assert.Contains(t, answer(t, r), `"fit":true`)
+	say(c, fmt.Sprintf(search, 2, 2))
+	assert.Contains(t, <-heard, "profile=look,max=19")
+	began := time.Now()
+	stop()
+	time.Sleep(300 * time.Millisecond)
+	late := dialUp(t, n.Listen)
+	say(late, `{"jsonrpc":"2.0","id":1,"method":"probe"}`)
+	lr := bufio.NewReader(late)
+	assert.Contains(t, answer(t, lr), `"fit":false`)
+	say(late, fmt.Sprintf(search, 2, 3))
+	assert.Contains(t, answer(t, r), `-32008`, "the long search is denied")
+	assert.Contains(t, answer(t, lr), `-32008`, "so is the one that came late")
+	assert.NoError(t, <-done)
+	assert.Less(t, time.Since(began), frontLeaves+longestStop)
+	assert.Greater(t, time.Since(began), frontLeaves)
+	c.Close()
+	late.Close()
+	assert.Eventually(t, func() bool { return runtime.NumGoroutine() <= before+1 }, 5*time.Second, 10*time.Millisecond)
+}
+
+func TestAnIdleControllerStopsOnceTheFrontHasLeft(t *testing.T) {
+	n := node(t, free(t), free(t), "127.0.0.1:9")
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	began := time.Now()
+	assert.NoError(t, Run(ctx, n, log))
+	assert.InDelta(t, frontLeaves.Seconds(), time.Since(began).Seconds(), 0.5)
+}
+
+func TestWhatAConfigurationLacksIsNamed(t *testing.T) {
+	n := node(t, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+	good, err := os.ReadFile(os.Getenv("RELAY_CONFIG"))
+	require.NoError(t, err)
+	for change, want := range map[string]string{`"listen"/"other"`: "listen is missing", `"changelog"/"other"`: "changelog is",
+		`"known"/"other"`: "known is missing", `"settings"/"other"`: "settings is missing", `8c1f/xyz`: "seed is not",
+		`"memory_mb":192/"memory_mb":0`: "limits", `"Classes"/"Others"`: "no offering", `{"name"/["name"`: "configuration",
+		`"Aim": 1000000/"Aim": [[]]`: "settings: Classes.*.Aim"} {
+		from, to, _ := strings.Cut(change, "/")
+		path := filepath.Join(t.TempDir(), "bad.json")
+		require.NoError(t, os.WriteFile(path, []byte(strings.Replace(string(good), from, to, 1)), 0o600))
+		t.Setenv("RELAY_CONFIG", path)
+		_, err := ReadNode()
+		assert.ErrorContains(t, err, want, change)
+	}
+	t.Setenv("RELAY_CONFIG", "/nowhere")
+	_, err = ReadNode()
+	assert.ErrorContains(t, err, "/nowhere")
+	n.Listen = "192.0.2.1:1"
+	assert.Error(t, Run(t.Context(), n, logrus.New()), "an address that can't be bound")
+	n.Listen, n.PeerListen = free(t), "192.0.2.1:1"
+	assert.ErrorContains(t, Run(t.Context(), n, logrus.New()), "peers")
+	n.PeerListen, n.Listen, n.Known = "", free(t), []byte(`{"seq":0,"results":[{"seq":1}]}`)
+	assert.ErrorContains(t, Run(t.Context(), n, logrus.New()), "known")
+}
+
+// Who logs must never wait for the reader of the log.
+func TestLogLinesAreDroppedRatherThanWaitedFor(t *testing.T) {
+	r, w := io.Pipe()
+	log, flush := NewLog(w)
+	for range 3 * logRoom {
+		log.Info("x")
+	}
+	go func() { _, _ = io.Copy(io.Discard, r) }()
+	flush()
+}
--- a/internal/wire/changelog.go
+++ b/internal/wire/changelog.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/crc32"
 	"net"
@@ -224,16 +225,18 @@
 			return err
 		}
 		a, err := readResponse(r)
-		if err != nil {
-			f.Malformed.Add(1)
-			return err
-		}
-		if a.status != 200 {
+		if err == nil && a.status != 200 {
 			return fmt.Errorf("status %d", a.status)
 		}
-		last, changes, err := readChanges(a.body)
-		if err != nil {
+		var last uint64
+		var changes []change
+		if err == nil {
+			last, changes, err = readChanges(a.body)
+		}
+		if errors.Is(err, errMalformed) {
 			f.Malformed.Add(1)
+		}
+		if err != nil {
 			return err
 		}
 		f.apply(last, changes, rules.Whole)
--- /dev/null
+++ b/internal/wire/executors_test.go
@@ -0,0 +1,275 @@
+package wire
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"liftshift/internal/desk"
+	"liftshift/rules"
+)
+
+// mailbox is the queue of a test.
+type mailbox chan desk.Item
+
+func (m mailbox) Put(it desk.Item) { m <- it }
+func (m mailbox) Take(s *desk.Search) {
+	m <- desk.Item{Event: rules.Event{Kind: rules.Taken}, Search: s}
+}
+func (m mailbox) Open() int { return 0 }
+func (m mailbox) next(t *testing.T) desk.Item {
+	select {
+	case it := <-m:
+		return it
+	case <-time.After(3 * time.Second):
+		require.Fail(t, "nothing came")
+	}
+	return desk.Item{}
+}
+
+func silentLog() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+// executor is a stand-in: it keeps what it is told and lets the test answer.
+type executor struct {
+	listener net.Listener
+	conns    chan net.Conn
+	heard    chan string
+}
+
+func standIn(t *testing.T, at string) *executor {
+	l, err := net.Listen("tcp", at)
+	require.NoError(t, err)
+	e := &executor{listener: l, conns: make(chan net.Conn, 20), heard: make(chan string, 100)}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			e.conns <- c
+			go func() {
+				r := bufio.NewReader(c)
+				for {
+					parts, err := readArray(r, nil)
+					if err != nil {
+						e.heard <- "closed"
+						return
+					}
+					words := make([]string, len(parts))
+					for k := range parts {
+						words[k] = string(parts[k])
+					}
+					e.heard <- strings.Join(words, " ")
+				}
+			}()
+		}
+	}()
+	return e
+}
+
+func (e *executor) hears(t *testing.T, want string) {
+	t.Helper()
+	select {
+	case got := <-e.heard:
+		assert.Regexp(t, "^"+want+"$", got)
+	case <-time.After(3 * time.Second):
+		require.Fail(t, "not heard: "+want)
+	}
+}
+
+func say(c net.Conn, words ...string) { _, _ = c.Write(appendArray(nil, words...)) }
+
+// fleetOf has one executor, numbered 1, at an address; its connections are closed when unused for idleMS.
+func fleetOf(t *testing.T, at string, idleMS float64) (*Fleet, mailbox) {
+	m := make(mailbox, 100)
+	f := NewFleet(m, desk.NewClock(), NewBudget(1<<20), Reach{ConnectMS: 200, IdleMS: idleMS, PerLink: 2, Links: 3},
+		silentLog())
+	f.update(true, []listed{{rules.Entry{Executor: 1}, "s-1", at}})
+	t.Cleanup(f.Stop)
+	return f, m
+}
+
+func shotOf(id string) desk.Shot {
+	s := &desk.Search{ID: id, Offering: "load", Mark: "k1", Body: []byte("SELECT 1"), Until: desk.NewClock().Now() + 5000}
+	return desk.Shot{Search: s, Executor: 1, GrantMB: 63.2, Level: 3}
+}
+
+func TestAShotGoesOutAndItsPagesAreJoinedInOrder(t *testing.T) {
+	e := standIn(t, "127.0.0.1:0")
+	f, m := fleetOf(t, e.listener.Addr().String(), 15000)
+	run := f.Send(shotOf("a"))
+	e.hears(t, `fetch a profile=load,max=4\d\d\d,replay=k1,mb=64,nice=3 SELECT 1`)
+	c := <-e.conns
+	say(c, "a", "news", "remark=queued,num=2", "")
+	it := m.next(t)
+	assert.Equal(t, []any{rules.Noted, rules.Waits, 2.0}, []any{it.Event.Kind, it.Event.Note, it.Event.Value})
+	run.Relevel(1)
+	e.hears(t, "renice a 1")
+	say(c, "a", "data", "batches=3", "one\n")
+	e.hears(t, "more a 1")
+	e.hears(t, "more a 2")
+	say(c, "a", "page", "batch=2", "three\n")
+	say(c, "a", "page", "batch=1", "two\n")
+	e.hears(t, "done a")
+	it = m.next(t)
+	assert.Equal(t, rules.Handled, it.Event.Outcome)
+	assert.Equal(t, "one\ntwo\nthree\n", string(it.Body))
+	assert.Equal(t, desk.Decided, run.CallOff())
+}
+
+func TestWhatAnEndProves(t *testing.T) {
+	e := standIn(t, "127.0.0.1:0")
+	f, m := fleetOf(t, e.listener.Addr().String(), 15000)
+	var c net.Conn
+	for word, want := range map[string]rules.Outcome{"full": rules.Full, "failed": rules.Erred, "moot": rules.Superseded} {
+		f.Send(shotOf(word))
+		e.hears(t, "fetch .*")
+		if c == nil {
+			c = <-e.conns
+		}
+		say(c, word, word, "-", "")
+		assert.Equal(t, want, m.next(t).Event.Outcome)
+	}
+	f.Send(shotOf("lost")) // pages lost: it may have run
+	e.hears(t, "fetch .*")
+	say(c, "lost", "data", "batches=2", "one\n")
+	e.hears(t, "more lost 1")
+	say(c, "lost", "failed", "-", "")
+	assert.Equal(t, rules.Erred, m.next(t).Event.Outcome)
+}
+
+// Refused proves that nothing ran; reset or malformed answers do not.
+func TestConnectionsThatFail(t *testing.T) {
+	e := standIn(t, "127.0.0.1:0")
+	f, m := fleetOf(t, e.listener.Addr().String(), 15000)
+	for _, last := range []string{"", "*9\r\n", "*2\r\n$1\r\na\r\n$4\r\npage\r\n", "*1\r\n$1\r\na\r\n",
+		"*3\r\n$1\r\na\r\n$4\r\ndata\r\n$11\r\nbatches=999\r\n", "*3\r\n$1\r\na\r\n$4\r\nwhat\r\n$1\r\n-\r\n"} {
+		f.Send(shotOf("a"))
+		e.hears(t, "fetch .*")
+		c := <-e.conns
+		if last == "" {
+			c.Close()
+		}
+		_, _ = c.Write([]byte(last))
+		assert.Equal(t, rules.Severed, m.next(t).Event.Outcome, last)
+		e.hears(t, "closed")
+	}
+	assert.Equal(t, uint64(5), f.Malformed.Load())
+	e.listener.Close()
+	f.Send(shotOf("b"))
+	f.Probe(1, 4)
+	assert.Equal(t, rules.Refused, m.next(t).Event.Outcome)
+	it := m.next(t)
+	assert.Equal(t, []any{rules.Probed, rules.Refused, uint64(4)}, []any{it.Event.Kind, it.Event.Outcome, it.Token})
+	assert.Nil(t, f.Send(desk.Shot{Search: &desk.Search{}, Executor: 9}), "an executor that isn't listed")
+}
+
+// A called-off shot's late answer must not pass for the next shot's: that goes out on another connection.
+func TestALateAnswerIsNotTheNextShots(t *testing.T) {
+	e := standIn(t, "127.0.0.1:0")
+	f, m := fleetOf(t, e.listener.Addr().String(), 15000)
+	run := f.Send(shotOf("a"))
+	e.hears(t, "fetch a .*")
+	first := <-e.conns
+	assert.Equal(t, desk.Halted, run.CallOff())
+	e.hears(t, "abort a")
+	f.Send(shotOf("a"))
+	second := <-e.conns
+	e.hears(t, "fetch a .*")
+	say(first, "a", "data", "-", "old\n")
+	assert.Eventually(t, func() bool { return f.Strays.Load() == 1 }, 3*time.Second, time.Millisecond)
+	say(second, "a", "data", "-", "new\n")
+	assert.Equal(t, "new\n", string(m.next(t).Body))
+	say(second, "zz", "data", "-", "never asked for\n")
+	assert.Eventually(t, func() bool { return f.Strays.Load() == 2 }, 3*time.Second, time.Millisecond)
+	assert.Empty(t, m)
+}
+
+func TestAShotCalledOffBeforeItLeftNeverRan(t *testing.T) {
+	f, _ := fleetOf(t, "127.0.0.1:9", 15000)
+	f.mu.Lock() // the connection can't come up meanwhile
+	l := &link{fleet: f, open: map[string]*run{}, ends: map[string]bool{}}
+	r := &run{link: l, shot: shotOf("a")}
+	l.open["a"] = r
+	f.mu.Unlock()
+	assert.Equal(t, desk.Unsent, r.CallOff())
+	assert.Empty(t, l.open)
+}
+
+func TestConnectionsBeatTheIdleClose(t *testing.T) {
+	e := standIn(t, "127.0.0.1:0")
+	f, m := fleetOf(t, e.listener.Addr().String(), 50)
+	f.Send(shotOf("a"))
+	e.hears(t, "fetch a .*")
+	say(<-e.conns, "a", "data", "-", "")
+	m.next(t)
+	time.Sleep(60 * time.Millisecond) // the executor may close it from now on
+	f.Send(shotOf("b"))
+	select {
+	case <-e.conns:
+	case <-time.After(3 * time.Second):
+		t.Fatal("an old connection was used")
+	}
+}
+
+func TestProbes(t *testing.T) {
+	e := standIn(t, "127.0.0.1:0")
+	f, m := fleetOf(t, e.listener.Addr().String(), 15000)
+	assert.True(t, f.Probe(1, 7))
+	e.hears(t, "alive probe-7")
+	c := <-e.conns
+	say(c, "probe-7", "well", "report=1,2", "")
+	it := m.next(t)
+	assert.Equal(t, []any{rules.Handled, uint64(7), []float64{1, 2}}, []any{it.Event.Outcome, it.Token, it.Event.Report})
+	f.Probe(1, 8)
+	e.hears(t, "alive probe-8")
+	say(c, "probe-8", "ill", "-", "")
+	assert.Equal(t, rules.Erred, m.next(t).Event.Outcome)
+	f.Probe(1, 9)
+	e.hears(t, "alive probe-9")
+	f.Unanswered(1, 9) // a connection that fell silent gets nothing new
+	f.Send(shotOf("a"))
+	<-e.conns
+}
+
+// A new executor at the address of one that is gone must not get that one's connections.
+func TestAReusedAddressGetsConnectionsOfItsOwn(t *testing.T) {
+	e := standIn(t, "127.0.0.1:0")
+	at := e.listener.Addr().String()
+	f, _ := fleetOf(t, at, 15000)
+	f.Send(shotOf("a"))
+	e.hears(t, "fetch a .*")
+	<-e.conns
+	f.update(false, []listed{{rules.Entry{Executor: 1, Standing: rules.Gone}, "s-1", at},
+		{rules.Entry{Executor: 2}, "s-2", at}})
+	assert.Nil(t, f.Send(shotOf("b")))
+	s := shotOf("c")
+	s.Executor = 2
+	f.Send(s)
+	<-e.conns
+	e.hears(t, "fetch c .*")
+	f.update(true, nil)
+	s.Search.ID = "d"
+	assert.Nil(t, f.Send(s), "a whole list leaves out what is gone")
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	e := standIn(t, "127.0.0.1:0")
+	f, _ := fleetOf(t, e.listener.Addr().String(), 15000)
+	for _, id := range strings.Fields("a b c d e f") { // three connections of two shots each
+		assert.NotNil(t, f.Send(shotOf(id)))
+	}
+	assert.Nil(t, f.Send(shotOf("g")))
+}
--- /dev/null
+++ b/internal/wire/feed_test.go
@@ -0,0 +1,124 @@
+package wire
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"liftshift/internal/desk"
+	"liftshift/rules"
+)
+
+// changeLog is a stand-in that answers each call with the next page; an empty one closes the connection.
+func changeLog(t *testing.T, pages ...string) (address string, calls chan string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	calls = make(chan string, 100)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			for r := bufio.NewReader(c); ; {
+				line, err := r.ReadString('\n')
+				if err != nil || len(pages) == 0 {
+					break
+				}
+				if strings.HasPrefix(line, "GET") {
+					calls <- strings.TrimSpace(line)
+				}
+				if line == "\r\n" {
+					page := pages[0]
+					pages = pages[1:]
+					if page == "" {
+						break
+					}
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(page), page)
+				}
+			}
+			c.Close()
+		}
+	}()
+	return l.Addr().String(), calls
+}
+
+func event(seq int, name, status string) string {
+	return fmt.Sprintf(`{"seq":%d,"results":[{"seq":%d,"fleet":{"endpoints":[{"name":"%s","address":"127.0.0.1:9",`+
+		`"status":"%s"}]}}]}`, seq, seq, name, status)
+}
+
+// Bad pages are asked for again from the last good number, and each event is applied once.
+func TestTheListIsFollowedThroughFailures(t *testing.T) {
+	at, calls := changeLog(t, event(2, "s-2", "Ready"), `{"seq":9,"results":[{"seq":3},{"seq":1}]}`, "",
+		event(2, "s-2", "Gone"), event(3, "s-2", "Terminating"), "", "", "")
+	m := make(mailbox, 100)
+	fleet := NewFleet(m, desk.NewClock(), NewBudget(1), Reach{}, silentLog())
+	f, err := NewFeed(at, []byte(strings.Replace(event(1, "s-1", "Ready"), `"endpoints"`, `"snapshot":true,"endpoints"`, 1)),
+		fleet, m, silentLog())
+	require.NoError(t, err)
+	f.Begin()
+	go f.Run()
+	defer f.Stop()
+	want := []rules.Event{{List: rules.Restored, Entries: []rules.Entry{{Executor: executorID("s-1")}}},
+		{List: rules.Changes, Entries: []rules.Entry{{Executor: executorID("s-2")}}}, {List: rules.NoList},
+		{List: rules.Changes, Entries: []rules.Entry{{Executor: executorID("s-2"), Standing: rules.Leaving}}}}
+	for _, ev := range want {
+		ev.Kind = rules.Listed
+		assert.Equal(t, ev, m.next(t).Event)
+	}
+	for _, since := range []int{1, 2, 2, 2, 2, 3} {
+		assert.Equal(t, fmt.Sprintf("GET /changes?since=%d&timeout=5000 HTTP/1.1", since), <-calls)
+	}
+	assert.Equal(t, uint64(1), f.Malformed.Load())
+	_, err = NewFeed(at, []byte("{}"), fleet, m, silentLog())
+	assert.ErrorContains(t, err, "known")
+}
+
+func TestMessagesOfControllers(t *testing.T) {
+	other, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer other.Close()
+	free, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	here := free.LocalAddr()
+	free.Close()
+	m := make(mailbox, 10)
+	p, err := NewPeers(here.String(), []string{here.String(), other.LocalAddr().String()}, other.LocalAddr().String(), m,
+		silentLog())
+	require.NoError(t, err)
+	go p.Run()
+	defer p.Stop()
+	p.Tell(1, []byte("one"))
+	p.Tell(-1, []byte("all"))
+	p.Tell(7, []byte("nobody"))
+	p.Tell(1, make([]byte, mostDatagram+1))
+	var b [300]byte
+	for _, want := range []string{"one", "all"} {
+		_ = other.SetReadDeadline(time.Now().Add(3 * time.Second))
+		n, _, err := other.ReadFrom(b[:])
+		assert.NoError(t, err)
+		assert.Equal(t, want, string(b[:n]))
+	}
+	assert.Equal(t, uint64(2), p.Dropped.Load())
+	stranger, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer stranger.Close()
+	_, _ = stranger.WriteTo([]byte("x"), here)
+	_, _ = other.WriteTo(make([]byte, mostDatagram+1), here)
+	_, _ = other.WriteTo([]byte("hi"), here)
+	it := m.next(t)
+	assert.Equal(t, []any{rules.Heard, 1, "hi"}, []any{it.Event.Kind, it.Event.FromPeer, string(it.Event.Data)})
+	assert.Equal(t, uint64(2), p.Foreign.Load())
+	quiet, err := NewPeers("", nil, "", m, silentLog())
+	assert.NoError(t, err)
+	quiet.Tell(-1, []byte("x"))
+	assert.Equal(t, uint64(1), quiet.Dropped.Load())
+}
--- /dev/null
+++ b/internal/wire/front_test.go
@@ -0,0 +1,182 @@
+package wire
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"liftshift/internal/desk"
+	"liftshift/rules"
+)
+
+// door is a front with an offering of each kind, and one client.
+func door(t *testing.T, doors Doors) (*Front, mailbox, net.Conn, *bufio.Reader) {
+	m := make(mailbox, 100)
+	if doors.Clients == 0 {
+		doors.Clients = 5
+	}
+	doors.Answers = NewBudget(1 << 20)
+	if doors.Bodies == nil {
+		doors.Bodies = NewBudget(1 << 20)
+	}
+	f, err := NewFront("127.0.0.1:0", map[string]Offering{"look": {}, "load": {Labelled: true}}, m, desk.NewClock(),
+		doors, silentLog())
+	require.NoError(t, err)
+	go f.Run()
+	t.Cleanup(f.Stop)
+	c, r := dial(t, f)
+	return f, m, c, r
+}
+
+func dial(t *testing.T, f *Front) (net.Conn, *bufio.Reader) {
+	c, err := net.Dial("tcp", f.listener.Addr().String())
+	require.NoError(t, err)
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	t.Cleanup(func() { c.Close() })
+	return c, bufio.NewReader(c)
+}
+
+func ask(c net.Conn, text string) { fmt.Fprintf(c, "Content-Length: %d\r\n\r\n%s", len(text), text) }
+
+func look(id int, req string) string {
+	return fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"method":"look","params":{"req":"%s","timeout":1500,"ms":82,"ram":96,`+
+		`"data":"U0VMRUNUIDEgRlJPTSBzYWxlc18xNy50"}}`, id, req)
+}
+
+func answered(t *testing.T, r *bufio.Reader, want string) {
+	t.Helper()
+	got, err := readMessage(r)
+	require.NoError(t, err)
+	assert.JSONEq(t, want, string(got))
+}
+
+func TestASearchComesInAndIsAnsweredOnce(t *testing.T) {
+	f, m, c, r := door(t, Doors{})
+	ask(c, look(7, "a1"))
+	s := m.next(t).Search
+	assert.Equal(t, []any{"a1", "look", uint64(17), 96.0, 82.0, "SELECT 1 FROM sales_17.t"},
+		[]any{s.ID, s.Offering, s.Group, s.NeedMB, s.WorkMS, string(s.Body)})
+	assert.InDelta(t, f.clock.Now()+1500, s.Until, 200)
+	s.Client.Handled(s.Tag, []byte("x\n"))
+	s.Client.Denied(s.Tag, 5)
+	answered(t, r, `{"jsonrpc":"2.0","id":7,"result":{"data":"eAo="}}`)
+	for id, give := range map[int]func(*desk.Search){8: func(s *desk.Search) { s.Client.Denied(s.Tag, 200) },
+		9: func(s *desk.Search) { s.Client.WrittenOff(s.Tag) }} {
+		ask(c, look(id, "b"))
+		give(m.next(t).Search)
+		got, _ := readMessage(r)
+		assert.Contains(t, string(got), map[int]string{8: `"code":-32008,"message":"denied","data":{"holdoff":200}`,
+			9: `"code":-32000`}[id])
+	}
+	assert.Zero(t, f.bodies.Held())
+}
+
+// A bad request gets an error and costs no other on its connection.
+func TestBadRequestsCostNoOther(t *testing.T) {
+	_, m, c, r := door(t, Doors{})
+	ask(c, look(1, "a"))
+	s := m.next(t).Search
+	for _, bad := range []string{`{`, `[]`, `{"jsonrpc":"2.0","id":4,"method":"none"}`, look(1, "again"), look(5, "no good"),
+		`{"jsonrpc":"2.0","method":"look","params":{}}`, strings.Replace(look(6, "b"), "look", "load", 1)} {
+		ask(c, bad)
+		got, err := readMessage(r)
+		assert.NoError(t, err)
+		assert.Contains(t, string(got), `"error"`, bad)
+		assert.NotContains(t, string(got), `"id":1,`, "it would pass for the answer of the first")
+	}
+	ask(c, `{"jsonrpc":"2.0","id":"p","method":"probe"}`)
+	answered(t, r, `{"jsonrpc":"2.0","id":"p","result":{"fit":false}}`)
+	s.Client.Handled(s.Tag, nil)
+	answered(t, r, `{"jsonrpc":"2.0","id":1,"result":{"data":""}}`)
+	assert.Empty(t, m)
+}
+
+func TestLostFramingEndsAConnectionOnceItsRequestsAreAnswered(t *testing.T) {
+	_, m, c, r := door(t, Doors{})
+	ask(c, look(1, "a"))
+	s := m.next(t).Search
+	fmt.Fprint(c, "no head\r\n\r\n")
+	answered(t, r, `{"jsonrpc":"2.0","id":null,"error":{"code":-32700,"message":"framing lost"}}`)
+	s.Client.Handled(s.Tag, nil)
+	answered(t, r, `{"jsonrpc":"2.0","id":1,"result":{"data":""}}`)
+	_, err := r.ReadByte()
+	assert.Error(t, err)
+}
+
+func TestGivingUpAndClosingEndSearches(t *testing.T) {
+	_, m, c, r := door(t, Doors{})
+	var open []*desk.Search
+	for id := 1; id < 5; id++ {
+		ask(c, look(id, fmt.Sprint("a", id)))
+		open = append(open, m.next(t).Search)
+	}
+	for _, give := range []string{`{"jsonrpc":"2.0","method":"giveUp","params":{"req":"a1"}}`,
+		`{"jsonrpc":"2.0","id":2,"method":"giveUp"}`, `{"jsonrpc":"2.0","id":77,"method":"giveUp","params":{"id":3}}`} {
+		ask(c, give)
+		it := m.next(t)
+		assert.Equal(t, []any{rules.Left, open[0].ID, open[0].Tag}, []any{it.Event.Kind, it.Event.Search, it.Token})
+		open[0].Client.Handled(open[0].Tag, nil) // too late: no answer is owed
+		open = open[1:]
+	}
+	answered(t, r, `{"jsonrpc":"2.0","id":77,"result":{}}`)
+	c.Close()
+	assert.Equal(t, "a4", m.next(t).Event.Search)
+}
+
+func TestPlacesAreBounded(t *testing.T) {
+	f, m, c, r := door(t, Doors{Clients: 2, Bodies: NewBudget(40)})
+	ask(c, look(1, "a"))
+	s := m.next(t).Search
+	ask(c, look(2, "b")) // more bytes than may be open
+	got, _ := readMessage(r)
+	assert.Contains(t, string(got), "-32008")
+	s.Client.WrittenOff(s.Tag)
+	_, _ = readMessage(r)
+	dial(t, f)
+	waits, rw := dial(t, f) // no place: accepted once another leaves
+	ask(waits, look(3, "c"))
+	assert.Eventually(t, func() bool { return f.Pauses.Load() > 0 }, 3*time.Second, time.Millisecond)
+	assert.Empty(t, m)
+	c.Close()
+	s = m.next(t).Search
+	s.Client.Handled(s.Tag, nil)
+	answered(t, rw, `{"jsonrpc":"2.0","id":3,"result":{"data":""}}`)
+}
+
+func TestAConnectionCarriesSoManyRequests(t *testing.T) {
+	_, m, c, r := door(t, Doors{})
+	for id := 1; id <= mostOpen+1; id++ {
+		ask(c, look(id, fmt.Sprint("a", id)))
+	}
+	got, _ := readMessage(r)
+	assert.Contains(t, string(got), fmt.Sprintf(`"id":%d,"error":{"code":-32008`, mostOpen+1))
+	assert.Len(t, m, mostOpen)
+}
+
+// Who doesn't read must not fill the memory: past its room it is cut off, and what it holds is given back.
+func TestASlowReaderIsCutOff(t *testing.T) {
+	f, m, c, _ := door(t, Doors{})
+	page := make([]byte, 48000)
+	cut := false
+	for id := 1; id < 500 && !cut; id++ {
+		ask(c, look(id, fmt.Sprint("a", id)))
+		select {
+		case it := <-m:
+			cut = it.Event.Kind == rules.Left
+			if !cut {
+				it.Search.Client.Handled(it.Search.Tag, page)
+			}
+		case <-time.After(2500 * time.Millisecond):
+			cut = true
+		}
+		assert.LessOrEqual(t, f.answers.Held(), int64(2<<20))
+	}
+	assert.True(t, cut)
+	assert.Eventually(t, func() bool { return f.answers.Held() == 0 }, 5*time.Second, time.Millisecond)
+}
