--- a/internal/wire/executors.go
+++ b/internal/wire/executors.go
@@ -352,7 +352,10 @@
 		f.log.WithFields(logrus.Fields{"executor": l.machine.name, "why": err}).Warn("executor: malformed answer")
 	}
 	l.close()
-	l.finish(rules.Severed)
+	if shots := l.finish(rules.Severed); shots > 0 {
+		f.log.WithFields(logrus.Fields{"executor": l.machine.name, "why": err, "shots": shots}).
+			Info("executor: connection lost")
+	}
 }
 
 // runs gives the open shots in the order they were sent.
@@ -365,8 +368,8 @@
 	return list
 }
 
-// finish takes a link out and ends all that was open on it.
-func (l *link) finish(as rules.Outcome) {
+// finish takes a link out, ends all that was open on it and tells how many shots that were.
+func (l *link) finish(as rules.Outcome) int {
 	f := l.fleet
 	f.mu.Lock()
 	l.leaving = true
@@ -388,6 +391,7 @@
 	for _, token := range tokens {
 		f.queue.Put(desk.Item{Event: rules.Event{Kind: rules.Probed, Executor: l.machine.id, Outcome: as}, Token: token})
 	}
+	return len(runs)
 }
 
 // listen reads answers until the connection ends.
