A search goes back to the executor that it was called off at only 5 ms later

Ruled out: shots that were never written (traced at the socket), the executors' idle time as such (the connection was in use, but no shot on it was known there), lines for memory (all first shots heard a word). Cause: the call-off goes over one connection and the new shot, under the same id, over another (Fleet.pick), so that a late answer can't be taken for the new one's. The goroutine woken last writes first, the call-off arrives last and ends the new shot. Now Fleet.Send gives the time to hold a shot back and the desk's heap releases it; one called off before that never ran. TestALateAnswerIsNotTheNextShots stands for it.

--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -56,16 +56,17 @@
 	Decided                // its end is in the queue already
 )
 
-// Run is a shot under way. Its methods never wait.
+// Run is a shot under way. Its methods never wait. One that was held back goes out at Release.
 type Run interface {
+	Release()
 	CallOff() Stopped
 	Relevel(level int)
 }
 
 // Executors carries shots and probes. Its methods never wait; ends come back through Put. A nil Run
-// means that there was no way to send.
+// means that there was no way to send; one held back is to be released so many ms later.
 type Executors interface {
-	Send(shot Shot) Run
+	Send(shot Shot) (run Run, heldMS float64)
 	Probe(executor uint32, token uint64) bool
 	Unanswered(executor uint32, token uint64) // a probe that nobody waits for any more
 }
@@ -208,6 +209,8 @@
 			d.play(Item{Event: rules.Event{Kind: rules.Rang, Token: t.token}, at: t.at})
 		case limits:
 			d.expire(t.search)
+		case releases:
+			t.run.Release()
 		case probes:
 			if d.probes[t.executor] != t.token {
 				break
@@ -413,12 +416,14 @@
 	if !check.That(s.fired < mostShots && !s.answered, "shots go out for open searches alone") {
 		return
 	}
-	run := d.Executors.Send(Shot{Search: &s.Search, N: s.fired, Executor: a.Executor, GrantMB: s.grant,
+	run, held := d.Executors.Send(Shot{Search: &s.Search, N: s.fired, Executor: a.Executor, GrantMB: s.grant,
 		Level: s.level, MaxMS: s.Until - now})
 	s.shots[s.fired] = shot{run: run, executor: a.Executor, sent: now, out: true}
 	s.fired, s.out = s.fired+1, s.out+1
 	if run == nil {
 		d.end(s, s.fired-1, rules.Refused)
+	} else if held > 0 {
+		d.timers.push(timer{at: now + held, what: releases, run: run})
 	}
 }
 
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -34,19 +34,21 @@
 // side plays executors and client: it keeps what it was asked for.
 type side struct {
 	stopped Stopped
+	held    float64
 	refuse  bool
 	sent    []Shot
 	did     []string
 	body    string
 }
 
-func (f *side) Send(s Shot) Run {
+func (f *side) Send(s Shot) (Run, float64) {
 	f.sent = append(f.sent, s)
 	if f.refuse {
-		return nil
+		return nil, 0
 	}
-	return f
+	return f, f.held
 }
+func (f *side) Release()                   { f.did = append(f.did, "release") }
 func (f *side) Probe(uint32, uint64) bool  { f.did = append(f.did, "probe"); return !f.refuse }
 func (f *side) Unanswered(uint32, uint64)  { f.did = append(f.did, "unanswered") }
 func (f *side) CallOff() Stopped           { f.did = append(f.did, "off"); return f.stopped }
@@ -96,6 +98,19 @@
 	assert.Equal(t, uint64(1), d.tally.Stray)
 }
 
+func TestAShotHeldBackIsReleasedInItsTime(t *testing.T) {
+	f := &side{held: 40}
+	d, _ := sent(f, nil)
+	d.due()
+	assert.Empty(t, f.did)
+	assert.Equal(t, releases, d.timers[0].what)
+	assert.InDelta(t, d.clock.Now()+40, d.timers[0].at, 30)
+	d.timers[0].at = 0
+	d.timers.push(timer{at: d.clock.Now() + 1e6, what: tallies})
+	d.due()
+	assert.Equal(t, []string{"release"}, f.did)
+}
+
 // An answer that is in the queue when its shot is called off counts, as long as nothing was answered.
 func TestAnAnswerOnItsWayGoesBeforeACallOff(t *testing.T) {
 	f := &side{stopped: Decided}
--- a/internal/desk/timers.go
+++ b/internal/desk/timers.go
@@ -21,10 +21,11 @@
 type alarm uint8
 
 const (
-	wakes   alarm = iota // the module asked for it
-	limits               // the hard limit of a search
-	probes               // an unanswered probe counts as missed
-	tallies              // counters are due in the log
+	wakes    alarm = iota // the module asked for it
+	limits                // the hard limit of a search
+	probes                // an unanswered probe counts as missed
+	releases              // a shot held back goes out
+	tallies               // counters are due in the log
 )
 
 type timer struct {
@@ -33,6 +34,7 @@
 	token    uint64
 	search   string
 	executor uint32
+	run      Run
 }
 
 // timers is a heap, the earliest first.
--- a/internal/wire/executors.go
+++ b/internal/wire/executors.go
@@ -28,6 +28,11 @@
 	idleShare    = 0.8      // share of the executors' idle time after which a connection is closed here
 	idleLook     = time.Second
 	answerBuffer = 8 << 10
+
+	// apartMS is the least time between calling a shot off and sending its search to the same executor again. Both
+	// go over connections of their own, which overtake one another, and a call-off that comes last ends the new shot,
+	// unanswered. It is far above the way to an executor and far below what a search takes.
+	apartMS = 5
 )
 
 // Fleet is the executors' side: connections to each of them, and the shots and probes under way.
@@ -67,7 +72,7 @@
 	leaving bool // gets nothing new, and ends once nothing is open on it
 	used    time.Time
 	open    map[string]*run
-	ends    map[string]bool // called off here; an answer may still come
+	ends    map[string]float64 // when they were called off here; an answer may still come
 	probes  map[string]uint64
 }
 
@@ -79,6 +84,7 @@
 	pages [][]byte
 	have  int
 	size  int
+	held  bool // until Release
 	event rules.Event
 }
 
@@ -170,14 +176,14 @@
 			l.leave() // the other side may be about to close it
 		}
 		// An id called off here goes out on another connection: its late answer would pass for the new one's.
-		if !l.leaving && len(l.open) < f.perLink && l.open[id] == nil && !l.ends[id] {
+		if !l.leaving && len(l.open) < f.perLink && l.open[id] == nil && l.ends[id] == 0 {
 			return l
 		}
 	}
 	if len(f.all) >= f.links {
 		return nil
 	}
-	l := &link{fleet: f, machine: m, used: now, open: map[string]*run{}, ends: map[string]bool{},
+	l := &link{fleet: f, machine: m, used: now, open: map[string]*run{}, ends: map[string]float64{},
 		probes: map[string]uint64{}}
 	l.budget, l.patient, l.look, l.most = f.budget, f.connect, idleLook, mostLinedUp
 	l.quiet = l.stale
@@ -197,28 +203,45 @@
 	return l.leaving && len(l.open) == 0
 }
 
-// Send puts a shot on a connection of its executor.
-func (f *Fleet) Send(shot desk.Shot) desk.Run {
+// Send puts a shot on a connection of its executor, or holds it back for a time.
+func (f *Fleet) Send(shot desk.Shot) (desk.Run, float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.machines[shot.Executor]
 	if m == nil {
-		return nil
+		return nil, 0
 	}
 	l := f.pick(m, shot.Search.ID)
 	if l == nil {
-		return nil
+		return nil, 0
+	}
+	wait := 0.0
+	for _, other := range m.links {
+		if at := other.ends[shot.Search.ID]; at > 0 {
+			wait = max(wait, at+apartMS-f.clock.Now())
+		}
 	}
 	f.seq++
 	r := &run{link: l, shot: shot, seq: f.seq}
 	r.event = rules.Event{Kind: rules.Ended, Search: shot.Search.ID, Shot: shot.N}
 	l.open[shot.Search.ID] = r
-	if l.up && !l.fetch(r) {
+	r.held = wait > 0
+	if l.up && !r.held && !l.fetch(r) {
 		delete(l.open, shot.Search.ID)
 		l.leave()
-		return nil
+		return nil, 0
+	}
+	return r, wait
+}
+
+// Release sends a shot that was held back, unless it was called off meanwhile.
+func (r *run) Release() {
+	l := r.link
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	if r.held = false; l.up && l.open[r.shot.Search.ID] == r {
+		l.fetch(r)
 	}
-	return r
 }
 
 // fetch writes a shot; called under the fleet's lock.
@@ -254,7 +277,7 @@
 	}
 	delete(l.open, id)
 	defer l.settle()
-	if !l.up {
+	if !l.up || r.held {
 		return desk.Unsent
 	}
 	if r.pages != nil { // only pages are still under way
@@ -262,7 +285,7 @@
 	} else {
 		l.say("abort", id)
 	}
-	l.ends[id] = true
+	l.ends[id] = l.fleet.clock.Now()
 	if len(l.ends) >= mostRetired {
 		l.leaving = true
 	}
@@ -275,7 +298,7 @@
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
 	r.shot.Level = level
-	if l.up && l.open[r.shot.Search.ID] == r && r.pages == nil {
+	if l.up && !r.held && l.open[r.shot.Search.ID] == r && r.pages == nil {
 		l.say("renice", r.shot.Search.ID, strconv.Itoa(level))
 	}
 }
@@ -332,7 +355,7 @@
 	f.mu.Lock()
 	l.conn, l.up = conn, true
 	for _, r := range l.runs() {
-		if !l.fetch(r) {
+		if !r.held && !l.fetch(r) {
 			break
 		}
 	}
@@ -385,7 +408,9 @@
 	clear(l.probes)
 	f.mu.Unlock()
 	for _, r := range runs {
-		r.event.Outcome = as
+		if r.event.Outcome = as; r.held {
+			r.event.Outcome = rules.Refused // it never left
+		}
 		f.queue.Put(desk.Item{Event: r.event})
 	}
 	for _, token := range tokens {
--- a/internal/wire/executors_test.go
+++ b/internal/wire/executors_test.go
@@ -109,7 +109,7 @@
 func TestAShotGoesOutAndItsPagesAreJoinedInOrder(t *testing.T) {
 	e := standIn(t, "127.0.0.1:0")
 	f, m := fleetOf(t, e.listener.Addr().String(), 15000)
-	run := f.Send(shotOf("a"))
+	run, _ := f.Send(shotOf("a"))
 	e.hears(t, `fetch a profile=load,max=4\d\d\d,replay=k1,mb=64,nice=3 SELECT 1`)
 	c := <-e.conns
 	say(c, "a", "news", "remark=queued,num=2", "")
@@ -173,20 +173,28 @@
 	assert.Equal(t, rules.Refused, m.next(t).Event.Outcome)
 	it := m.next(t)
 	assert.Equal(t, []any{rules.Probed, rules.Refused, uint64(4)}, []any{it.Event.Kind, it.Event.Outcome, it.Token})
-	assert.Nil(t, f.Send(desk.Shot{Search: &desk.Search{}, Executor: 9}), "an executor that isn't listed")
+	run, _ := f.Send(desk.Shot{Search: &desk.Search{}, Executor: 9})
+	assert.Nil(t, run, "an executor that isn't listed")
 }
 
-// A called-off shot's late answer must not pass for the next shot's: that goes out on another connection.
+// A called-off shot's late answer must not pass for the next shot's: that goes out on another connection, and not
+// before the call-off has arrived: coming last, it would end the new shot.
 func TestALateAnswerIsNotTheNextShots(t *testing.T) {
 	e := standIn(t, "127.0.0.1:0")
 	f, m := fleetOf(t, e.listener.Addr().String(), 15000)
-	run := f.Send(shotOf("a"))
+	run, held := f.Send(shotOf("a"))
+	assert.Zero(t, held)
 	e.hears(t, "fetch a .*")
 	first := <-e.conns
 	assert.Equal(t, desk.Halted, run.CallOff())
 	e.hears(t, "abort a")
-	f.Send(shotOf("a"))
+	run, held = f.Send(shotOf("a"))
+	assert.InDelta(t, apartMS, held, 2)
 	second := <-e.conns
+	assert.Equal(t, desk.Unsent, run.CallOff(), "held back, it never ran")
+	run.Release()
+	run, _ = f.Send(shotOf("a"))
+	run.Release()
 	e.hears(t, "fetch a .*")
 	say(first, "a", "data", "-", "old\n")
 	assert.Eventually(t, func() bool { return f.Strays.Load() == 1 }, 3*time.Second, time.Millisecond)
@@ -195,12 +203,13 @@
 	say(second, "zz", "data", "-", "never asked for\n")
 	assert.Eventually(t, func() bool { return f.Strays.Load() == 2 }, 3*time.Second, time.Millisecond)
 	assert.Empty(t, m)
+	assert.Empty(t, e.heard)
 }
 
 func TestAShotCalledOffBeforeItLeftNeverRan(t *testing.T) {
 	f, _ := fleetOf(t, "127.0.0.1:9", 15000)
 	f.mu.Lock() // the connection can't come up meanwhile
-	l := &link{fleet: f, open: map[string]*run{}, ends: map[string]bool{}}
+	l := &link{fleet: f, open: map[string]*run{}, ends: map[string]float64{}}
 	r := &run{link: l, shot: shotOf("a")}
 	l.open["a"] = r
 	f.mu.Unlock()
@@ -254,7 +263,8 @@
 	<-e.conns
 	f.update(false, []listed{{rules.Entry{Executor: 1, Standing: rules.Gone}, "s-1", at},
 		{rules.Entry{Executor: 2}, "s-2", at}})
-	assert.Nil(t, f.Send(shotOf("b")))
+	run, _ := f.Send(shotOf("b"))
+	assert.Nil(t, run)
 	s := shotOf("c")
 	s.Executor = 2
 	f.Send(s)
@@ -262,14 +272,17 @@
 	e.hears(t, "fetch c .*")
 	f.update(true, nil)
 	s.Search.ID = "d"
-	assert.Nil(t, f.Send(s), "a whole list leaves out what is gone")
+	run, _ = f.Send(s)
+	assert.Nil(t, run, "a whole list leaves out what is gone")
 }
 
 func TestConnectionsAreBounded(t *testing.T) {
 	e := standIn(t, "127.0.0.1:0")
 	f, _ := fleetOf(t, e.listener.Addr().String(), 15000)
 	for _, id := range strings.Fields("a b c d e f") { // three connections of two shots each
-		assert.NotNil(t, f.Send(shotOf(id)))
+		run, _ := f.Send(shotOf(id))
+		assert.NotNil(t, run)
 	}
-	assert.Nil(t, f.Send(shotOf("g")))
+	run, _ := f.Send(shotOf("g"))
+	assert.Nil(t, run)
 }
