A change log that closes after each call counts as within reach

A log that answers and closes the connection, as HTTP allows, was told to the module as out of reach at every call; one that never holds calls was called without end. Found by reading; TestTheListIsFollowedThroughFailures stands for it.

--- a/internal/wire/changelog.go
+++ b/internal/wire/changelog.go
@@ -176,8 +176,10 @@
 			return
 		default:
 		}
-		f.Lost.Add(1)
-		if !f.down {
+		if err != nil {
+			f.Lost.Add(1)
+		}
+		if err != nil && !f.down {
 			f.down = true
 			f.log.WithField("why", err).Warn("list: out of reach")
 			f.queue.Put(desk.Item{Event: rules.Event{Kind: rules.Listed, List: rules.NoList}})
@@ -201,7 +203,7 @@
 	}
 }
 
-// follow calls over one connection until that fails.
+// follow calls over one connection until that fails, or serves no more calls.
 func (f *Feed) follow() error {
 	conn, err := net.DialTimeout("tcp", f.address, pollGrace)
 	if err != nil {
@@ -219,6 +221,7 @@
 	r := bufio.NewReaderSize(conn, changeBuffer)
 	for {
 		f.Calls.Add(1)
+		began := time.Now()
 		_ = conn.SetDeadline(time.Now().Add(millis(pollMS) + pollGrace))
 		call := fmt.Sprintf("GET /changes?since=%d&timeout=%d HTTP/1.1\r\nHost: %s\r\n\r\n", f.last, pollMS, f.address)
 		if _, err := conn.Write([]byte(call)); err != nil {
@@ -244,8 +247,9 @@
 			f.down = false
 			f.log.Info("list: back")
 		}
-		if a.closes {
-			return fmt.Errorf("the connection serves one call")
+		// A log that doesn't hold calls until there is news must not be called without end.
+		if a.closes || len(changes) == 0 && time.Since(began) < pollAgain {
+			return nil
 		}
 	}
 }
--- a/internal/wire/feed_test.go
+++ b/internal/wire/feed_test.go
@@ -41,6 +41,10 @@
 					if page == "" {
 						break
 					}
+					if page == "once" { // the log answers and closes: it is not out of reach
+						fmt.Fprint(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+event(2, "s-2", "Ready"))
+						break
+					}
 					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(page), page)
 				}
 			}
@@ -57,7 +61,7 @@
 
 // Bad pages are asked for again from the last good number, and each event is applied once.
 func TestTheListIsFollowedThroughFailures(t *testing.T) {
-	at, calls := changeLog(t, event(2, "s-2", "Ready"), `{"seq":9,"results":[{"seq":3},{"seq":1}]}`, "",
+	at, calls := changeLog(t, "once", `{"seq":9,"results":[{"seq":3},{"seq":1}]}`, "",
 		event(2, "s-2", "Gone"), event(3, "s-2", "Terminating"), "", "", "")
 	m := make(mailbox, 100)
 	fleet := NewFleet(m, desk.NewClock(), NewBudget(1), Reach{}, silentLog())
