--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -28,7 +28,7 @@
 
 // The protocol's times for a planned stop.
 const (
-	frontLeaves = 700 * time.Millisecond // the front has left by then, and its last request has come
+	frontLeaves = 700 * time.Millisecond // the front has left by then, and its last search has come
 	longestStop = 3 * time.Second        // the longest hard limit that the stop waits for
 	stopLook    = 10 * time.Millisecond
 	stopSpare   = 100 * time.Millisecond // for the last answers to be written
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -18,7 +18,7 @@
 
 // Limits of the clients' side.
 const (
-	mostOpen     = 32              // requests open on a connection
+	mostOpen     = 32              // searches open on a connection
 	mostAnswers  = 3 << 20         // bytes lined up at a connection: a full one's largest answers
 	clientWrite  = 2 * time.Second // for an answer to get through to a client that reads
 	clientLook   = 15 * time.Second
@@ -142,14 +142,14 @@
 	front *Front
 
 	lock    sync.Mutex
-	open    []request
+	open    []pending
 	tag     uint64
 	seen    float64
 	failing bool // framing is lost: what is open is answered, then it ends
 }
 
-// request is one that is open on a connection.
-type request struct {
+// pending is a search that is open on a connection.
+type pending struct {
 	tag  uint64
 	id   []byte
 	req  string
@@ -249,7 +249,7 @@
 func (c *client) fail(id []byte, f fault) {
 	c.front.Bad.Add(1)
 	c.lock.Lock()
-	if slices.ContainsFunc(c.open, func(r request) bool { return string(r.id) == string(id) }) {
+	if slices.ContainsFunc(c.open, func(r pending) bool { return string(r.id) == string(id) }) {
 		id = nil
 	}
 	c.lock.Unlock()
@@ -272,9 +272,9 @@
 	if offering.Labelled && a.mark == "" {
 		return &fault{codeParams, "opkey is missing"}
 	}
-	r := request{id: slices.Clone(m.id), req: a.req, held: len(a.body)}
+	r := pending{id: slices.Clone(m.id), req: a.req, held: len(a.body)}
 	c.lock.Lock()
-	twice := slices.ContainsFunc(c.open, func(o request) bool { return string(o.id) == string(r.id) })
+	twice := slices.ContainsFunc(c.open, func(o pending) bool { return string(o.id) == string(r.id) })
 	many := len(c.open) >= mostOpen
 	c.lock.Unlock()
 	switch {
@@ -299,8 +299,8 @@
 func (c *client) giveUp(m call) {
 	req, id := gaveUp(m)
 	c.lock.Lock()
-	k := slices.IndexFunc(c.open, func(r request) bool { return r.req == req || req == "" && string(r.id) == id })
-	var r request
+	k := slices.IndexFunc(c.open, func(r pending) bool { return r.req == req || req == "" && string(r.id) == id })
+	var r pending
 	if k >= 0 {
 		r = c.open[k]
 		c.open = slices.Delete(c.open, k, k+1)
@@ -317,10 +317,10 @@
 	}
 }
 
-// answer writes the one answer of an open request.
+// answer writes the one answer of an open search.
 func (c *client) answer(tag uint64, write func(b, id []byte) []byte) {
 	c.lock.Lock()
-	k, ok := slices.BinarySearchFunc(c.open, tag, func(r request, tag uint64) int { return cmp.Compare(r.tag, tag) })
+	k, ok := slices.BinarySearchFunc(c.open, tag, func(r pending, tag uint64) int { return cmp.Compare(r.tag, tag) })
 	if !ok {
 		c.lock.Unlock()
 		return
--- a/internal/wire/pipe.go
+++ b/internal/wire/pipe.go
@@ -70,7 +70,7 @@
 var past = time.Unix(1, 0)
 
 // push lines up bytes; false if the pipe has ended. A pipe that has bytes lined up already, and for which there
-// is no room for more, ends: the other side doesn't read. One that has none is served whatever the others hold.
+// is no room for more, ends: the other side doesn't read. One that has none is written to whatever the others hold.
 func (p *pipe) push(write func([]byte) []byte) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
