--- a/internal/wire/executors.go
+++ b/internal/wire/executors.go
@@ -102,8 +102,8 @@
 		probe = "stats"
 	}
 	return &Fleet{probe: probe, queue: queue, clock: clock, budget: budget, log: log, machines: map[uint32]*machine{},
-		all: map[*link]struct{}{}, connect: millis(reach.ConnectMS), idle: millis(reach.IdleMS * idleShare), perLink: max(1, reach.PerLink),
-		links: max(1, reach.Links)}
+		all: map[*link]struct{}{}, connect: millis(reach.ConnectMS), idle: millis(reach.IdleMS * idleShare),
+		perLink: max(1, reach.PerLink), links: max(1, reach.Links)}
 }
 
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
