--- /dev/null
+++ b/cmd/liftshift/main.go
@@ -0,0 +1,27 @@
+// Command liftshift is one controller on sockets. It finds its configuration by RELAY_CONFIG.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"liftshift/internal/service"
+)
+
+func main() {
+	node, err := service.ReadNode()
+	if err == nil {
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+		defer stop()
+		log, flush := service.NewLog(os.Stderr)
+		err = service.Run(ctx, node, log)
+		flush()
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "liftshift:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/check/release.go
@@ -0,0 +1,5 @@
+//go:build !debug
+
+package check
+
+func fail(claim string) { count(claim) }
--- /dev/null
+++ b/internal/desk/desk.go
@@ -0,0 +1,444 @@
+// Package desk keeps what is in memory: the open searches and their shots, the timers, the decision module and
+// its clock. One goroutine owns all of it (Run); socket code reaches it through Put alone, and what it asks of
+// the sockets in turn only lines up there, so that it never waits for one.
+package desk
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"liftshift/internal/check"
+	"liftshift/rules"
+)
+
+// Client is who gets the answer of a search. Tag is the client's own name for it.
+type Client interface {
+	Handled(tag uint64, body []byte)
+	Denied(tag uint64, afterMS float64)
+	WrittenOff(tag uint64)
+}
+
+// Search is what a front hands over.
+type Search struct {
+	ID       string
+	Offering string
+	Key      string // of order
+	Mark     string // against repeats
+	Group    uint64
+	NeedMB   float64
+	WorkMS   float64
+	Until    float64 // clock at which the client gives up
+	Repeat   bool
+	Body     []byte // goes on as it came
+	Client   Client
+	Tag      uint64
+}
+
+// Shot is one shot as the executors' side gets it.
+type Shot struct {
+	Search   *Search
+	N        int
+	Executor uint32
+	GrantMB  float64
+	Level    int
+	MaxMS    float64
+}
+
+// Stopped tells what calling off a shot came to.
+type Stopped uint8
+
+// What calling off comes to.
+const (
+	Halted  Stopped = iota // it may have run
+	Unsent                 // it never left
+	Decided                // its end is in the queue already
+)
+
+// Run is a shot under way. Its methods never wait.
+type Run interface {
+	CallOff() Stopped
+	Relevel(level int)
+}
+
+// Executors carries shots and probes. Its methods never wait; ends come back through Put. A nil Run
+// means that there was no way to send.
+type Executors interface {
+	Send(shot Shot) Run
+	Probe(executor uint32, token uint64) bool
+	Unanswered(executor uint32, token uint64) // a probe that nobody waits for any more
+}
+
+// Peers carries messages to other controllers, List asks for news of the list.
+type (
+	Peers interface{ Tell(peer int, data []byte) }
+	List  interface{ Ask() }
+)
+
+// Item is one thing in the queue: an event for the module, and what belongs to it.
+type Item struct {
+	Event  rules.Event
+	Search *Search // Taken
+	Body   []byte  // Ended: the answer
+	Client Client  // Left: who left
+	Token  uint64  // Probed: which probe; Left: the tag of the search
+	at     float64
+}
+
+// queueRoom is how many items may stand in the queue before socket code waits; tallyMS is the time between two
+// lines of counters.
+const (
+	queueRoom = 1024
+	tallyMS   = 10000
+)
+
+// mostShots is the room for shots of one search; the module never sends more.
+const mostShots = 8
+
+type shot struct {
+	run      Run
+	executor uint32
+	sent     float64
+	out      bool
+}
+
+type search struct {
+	Search
+	shots    [mostShots]shot
+	fired    int
+	out      int
+	level    int
+	grant    float64
+	answered bool
+}
+
+// Desk is the owner of the module.
+type Desk struct {
+	Executors Executors
+	Peers     Peers
+	List      List
+	ProbeMS   float64 // how long a probe is waited for
+
+	clock    Clock
+	one      rules.Instance
+	log      logrus.FieldLogger
+	queue    chan Item
+	stop     chan struct{}
+	done     chan struct{}
+	searches map[string]*search
+	free     []*search
+	timers   timers
+	probes   map[uint32]uint64 // the probe out at each executor
+	token    uint64
+	later    []Item // ends that came of the module's own actions
+	actions  []rules.Action
+	tally    Tally
+	open     atomic.Int64
+}
+
+// New returns a Desk for one instance of the module.
+func New(clock Clock, one rules.Instance, log logrus.FieldLogger) *Desk {
+	return &Desk{clock: clock, one: one, log: log, queue: make(chan Item, queueRoom), stop: make(chan struct{}),
+		done: make(chan struct{}), searches: map[string]*search{}, probes: map[uint32]uint64{}}
+}
+
+// Put lines up an item; it waits while the queue is full.
+func (d *Desk) Put(it Item) {
+	it.at = d.clock.Now()
+	select {
+	case d.queue <- it:
+	case <-d.done:
+	}
+}
+
+// Open tells how many searches have been taken and not answered, those still in the queue included.
+func (d *Desk) Open() int { return int(d.open.Load()) }
+
+// Take lines up a search.
+func (d *Desk) Take(s *Search) {
+	d.open.Add(1)
+	d.Put(Item{Event: rules.Event{Kind: rules.Taken}, Search: s})
+}
+
+// Stop ends Run and waits for it.
+func (d *Desk) Stop() {
+	close(d.stop)
+	<-d.done
+}
+
+// Run plays all that comes to the module, until Stop. What has come goes before what is due: signs of work
+// that wait in the queue must not be overtaken by a look at who showed none.
+func (d *Desk) Run() {
+	defer close(d.done)
+	alarm, armed := time.NewTimer(time.Hour), 0.0
+	defer alarm.Stop()
+	d.play(Item{Event: rules.Event{Kind: rules.Began}, at: d.clock.Now()})
+	d.timers.push(timer{at: d.clock.Now() + tallyMS, what: tallies})
+	for {
+		for n := len(d.queue); n > 0; n-- {
+			d.play(<-d.queue)
+		}
+		d.due()
+		if next := d.timers[0].at; next != armed {
+			armed = next
+			alarm.Reset(d.clock.until(next))
+		}
+		select {
+		case it := <-d.queue:
+			d.play(it)
+		case <-alarm.C:
+			armed = 0
+		case <-d.stop:
+			d.tell("end")
+			return
+		}
+	}
+}
+
+// due plays the timers whose time has come.
+func (d *Desk) due() {
+	for now := d.clock.Now(); d.timers[0].at <= now; {
+		switch t := d.timers.pop(); t.what {
+		case wakes:
+			d.play(Item{Event: rules.Event{Kind: rules.Rang, Token: t.token}, at: t.at})
+		case limits:
+			d.expire(t.search)
+		case probes:
+			if d.probes[t.executor] == t.token {
+				d.Executors.Unanswered(t.executor, t.token)
+				d.play(Item{Event: rules.Event{Kind: rules.Probed, Executor: t.executor, Outcome: rules.TimedOut,
+					TookMS: d.ProbeMS}, Token: t.token, at: t.at})
+			}
+		case tallies:
+			d.tell("tally")
+			d.timers.push(timer{at: now + tallyMS, what: tallies})
+		}
+		if len(d.timers) == 0 {
+			return
+		}
+	}
+}
+
+// play hands an item to the module, then all that comes of it.
+func (d *Desk) play(it Item) {
+	d.tally.waited(d.clock.Now() - it.at)
+	d.hand(it)
+	d.rest()
+}
+
+// rest hands over the ends that came of the module's own actions.
+func (d *Desk) rest() {
+	for len(d.later) > 0 {
+		next := d.later[0]
+		d.later = append(d.later[:0], d.later[1:]...)
+		d.hand(next)
+	}
+}
+
+func (d *Desk) hand(it Item) {
+	ev := &it.Event
+	var s *search
+	switch ev.Kind {
+	case rules.Taken:
+		if s = d.take(it.Search, ev); s == nil {
+			return
+		}
+	case rules.Left:
+		if s = d.searches[ev.Search]; s == nil || s.Client != it.Client || s.Tag != it.Token || s.answered {
+			return
+		}
+		d.answered(s)
+		d.tally.Left++
+	case rules.Ended:
+		if s = d.settle(ev); s == nil {
+			d.tally.Stray++
+			return
+		}
+		if ev.Outcome == rules.Handled && !s.answered {
+			s.Client.Handled(s.Tag, it.Body)
+			d.answered(s)
+			d.tally.Handled++
+		}
+		ev.Over = s.answered
+	case rules.Probed:
+		if d.probes[ev.Executor] != it.Token {
+			d.tally.Stray++
+			return
+		}
+		delete(d.probes, ev.Executor)
+	case rules.Noted:
+		if s = d.searches[ev.Search]; s == nil || ev.Shot >= s.fired || !s.shots[ev.Shot].out {
+			d.tally.Stray++
+			return
+		}
+	}
+	now := d.clock.Now()
+	d.actions = d.one.Step(now, ev, d.actions[:0])
+	d.tally.stepped(d.clock.Now() - now)
+	for i := range d.actions {
+		d.act(now, &d.actions[i])
+	}
+	if s != nil {
+		d.release(s)
+	}
+}
+
+// take enters a search. One whose id is still known gets a failure: the first of that id goes on.
+func (d *Desk) take(in *Search, ev *rules.Event) *search {
+	d.tally.Taken++
+	if d.searches[in.ID] != nil {
+		in.Client.WrittenOff(in.Tag)
+		d.open.Add(-1)
+		d.tally.Twice++
+		return nil
+	}
+	var s *search
+	if n := len(d.free); n > 0 {
+		s, d.free = d.free[n-1], d.free[:n-1]
+	} else {
+		s = &search{}
+	}
+	*s = search{Search: *in}
+	d.searches[in.ID] = s
+	ev.Search, ev.Offering, ev.Group, ev.Key, ev.NeedMB = in.ID, in.Offering, in.Group, in.Key, in.NeedMB
+	ev.WorkMS, ev.Until, ev.Repeat = in.WorkMS, in.Until, in.Repeat
+	d.timers.push(timer{at: in.Until, what: limits, search: in.ID})
+	return s
+}
+
+// settle books the end of a shot; nil if that has ended before.
+func (d *Desk) settle(ev *rules.Event) *search {
+	s := d.searches[ev.Search]
+	if s == nil || ev.Shot >= s.fired || !s.shots[ev.Shot].out {
+		return nil
+	}
+	h := &s.shots[ev.Shot]
+	h.out, s.out, h.run = false, s.out-1, nil
+	ev.Executor, ev.TookMS = h.executor, d.clock.Now()-h.sent
+	d.tally.Ends[ev.Outcome]++
+	return s
+}
+
+func (d *Desk) answered(s *search) {
+	if check.That(!s.answered, "a search is answered once") {
+		s.answered = true
+		d.open.Add(-1)
+	}
+}
+
+// release forgets a search that is answered and has no shot out.
+func (d *Desk) release(s *search) {
+	if s.answered && s.out == 0 && d.searches[s.ID] == s {
+		delete(d.searches, s.ID)
+		*s = search{}
+		d.free = append(d.free, s)
+	}
+}
+
+// act does what the module asks for.
+func (d *Desk) act(now float64, a *rules.Action) {
+	switch a.Kind {
+	case rules.Wake:
+		d.timers.push(timer{at: now + a.AfterMS, what: wakes, token: a.Token})
+		return
+	case rules.Probe:
+		d.token++
+		d.tally.Probes++
+		d.probes[a.Executor] = d.token
+		if !d.Executors.Probe(a.Executor, d.token) {
+			d.later = append(d.later, Item{Event: rules.Event{Kind: rules.Probed, Executor: a.Executor,
+				Outcome: rules.Refused}, Token: d.token})
+		}
+		d.timers.push(timer{at: now + d.ProbeMS, what: probes, token: d.token, executor: a.Executor})
+		return
+	case rules.Listen:
+		d.List.Ask()
+		return
+	case rules.Tell:
+		d.Peers.Tell(a.Peer, a.Data)
+		return
+	case rules.Log:
+		d.log.WithField("says", a.Text).Info("module")
+		return
+	}
+	s := d.searches[a.Search]
+	if !check.That(s != nil, "the module names open searches") {
+		return
+	}
+	switch a.Kind {
+	case rules.Send:
+		d.send(now, s, a)
+	case rules.Terms:
+		s.grant = a.GrantMB
+		if s.level != a.Level {
+			s.level = a.Level
+			for k := range s.fired {
+				if s.shots[k].out {
+					s.shots[k].run.Relevel(a.Level)
+				}
+			}
+		}
+	case rules.CallOff:
+		if a.Shot < s.fired && s.shots[a.Shot].out {
+			d.halt(s, a.Shot, rules.Recalled)
+		}
+	case rules.Deny, rules.WriteOff:
+		if s.answered {
+			return
+		}
+		if a.Kind == rules.Deny {
+			s.Client.Denied(s.Tag, a.AfterMS)
+			d.tally.Denied++
+		} else {
+			s.Client.WrittenOff(s.Tag)
+			d.tally.WrittenOff++
+		}
+		d.answered(s)
+	}
+}
+
+func (d *Desk) send(now float64, s *search, a *rules.Action) {
+	if !check.That(s.fired < mostShots && !s.answered, "shots go out for open searches alone") {
+		return
+	}
+	run := d.Executors.Send(Shot{Search: &s.Search, N: s.fired, Executor: a.Executor, GrantMB: s.grant,
+		Level: s.level, MaxMS: s.Until - now})
+	s.shots[s.fired] = shot{run: run, executor: a.Executor, sent: now, out: true}
+	s.fired, s.out = s.fired+1, s.out+1
+	if run == nil {
+		d.end(s, s.fired-1, rules.Refused)
+	}
+}
+
+// halt calls a shot off and lines up its end, unless that is on its way.
+func (d *Desk) halt(s *search, n int, as rules.Outcome) {
+	if s.shots[n].run == nil {
+		return // its end stands in line
+	}
+	switch s.shots[n].run.CallOff() {
+	case Halted:
+		d.end(s, n, as)
+	case Unsent:
+		d.end(s, n, rules.Superseded)
+	}
+}
+
+func (d *Desk) end(s *search, n int, as rules.Outcome) {
+	s.shots[n].run = nil
+	d.later = append(d.later, Item{Event: rules.Event{Kind: rules.Ended, Search: s.ID, Shot: n, Outcome: as}})
+}
+
+// expire ends the shots of a search whose hard limit has come: silence shows by then at the latest.
+func (d *Desk) expire(id string) {
+	s := d.searches[id]
+	if s == nil || d.clock.Now() < s.Until {
+		return
+	}
+	for n := range s.fired {
+		if s.shots[n].out {
+			d.halt(s, n, rules.TimedOut)
+		}
+	}
+	d.rest()
+}
--- /dev/null
+++ b/internal/desk/tally.go
@@ -0,0 +1,69 @@
+package desk
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/sirupsen/logrus"
+
+	"liftshift/internal/check"
+	"liftshift/rules"
+)
+
+// Tally counts what went by. Times are milliseconds.
+type Tally struct {
+	Taken, Handled, Denied, WrittenOff, Left uint64
+	Twice                                    uint64 // searches under an id that was still open
+	Stray                                    uint64 // ends and notes of shots that had ended
+	Probes                                   uint64
+	Ends                                     [rules.Superseded + 1]uint64
+
+	items, steps        uint64
+	waitSum, waitMost   float64
+	stepSum, stepMost   float64
+	waitsLong, stepLong uint64
+}
+
+// longMS is what counts as a long wait in the queue or a long step: a quarter of the module's beat.
+const longMS = 5
+
+func (t *Tally) waited(ms float64) {
+	t.items++
+	t.waitSum, t.waitMost = t.waitSum+ms, max(t.waitMost, ms)
+	if ms > longMS {
+		t.waitsLong++
+	}
+}
+
+func (t *Tally) stepped(ms float64) {
+	t.steps++
+	t.stepSum, t.stepMost = t.stepSum+ms, max(t.stepMost, ms)
+	if ms > longMS {
+		t.stepLong++
+	}
+}
+
+var endNames = [...]string{rules.Handled: "handled", rules.Erred: "erred", rules.Full: "full",
+	rules.TimedOut: "timed_out", rules.Refused: "refused", rules.Severed: "severed", rules.Recalled: "recalled",
+	rules.Superseded: "superseded"}
+
+// tell logs the counters; the times start anew with each line.
+func (d *Desk) tell(line string) {
+	t := &d.tally
+	f := logrus.Fields{"taken": t.Taken, "handled": t.Handled, "denied": t.Denied, "written_off": t.WrittenOff,
+		"left": t.Left, "twice": t.Twice, "stray": t.Stray, "probes": t.Probes, "open": d.Open(), "queue": len(d.queue),
+		"wait_ms": t.waitSum / float64(max(1, t.items)), "wait_most_ms": t.waitMost, "waits_long": t.waitsLong,
+		"step_ms": t.stepSum / float64(max(1, t.steps)), "step_most_ms": t.stepMost, "steps_long": t.stepLong,
+		"steps": t.steps}
+	for k, n := range t.Ends {
+		if n > 0 {
+			f["shots_"+endNames[k]] = n
+		}
+	}
+	broken := check.Broken()
+	for _, claim := range slices.Sorted(maps.Keys(broken)) {
+		f["broken: "+claim] = broken[claim]
+	}
+	d.log.WithFields(f).Info(line)
+	t.items, t.steps, t.waitSum, t.waitMost, t.stepSum, t.stepMost, t.waitsLong, t.stepLong = 0, 0, 0, 0, 0, 0, 0, 0
+}
--- a/internal/benchwire/given.go
+++ b/internal/given/given.go
@@ -1,4 +1,6 @@
-package benchwire
+// Package given turns the settings of the platform, as both adapters get them, into the plain map of names and
+// values that package rules reads. The platform's names for them end here.
+package given
 
 import (
 	"encoding/json"
@@ -7,6 +9,9 @@
 	"liftshift/rules"
 )
 
+// usPerMS is the settings' unit of time: microseconds.
+const usPerMS = 1000
+
 // renamed gives our name for each setting that we read, under its path on the wire. A setting with "_ms" at
 // the end of our name is a time. A star stands for the place in a list.
 var renamed = map[string]string{
@@ -14,7 +19,9 @@
 	"Zone":              "place",
 	"Bounds.Cancelling": "may_call_off", "Bounds.Probing": "may_probe", "Bounds.Peers": "may_tell", "Bounds.ParallelTries": "may_run_two",
 	"Bounds.RetryAfter": "tells_come_back", "Bounds.MaxRetryAfter": "longest_come_back_ms",
-	"Bounds.MaxAttempts": "most_shots", "Bounds.MostHeld": "most_held", "Callers.MarksRetry": "marks_repeats",
+	"Bounds.ConnectTimeout": "connect_ms", "Bounds.IdleClose": "idle_close_ms",
+	"Bounds.StreamsPerConn": "shots_per_connection",
+	"Bounds.MaxAttempts":    "most_shots", "Bounds.MostHeld": "most_held", "Callers.MarksRetry": "marks_repeats",
 	"Classes.*.Name": "offering.*.name", "Classes.*.Idempotency": "offering.*.effect",
 	"Classes.*.DedupScope": "offering.*.scope", "Classes.*.DedupWindow": "offering.*.window_ms",
 	"Classes.*.Aim": "offering.*.due_ms", "Classes.*.AimStretch": "offering.*.due_stretch",
@@ -50,10 +57,10 @@
 	"offering.*.effect": true, "list_comes": true, "report_comes": true, "memory_short": true, "report": true,
 }
 
-// given flattens the settings of the wire into our names. Unknown ones are skipped.
-func given(text string) (rules.Given, error) {
+// Read flattens the settings, a JSON object, into our names. Unknown ones are skipped.
+func Read(text []byte) (rules.Given, error) {
 	var tree any
-	if err := json.Unmarshal([]byte(text), &tree); err != nil {
+	if err := json.Unmarshal(text, &tree); err != nil {
 		return nil, err
 	}
 	if _, ok := tree.(map[string]any); !ok {
--- /dev/null
+++ b/internal/service/log.go
@@ -0,0 +1,48 @@
+package service
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+)
+
+// lines writes log lines from a goroutine of its own: who logs never waits for the reader of the log. What
+// doesn't fit is dropped and counted.
+type lines struct {
+	out     io.Writer
+	queue   chan []byte
+	done    chan struct{}
+	dropped atomic.Uint64
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	select {
+	case l.queue <- append([]byte(nil), b...):
+	default:
+		l.dropped.Add(1)
+	}
+	return len(b), nil
+}
+
+func (l *lines) run() {
+	defer close(l.done)
+	for b := range l.queue {
+		_, _ = l.out.Write(b)
+	}
+}
+
+// NewLog returns a log on out, and what writes the rest of it at the end.
+func NewLog(out io.Writer) (*logrus.Logger, func()) {
+	l := &lines{out: out, queue: make(chan []byte, logRoom), done: make(chan struct{})}
+	go l.run()
+	log := logrus.New()
+	log.SetOutput(l)
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true,
+		TimestampFormat: "15:04:05.000"})
+	return log, func() {
+		log.SetOutput(io.Discard)
+		close(l.queue)
+		<-l.done
+	}
+}
--- /dev/null
+++ b/internal/service/node.go
@@ -0,0 +1,85 @@
+// Package service starts the parts, keeps their limits and stops them.
+package service
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"liftshift/internal/given"
+	"liftshift/rules"
+)
+
+// Node is what a controller is told at its start.
+type Node struct {
+	Name   string `json:"name"`
+	Listen string `json:"listen"`
+	Seed   string `json:"seed"`
+	Limits struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	PeerListen string          `json:"peer_listen"`
+	Peers      []string        `json:"peers"`
+	PeersAll   string          `json:"peers_all"`
+	ChangeLog  string          `json:"changelog"`
+	Known      json.RawMessage `json:"known"`
+	Settings   json.RawMessage `json:"settings"`
+
+	seed  uint64
+	given rules.Given
+}
+
+// ReadNode reads the configuration file whose path the environment names.
+func ReadNode() (*Node, error) {
+	path := os.Getenv("RELAY_CONFIG")
+	if path == "" {
+		return nil, errors.New("RELAY_CONFIG names no configuration file")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	n := &Node{}
+	if err := json.Unmarshal(text, n); err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	if at := os.Getenv("RELAY_LISTEN"); n.Listen == "" {
+		n.Listen = at
+	}
+	if err := n.check(); err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return n, nil
+}
+
+func (n *Node) check() (err error) {
+	for _, at := range []struct{ name, address string }{{"listen", n.Listen}, {"changelog", n.ChangeLog}} {
+		if _, err := netip.ParseAddrPort(at.address); err != nil {
+			return fmt.Errorf("%s is missing or no address: %q", at.name, at.address)
+		}
+	}
+	if len(n.Known) == 0 {
+		return errors.New("known is missing")
+	}
+	if len(n.Settings) == 0 {
+		return errors.New("settings is missing")
+	}
+	if n.Limits.MemoryMB <= 0 || n.Limits.Sockets <= 0 {
+		return errors.New("limits: memory_mb and sockets must be above 0")
+	}
+	if n.seed, err = strconv.ParseUint(n.Seed, 16, 64); err != nil {
+		return fmt.Errorf("seed is not 16 hex digits: %q", n.Seed)
+	}
+	if n.given, err = given.Read(n.Settings); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	if n.given.Text("offering.0.name") == "" {
+		return errors.New("settings: no offering")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/service/service.go
@@ -0,0 +1,106 @@
+package service
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"liftshift/internal/desk"
+	"liftshift/internal/wire"
+	"liftshift/rules"
+)
+
+// Shares of the limits. They bound memory and sockets and decide nothing.
+const (
+	heapShare    = 0.7  // of the memory, for Go's own limit: the rest is for stacks, sockets and what is not yet swept
+	heldShare    = 0.25 // of the memory, for what waits for clients and executors
+	heapGrowth   = 400  // percent that the heap grows between collections, as long as the limit is far
+	clientsShare = 0.55 // of the descriptors
+	linksShare   = 0.3  // of the descriptors, for executors
+	logRoom      = 1024 // lines that may wait to be written
+)
+
+// The protocol's times for a planned stop.
+const (
+	frontLeaves = 700 * time.Millisecond // the front has left by then, and its last request has come
+	longestStop = 3 * time.Second        // the longest hard limit that the stop waits for
+	stopLook    = 10 * time.Millisecond
+	stopSpare   = 100 * time.Millisecond // for the last answers to be written
+)
+
+// Run serves until ctx ends, then stops as planned.
+func Run(ctx context.Context, n *Node, log *logrus.Logger) error {
+	debug.SetMemoryLimit(int64(n.Limits.MemoryMB * heapShare * (1 << 20)))
+	debug.SetGCPercent(heapGrowth)
+	if n.Limits.Cores > 0 {
+		runtime.GOMAXPROCS(min(runtime.GOMAXPROCS(0), max(1, int(n.Limits.Cores+0.5))))
+	}
+	g, clock := n.given, desk.NewClock()
+	budget := wire.NewBudget(int64(n.Limits.MemoryMB * heldShare * (1 << 20)))
+	d := desk.New(clock, rules.New(n.seed, g), log)
+	offerings, longest := offeringsOf(g)
+	front, err := wire.NewFront(n.Listen, offerings, d, clock, budget,
+		wire.Doors{Clients: share(n.Limits.Sockets, clientsShare), MostHeld: int(g.Num("most_held", 0))}, log)
+	if err != nil {
+		return err
+	}
+	connect := g.Num("connect_ms", 250)
+	fleet := wire.NewFleet(d, clock, budget, wire.Reach{ConnectMS: connect, IdleMS: g.Num("idle_close_ms", 15000),
+		PerLink: int(g.Num("shots_per_connection", 100)), Links: share(n.Limits.Sockets, linksShare),
+		Reports: len(g.Names("report")) > 0}, log)
+	peers, err := wire.NewPeers(n.PeerListen, n.Peers, n.PeersAll, d, log)
+	if err != nil {
+		return fmt.Errorf("peers: %w", err)
+	}
+	d.Executors, d.Peers, d.ProbeMS = fleet, peers, connect
+	feed, err := wire.NewFeed(n.ChangeLog, n.Known, fleet, d, log)
+	if err != nil {
+		return err
+	}
+	d.List = feed
+	go d.Run()
+	go peers.Run()
+	go feed.Run()
+	go front.Run()
+	front.Fit(true)
+	log.WithFields(logrus.Fields{"name": n.Name, "listen": n.Listen, "memory_mb": n.Limits.MemoryMB,
+		"sockets": n.Limits.Sockets, "procs": runtime.GOMAXPROCS(0)}).Info("start: serving")
+	<-ctx.Done()
+
+	began := time.Now()
+	limit := frontLeaves + min(longestStop, longest)
+	front.Fit(false)
+	log.WithFields(logrus.Fields{"open": d.Open(), "within": limit}).Info("stop: begun")
+	for time.Since(began) < limit-stopSpare/2 {
+		time.Sleep(stopLook)
+		if time.Since(began) > frontLeaves && d.Open() == 0 && front.Written() {
+			break
+		}
+	}
+	front.Stop()
+	feed.Stop()
+	log.WithFields(logrus.Fields{"open": d.Open(), "took": time.Since(began)}).Info("stop: done")
+	d.Stop()
+	return nil
+}
+
+// offeringsOf gives what a front needs to know of each offering, and the longest hard limit.
+func offeringsOf(g rules.Given) (map[string]wire.Offering, time.Duration) {
+	offerings, longest := map[string]wire.Offering{}, 0.0
+	for i := 0; ; i++ {
+		at := "offering." + strconv.Itoa(i) + "."
+		name := g.Text(at + "name")
+		if name == "" {
+			return offerings, time.Duration(longest * float64(time.Millisecond))
+		}
+		offerings[name] = wire.Offering{Labelled: g.Text(at+"effect") == "labelled"}
+		longest = max(longest, g.Num(at+"limit_ms", 0))
+	}
+}
+
+func share(n int, of float64) int { return max(1, int(float64(n)*of)) }
--- /dev/null
+++ b/internal/wire/executors.go
@@ -0,0 +1,534 @@
+package wire
+
+import (
+	"bufio"
+	"cmp"
+	"errors"
+	"math"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"liftshift/internal/desk"
+	"liftshift/rules"
+)
+
+// Limits of the executors' side.
+const (
+	mostPages    = 64       // pages of one answer
+	mostAnswer   = 64 << 10 // bytes of one answer, all pages
+	mostLinedUp  = 1 << 20  // bytes that may line up at one connection
+	mostRetired  = 1024     // ids called off on a connection until it is replaced
+	idleShare    = 0.8      // share of the executors' idle time after which a connection is closed here
+	idleLook     = time.Second
+	answerBuffer = 8 << 10
+)
+
+// Fleet is the executors' side: connections to each of them, and the shots and probes under way.
+type Fleet struct {
+	queue   *desk.Desk
+	clock   desk.Clock
+	log     logrus.FieldLogger
+	budget  *Budget
+	connect time.Duration // for dialing, and for a write to get through
+	idle    time.Duration // unused connections are closed by then
+	perLink int           // shots on one connection
+	links   int           // most connections, over all executors
+	probe   string        // the word that asks for a sign of life
+
+	mu       sync.Mutex
+	machines map[uint32]*machine
+	count    int // connections
+	seq      uint64
+
+	Strays, Malformed, Dials, Failed atomic.Uint64
+}
+
+// machine is one executor as listed. Its connections belong to it, not to its address.
+type machine struct {
+	id            uint32
+	name, address string
+	since         float64
+	links         []*link
+}
+
+// link is one connection to an executor.
+type link struct {
+	pipe
+	fleet   *Fleet
+	machine *machine
+	up      bool // connected; before, shots and probes wait
+	leaving bool // gets nothing new, and ends once nothing is open on it
+	used    time.Time
+	open    map[string]*run
+	ends    map[string]bool // called off here; an answer may still come
+	probes  map[string]uint64
+}
+
+// run is a shot on a link.
+type run struct {
+	link  *link
+	shot  desk.Shot
+	seq   uint64
+	pages [][]byte
+	have  int
+	size  int
+	event rules.Event
+}
+
+// Reach are the figures that a Fleet keeps to.
+type Reach struct {
+	ConnectMS, IdleMS float64
+	PerLink, Links    int
+	Reports           bool // probes bring load reports
+}
+
+// NewFleet returns a Fleet without executors.
+func NewFleet(queue *desk.Desk, clock desk.Clock, budget *Budget, reach Reach, log logrus.FieldLogger) *Fleet {
+	probe := "alive"
+	if reach.Reports {
+		probe = "stats"
+	}
+	return &Fleet{probe: probe, queue: queue, clock: clock, budget: budget, log: log, machines: map[uint32]*machine{},
+		connect: millis(reach.ConnectMS), idle: millis(reach.IdleMS * idleShare), perLink: max(1, reach.PerLink),
+		links: max(1, reach.Links)}
+}
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// update takes over what the list says. It comes before the module gets it.
+func (f *Fleet) update(whole bool, list []listed) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	kept := map[uint32]bool{}
+	for _, e := range list {
+		kept[e.entry.Executor] = e.entry.Standing != rules.Gone
+		m := f.machines[e.entry.Executor]
+		if m != nil && m.name != e.name {
+			f.log.WithFields(logrus.Fields{"one": m.name, "other": e.name}).Error("executor ids collide")
+		}
+		if m != nil && (m.address != e.address || e.entry.UpSince > m.since || e.entry.Standing == rules.Gone) {
+			f.retire(m)
+			m = nil
+		}
+		if e.entry.Standing == rules.Gone {
+			delete(f.machines, e.entry.Executor)
+		} else if m == nil {
+			f.machines[e.entry.Executor] = &machine{id: e.entry.Executor, name: e.name, address: e.address,
+				since: e.entry.UpSince}
+		}
+	}
+	for id, m := range f.machines {
+		if whole && !kept[id] {
+			f.retire(m)
+			delete(f.machines, id)
+		}
+	}
+}
+
+func (f *Fleet) retire(m *machine) {
+	for _, l := range m.links {
+		l.leave()
+	}
+}
+
+// leave keeps new shots off a link; called under the fleet's lock.
+func (l *link) leave() {
+	l.leaving = true
+	l.settle()
+}
+
+// settle ends a link that gets nothing new and has nothing open.
+func (l *link) settle() {
+	if l.leaving && len(l.open) == 0 {
+		l.end(false)
+	}
+}
+
+// pick gives a connection that a shot of id may take, or makes one; nil if there can't be one more.
+func (f *Fleet) pick(m *machine, id string) *link {
+	now := time.Now()
+	for _, l := range m.links {
+		if !l.leaving && l.up && len(l.open) == 0 && len(l.probes) == 0 && now.Sub(l.used) > f.idle {
+			l.leave() // the other side may be about to close it
+		}
+		// An id called off here goes out on another connection: its late answer would pass for the new one's.
+		if !l.leaving && len(l.open) < f.perLink && l.open[id] == nil && !l.ends[id] {
+			return l
+		}
+	}
+	if f.count >= f.links {
+		return nil
+	}
+	f.count++
+	l := &link{fleet: f, machine: m, used: now, open: map[string]*run{}, ends: map[string]bool{},
+		probes: map[string]uint64{}}
+	l.budget, l.patient, l.look, l.most = f.budget, f.connect, idleLook, mostLinedUp
+	l.quiet = l.stale
+	m.links = append(m.links, l)
+	go l.serve()
+	return l
+}
+
+// stale tells whether a link has been unused for long.
+func (l *link) stale() bool {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	if len(l.open) == 0 && len(l.probes) == 0 && time.Since(l.used) > l.fleet.idle {
+		l.leaving = true
+	}
+	return l.leaving && len(l.open) == 0
+}
+
+// Send puts a shot on a connection of its executor.
+func (f *Fleet) Send(shot desk.Shot) desk.Run {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.machines[shot.Executor]
+	if m == nil {
+		return nil
+	}
+	l := f.pick(m, shot.Search.ID)
+	if l == nil {
+		return nil
+	}
+	f.seq++
+	r := &run{link: l, shot: shot, seq: f.seq}
+	r.event = rules.Event{Kind: rules.Ended, Search: shot.Search.ID, Shot: shot.N}
+	l.open[shot.Search.ID] = r
+	if l.up && !l.fetch(r) {
+		delete(l.open, shot.Search.ID)
+		l.leave()
+		return nil
+	}
+	return r
+}
+
+// fetch writes a shot; called under the fleet's lock.
+func (l *link) fetch(r *run) bool {
+	s := r.shot.Search
+	l.used = time.Now()
+	list := make([]byte, 0, 128)
+	list = append(append(list, "profile="...), s.Offering...)
+	list = strconv.AppendInt(append(list, ",max="...), int64(max(1, s.Until-l.fleet.clock.Now())), 10)
+	if s.Mark != "" {
+		list = append(append(list, ",replay="...), s.Mark...)
+	}
+	if r.shot.GrantMB > 0 {
+		list = strconv.AppendInt(append(list, ",mb="...), int64(math.Ceil(r.shot.GrantMB)), 10)
+	}
+	list = strconv.AppendInt(append(list, ",nice="...), int64(r.shot.Level), 10)
+	return l.push(func(b []byte) []byte { return appendArray(b, "fetch", s.ID, string(list), string(s.Body)) })
+}
+
+func (l *link) say(words ...string) bool {
+	l.used = time.Now()
+	return l.push(func(b []byte) []byte { return appendArray(b, words...) })
+}
+
+// CallOff gives a shot up.
+func (r *run) CallOff() desk.Stopped {
+	l := r.link
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	id := r.shot.Search.ID
+	if l.open[id] != r {
+		return desk.Decided
+	}
+	delete(l.open, id)
+	defer l.settle()
+	if !l.up {
+		return desk.Unsent
+	}
+	if r.pages != nil { // only pages are still under way
+		l.say("done", id)
+	} else {
+		l.say("abort", id)
+	}
+	l.ends[id] = true
+	if len(l.ends) >= mostRetired {
+		l.leaving = true
+	}
+	return desk.Halted
+}
+
+// Relevel changes the level of a shot that runs.
+func (r *run) Relevel(level int) {
+	l := r.link
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	r.shot.Level = level
+	if l.up && l.open[r.shot.Search.ID] == r && r.pages == nil {
+		l.say("renice", r.shot.Search.ID, strconv.Itoa(level))
+	}
+}
+
+// Probe asks an executor for a sign of life, and for its load report where there are any.
+func (f *Fleet) Probe(executor uint32, token uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.machines[executor]
+	if m == nil {
+		return false
+	}
+	l := f.pick(m, "")
+	if l == nil {
+		return false
+	}
+	tag := probeTag(token)
+	l.probes[tag] = token
+	if l.up && !l.say(f.probe, tag) {
+		delete(l.probes, tag)
+		l.leave()
+		return false
+	}
+	return true
+}
+
+func probeTag(token uint64) string { return "probe-" + strconv.FormatUint(token, 10) }
+
+// Unanswered forgets a probe. A connection that left one unanswered gets no new shots: on a new one a dead
+// executor shows by never coming up, which proves that nothing ran.
+func (f *Fleet) Unanswered(executor uint32, token uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.machines[executor]; m != nil {
+		for _, l := range m.links {
+			if _, ok := l.probes[probeTag(token)]; ok {
+				delete(l.probes, probeTag(token))
+				l.leave()
+			}
+		}
+	}
+}
+
+// serve is the goroutine of a link: it connects, then reads until the end.
+func (l *link) serve() {
+	f := l.fleet
+	f.Dials.Add(1)
+	conn, err := (&net.Dialer{Timeout: f.connect, KeepAlive: -1}).Dial("tcp", l.machine.address)
+	if err != nil {
+		f.Failed.Add(1)
+		l.finish(rules.Refused)
+		return
+	}
+	f.mu.Lock()
+	l.conn, l.up = conn, true
+	for _, r := range l.runs() {
+		if !l.fetch(r) {
+			break
+		}
+	}
+	tags := make([]string, 0, len(l.probes))
+	for tag := range l.probes {
+		tags = append(tags, tag)
+	}
+	slices.Sort(tags)
+	for _, tag := range tags {
+		l.say(f.probe, tag)
+	}
+	l.settle()
+	f.mu.Unlock()
+	err = l.listen(bufio.NewReaderSize(&l.pipe, answerBuffer))
+	if errors.Is(err, errMalformed) {
+		f.Malformed.Add(1)
+		f.log.WithFields(logrus.Fields{"executor": l.machine.name, "why": err}).Warn("executor: malformed answer")
+	}
+	l.close()
+	l.finish(rules.Severed)
+}
+
+// runs gives the open shots in the order they were sent.
+func (l *link) runs() []*run {
+	list := make([]*run, 0, len(l.open))
+	for _, r := range l.open {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *run) int { return cmp.Compare(a.seq, b.seq) })
+	return list
+}
+
+// finish takes a link out and ends all that was open on it.
+func (l *link) finish(as rules.Outcome) {
+	f := l.fleet
+	f.mu.Lock()
+	l.leaving = true
+	f.count--
+	l.machine.links = slices.DeleteFunc(l.machine.links, func(o *link) bool { return o == l })
+	runs := l.runs()
+	var tokens []uint64
+	for _, token := range l.probes {
+		tokens = append(tokens, token)
+	}
+	slices.Sort(tokens)
+	clear(l.open)
+	clear(l.probes)
+	f.mu.Unlock()
+	for _, r := range runs {
+		r.event.Outcome = as
+		f.queue.Put(desk.Item{Event: r.event})
+	}
+	for _, token := range tokens {
+		f.queue.Put(desk.Item{Event: rules.Event{Kind: rules.Probed, Executor: l.machine.id, Outcome: as}, Token: token})
+	}
+}
+
+// listen reads answers until the connection ends.
+func (l *link) listen(r *bufio.Reader) error {
+	var parts [][]byte
+	for {
+		var err error
+		if parts, err = readArray(r, parts); err != nil {
+			return err
+		}
+		if len(parts) < 2 {
+			return malformed("an answer of %d parts", len(parts))
+		}
+		parts = append(parts, nil, nil)[:4]
+		item, ok, err := l.answer(string(parts[0]), string(parts[1]), string(parts[2]), parts[3])
+		if err != nil {
+			return err
+		}
+		if ok {
+			l.fleet.queue.Put(item)
+		}
+	}
+}
+
+// ends are the words that end a shot, with what they mean.
+var ends = map[string]rules.Outcome{"full": rules.Full, "failed": rules.Erred, "moot": rules.Superseded}
+
+// notes are the words of a remark.
+var notes = map[string]rules.NoteKind{"pct": rules.Progress, "overflow": rules.Spills, "queued": rules.Waits}
+
+// answer takes one answer and gives what is to be told of it, if anything.
+func (l *link) answer(id, word, list string, body []byte) (it desk.Item, ok bool, err error) {
+	a, err := readAnswer(list)
+	if err != nil {
+		return it, false, err
+	}
+	f := l.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	defer l.settle()
+	l.used = time.Now()
+	if token, ok := l.probes[id]; ok && (word == "well" || word == "ill") {
+		delete(l.probes, id)
+		it = desk.Item{Event: rules.Event{Kind: rules.Probed, Executor: l.machine.id, Report: a.report}, Token: token}
+		if word == "ill" {
+			it.Event.Outcome = rules.Erred
+		}
+		return it, true, nil
+	}
+	r := l.open[id]
+	if r == nil {
+		if word != "news" && word != "page" {
+			delete(l.ends, id)
+		}
+		f.Strays.Add(1)
+		return it, false, nil
+	}
+	switch outcome, end := ends[word]; {
+	case end:
+		r.event.Outcome, r.event.Report = outcome, a.report
+		delete(l.open, id)
+		return desk.Item{Event: r.event}, true, nil
+	case word == "news":
+		kind := notes[a.remark]
+		if kind == 0 {
+			return it, false, nil
+		}
+		return desk.Item{Event: rules.Event{Kind: rules.Noted, Search: id, Shot: r.shot.N, Executor: l.machine.id,
+			Note: kind, Value: a.value}}, true, nil
+	case word == "data" && r.pages == nil:
+		if a.pages < 1 || a.pages > mostPages {
+			return it, false, malformed("an answer of %d pages", a.pages)
+		}
+		r.pages = make([][]byte, a.pages)
+		r.event.Report, r.event.SpentMS, r.event.UsedMB = a.report, a.spent, a.used
+		for k := 1; k < a.pages; k++ {
+			l.say("more", id, strconv.Itoa(k))
+		}
+		a.page = 0
+	case word != "page" || r.pages == nil || a.page < 1 || a.page >= len(r.pages) || r.pages[a.page] != nil:
+		return it, false, malformed("an answer %q to a shot that has %d pages of %d", clip([]byte(word)), r.have,
+			len(r.pages))
+	}
+	if body == nil {
+		body = []byte{}
+	}
+	r.pages[a.page], r.have, r.size = body, r.have+1, r.size+len(body)
+	if r.size > mostAnswer {
+		return it, false, malformed("an answer of over %d bytes", mostAnswer)
+	}
+	if r.have < len(r.pages) {
+		return it, false, nil
+	}
+	if len(r.pages) > 1 {
+		l.say("done", id)
+		body = slices.Concat(r.pages...)
+	}
+	delete(l.open, id)
+	return desk.Item{Event: r.event, Body: body}, true, nil
+}
+
+// told is what the fields of an answer say.
+type told struct {
+	pages, page        int
+	remark             string
+	value, spent, used float64
+	report             []float64
+}
+
+func readAnswer(list string) (a told, err error) {
+	a.pages, a.page = 1, -1
+	err = fields(list, func(name, value string) (err error) {
+		switch name {
+		case "batches":
+			a.pages, err = strconv.Atoi(value)
+		case "batch":
+			a.page, err = strconv.Atoi(value)
+		case "remark":
+			a.remark = value
+		case "num":
+			a.value, err = figure(value)
+		case "cpu":
+			a.spent, err = figure(value)
+		case "used":
+			a.used, err = figure(value)
+		case "report":
+			a.report, err = figures(value)
+		}
+		if err != nil {
+			return malformed("%s=%q", name, clip([]byte(value)))
+		}
+		return nil
+	})
+	return a, err
+}
+
+func figure(s string) (float64, error) {
+	n, err := strconv.ParseFloat(s, 64)
+	if err == nil && (math.IsNaN(n) || math.IsInf(n, 0)) {
+		err = errMalformed
+	}
+	return n, err
+}
+
+// figures reads a load report: numbers with commas or blanks between, in brackets or not.
+func figures(s string) (list []float64, err error) {
+	for _, part := range strings.FieldsFunc(s, func(c rune) bool { return strings.ContainsRune(",; []", c) }) {
+		n, err := figure(part)
+		if err != nil || len(list) == mostParts {
+			return nil, errMalformed
+		}
+		list = append(list, n)
+	}
+	return list, nil
+}
