--- a/internal/given/given.go
+++ b/internal/given/given.go
@@ -52,6 +52,14 @@
 	"outstanding": "inflight", "backlog": "queue",
 }
 
+// Word gives our word for a word of the wire.
+func Word(s string) string {
+	if w, ok := worded[s]; ok {
+		return w
+	}
+	return s
+}
+
 // translated tells which settings carry words of the wire; the others hold names, which stay as they are.
 var translated = map[string]bool{
 	"offering.*.effect": true, "list_comes": true, "report_comes": true, "memory_short": true, "report": true,
@@ -115,8 +123,8 @@
 
 func value(v any, name string) (any, bool) {
 	word := func(s string) string {
-		if w, ok := worded[s]; ok && translated[name] {
-			return w
+		if translated[name] {
+			return Word(s)
 		}
 		return s
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -55,7 +55,7 @@
 	connect := g.Num("connect_ms", 250)
 	fleet := wire.NewFleet(d, clock, out, wire.Reach{ConnectMS: connect, IdleMS: g.Num("idle_close_ms", 15000),
 		PerLink: int(g.Num("shots_per_connection", 100)), Links: share(n.Limits.Sockets, linksShare),
-		Reports: len(g.Names("report")) > 0}, log)
+		Reports: g.Names("report")}, log)
 	peers, err := wire.NewPeers(n.PeerListen, n.Peers, n.PeersAll, d, log)
 	if err != nil {
 		return fmt.Errorf("peers: %w", err)
--- a/internal/wire/executors.go
+++ b/internal/wire/executors.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"liftshift/internal/desk"
+	"liftshift/internal/given"
 	"liftshift/rules"
 )
 
@@ -46,6 +47,7 @@
 	perLink int           // shots on one connection
 	links   int           // most connections, over all executors
 	probe   string        // the word that asks for a sign of life
+	reports []string
 
 	mu       sync.Mutex
 	machines map[uint32]*machine
@@ -92,16 +94,16 @@
 type Reach struct {
 	ConnectMS, IdleMS float64
 	PerLink, Links    int
-	Reports           bool // probes bring load reports
+	Reports           []string // the figures of load reports, where there are any
 }
 
 // NewFleet returns a Fleet without executors.
 func NewFleet(queue Queue, clock desk.Clock, budget *Budget, reach Reach, log logrus.FieldLogger) *Fleet {
 	probe := "alive"
-	if reach.Reports {
+	if len(reach.Reports) > 0 {
 		probe = "stats"
 	}
-	return &Fleet{probe: probe, queue: queue, clock: clock, budget: budget, log: log, machines: map[uint32]*machine{},
+	return &Fleet{probe: probe, reports: reach.Reports, queue: queue, clock: clock, budget: budget, log: log, machines: map[uint32]*machine{},
 		all: map[*link]struct{}{}, connect: millis(reach.ConnectMS), idle: millis(reach.IdleMS * idleShare),
 		perLink: max(1, reach.PerLink), links: max(1, reach.Links)}
 }
@@ -449,7 +451,7 @@
 
 // answer takes one answer and gives what is to be told of it, if anything.
 func (l *link) answer(id, word, list string, body []byte) (it desk.Item, ok bool, err error) {
-	a, err := readAnswer(list)
+	a, err := readAnswer(list, l.fleet.reports)
 	if err != nil {
 		return it, false, err
 	}
@@ -526,7 +528,7 @@
 	report             []float64
 }
 
-func readAnswer(list string) (a told, err error) {
+func readAnswer(list string, reports []string) (a told, err error) {
 	a.pages, a.page = 1, -1
 	err = fields(list, func(name, value string) (err error) {
 		switch name {
@@ -543,7 +545,7 @@
 		case "used":
 			a.used, err = figure(value)
 		case "report":
-			a.report, err = figures(value)
+			a.report = figures(value, reports)
 		}
 		if err != nil {
 			return malformed("%s=%q", name, clip([]byte(value)))
@@ -561,14 +563,22 @@
 	return n, err
 }
 
-// figures reads a load report: numbers with commas or blanks between, in brackets or not.
-func figures(s string) (list []float64, err error) {
-	for _, part := range strings.FieldsFunc(s, func(c rune) bool { return strings.ContainsRune(",; []", c) }) {
-		n, err := figure(part)
-		if err != nil || len(list) == mostParts {
-			return nil, errMalformed
+// figures reads a load report: name:value;name:value, in any order, or the values alone in the order of names,
+// which are ours. What it does not name is 0. One that can't be read counts as none: it costs no answer.
+func figures(s string, names []string) []float64 {
+	list := make([]float64, len(names))
+	for k, part := range strings.FieldsFunc(s, func(c rune) bool { return strings.ContainsRune(",; []", c) }) {
+		name, value, named := strings.Cut(part, ":")
+		if !named {
+			value = name
+		} else if k = slices.Index(names, given.Word(name)); k < 0 {
+			continue // more than the settings name
 		}
-		list = append(list, n)
+		n, err := figure(value)
+		if err != nil || k >= len(list) {
+			return nil
+		}
+		list[k] = n
 	}
-	return list, nil
+	return list
 }
