SIGHUP moves the change log; silent clients end in 2 s; an id is run once

Found: no handler of SIGHUP at all (cmd/liftshift/main.go). The idle limit of a minute and the semaphore taken before accepting (front.go, Run) let connections that say nothing, or asked once and stayed, hold all places. A probe that logged what came in showed 58 connections sending 200 messages under one req, and giving each up: desk.go, take, forgot the id once it was over, so that each copy's first shot counted as a further one. Ruled out for the ration: requests that executors turn down (52 ids, at most 5 further shots each), and the module's own count, which kept to its share of what it saw.

Changed: SIGHUP is taken from the first moment on, reads the file whole, and moves the feed at once, from its last number; polls ask for 1 s, so that a log fallen silent shows within 1.5 s. A first message must be whole within 2 s of connecting; idle clients end after 5 s and give way when places run out; lost framing fails what is open and closes; 64 faults end a connection. An id stays known up to its hard limit, which is no longer than the offering's.

--- a/cmd/liftshift/main.go
+++ b/cmd/liftshift/main.go
@@ -12,12 +12,14 @@
 )
 
 func main() {
+	reload := make(chan os.Signal, 1) // first of all: unheeded, SIGHUP would end the process
+	signal.Notify(reload, syscall.SIGHUP)
 	node, err := service.ReadNode()
 	if err == nil {
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 		defer stop()
 		log, flush := service.NewLog(os.Stderr)
-		err = service.Run(ctx, node, log)
+		err = service.Run(ctx, node, reload, log)
 		flush()
 	}
 	if err != nil {
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -127,6 +127,7 @@
 	stop     chan struct{}
 	done     chan struct{}
 	searches map[string]*search
+	spent    map[string]struct{} // ids of searches that are over, until their hard limit: ids are always new
 	free     []*search
 	timers   timers
 	probes   map[uint32]uint64 // the probe out at each executor
@@ -140,7 +141,7 @@
 // New returns a Desk for one instance of the module.
 func New(clock Clock, one rules.Instance, log logrus.FieldLogger) *Desk {
 	return &Desk{clock: clock, one: one, log: log, queue: make(chan Item, queueRoom), stop: make(chan struct{}),
-		done: make(chan struct{}), searches: map[string]*search{}, probes: map[uint32]uint64{}}
+		done: make(chan struct{}), searches: map[string]*search{}, spent: map[string]struct{}{}, probes: map[uint32]uint64{}}
 }
 
 // Put lines up an item; it waits while the queue is full.
@@ -298,10 +299,11 @@
 	}
 }
 
-// take enters a search. One whose id is still known gets a failure: the first of that id goes on.
+// take enters a search. One whose id is still known gets a failure: the first of that id goes on. That holds for an
+// id given back or answered, too, up to its hard limit: run anew, each copy would count as a further shot.
 func (d *Desk) take(in *Search, ev *rules.Event) *search {
 	d.tally.Taken++
-	if d.searches[in.ID] != nil {
+	if _, spent := d.spent[in.ID]; spent || d.searches[in.ID] != nil {
 		in.Client.WrittenOff(in.Tag)
 		d.open.Add(-1)
 		d.tally.Twice++
@@ -345,6 +347,9 @@
 func (d *Desk) release(s *search) {
 	if s.answered && s.out == 0 && d.searches[s.ID] == s {
 		delete(d.searches, s.ID)
+		if d.clock.Now() < s.Until { // its timer is still to come
+			d.spent[s.ID] = struct{}{}
+		}
 		*s = search{}
 		d.free = append(d.free, s)
 	}
@@ -447,6 +452,7 @@
 
 // expire ends the shots of a search whose hard limit has come: silence shows by then at the latest.
 func (d *Desk) expire(id string) {
+	delete(d.spent, id)
 	s := d.searches[id]
 	if s == nil || d.clock.Now() < s.Until {
 		return
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -179,6 +179,13 @@
 	assert.Equal(t, []string{"written off"}, other.did)
 	assert.Equal(t, 1, d.Open())
 	assert.Len(t, f.sent, 1)
+	d.play(end(rules.Handled))
+	d.open.Add(1)
+	d.play(Item{Event: rules.Event{Kind: rules.Taken}, Search: search0(d, other)})
+	assert.Len(t, f.sent, 1, "nor once the first is over: its shot would be a further one")
+	assert.Len(t, d.spent, 1)
+	d.expire("a")
+	assert.Empty(t, d.spent, "ids are kept no longer than up to the hard limit")
 }
 
 func TestProbes(t *testing.T) {
--- a/internal/desk/tally.go
+++ b/internal/desk/tally.go
@@ -52,7 +52,7 @@
 func (d *Desk) tell(line string) {
 	t := &d.tally
 	f := logrus.Fields{"taken": t.Taken, "handled": t.Handled, "denied": t.Denied, "written_off": t.WrittenOff,
-		"left": t.Left, "late": t.Late, "twice": t.Twice, "stray": t.Stray, "probes": t.Probes, "open": d.Open(), "queue": len(d.queue),
+		"left": t.Left, "late": t.Late, "twice": t.Twice, "stray": t.Stray, "probes": t.Probes, "open": d.Open(), "spent": len(d.spent), "queue": len(d.queue),
 		"wait_ms": t.waitSum / float64(max(1, t.items)), "wait_most_ms": t.waitMost, "waits_long": t.waitsLong,
 		"step_ms": t.stepSum / float64(max(1, t.steps)), "step_most_ms": t.stepMost, "steps_long": t.stepLong,
 		"steps": t.steps}
--- a/internal/service/node.go
+++ b/internal/service/node.go
@@ -7,9 +7,14 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
+	"slices"
 	"strconv"
 
+	"github.com/sirupsen/logrus"
+
 	"liftshift/internal/given"
+	"liftshift/internal/wire"
 	"liftshift/rules"
 )
 
@@ -83,3 +88,31 @@
 	}
 	return nil
 }
+
+// reload reads the configuration again and gives the one in force from then on. It is taken whole or not at all. What
+// moves is the change log; the rest is fixed at the start, and the log names what would need a restart.
+func (n *Node) reload(feed *wire.Feed, log logrus.FieldLogger) *Node {
+	next, err := ReadNode()
+	if err != nil {
+		log.WithField("why", err).Error("reload: not read, the old configuration stays in force")
+		return n
+	}
+	feed.Follow(next.ChangeLog)
+	log.WithFields(logrus.Fields{"changelog": next.ChangeLog, "needs_restart": n.differs(next)}).Info("reload: done")
+	return next
+}
+
+// differs names the fields that another configuration has otherwise and that only a restart heeds. The events known
+// at the start and the seed are new in each file.
+func (n *Node) differs(next *Node) []string {
+	var names []string
+	for name, same := range map[string]bool{"name": n.Name == next.Name, "listen": n.Listen == next.Listen,
+		"limits": n.Limits == next.Limits, "peer_listen": n.PeerListen == next.PeerListen, "peers_all": n.PeersAll == next.PeersAll,
+		"peers": slices.Equal(n.Peers, next.Peers), "settings": reflect.DeepEqual(n.given, next.given)} {
+		if !same {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"runtime"
 	"runtime/debug"
 	"strconv"
@@ -34,8 +35,8 @@
 	stopSpare   = 100 * time.Millisecond // for the last answers to be written
 )
 
-// Run serves until ctx ends, then stops as planned.
-func Run(ctx context.Context, n *Node, log *logrus.Logger) error {
+// Run serves until ctx ends, then stops as planned. At each reload it reads the configuration again.
+func Run(ctx context.Context, n *Node, reload <-chan os.Signal, log *logrus.Logger) error {
 	debug.SetMemoryLimit(int64(n.Limits.MemoryMB * heapShare * (1 << 20)))
 	debug.SetGCPercent(heapGrowth)
 	if n.Limits.Cores > 0 {
@@ -48,7 +49,7 @@
 	offerings, longest := offeringsOf(g)
 	front, err := wire.NewFront(n.Listen, offerings, d, clock, wire.Doors{
 		Clients: share(n.Limits.Sockets, clientsShare), MostHeld: int(g.Num("most_held", 0)), Bodies: bodies,
-		Answers: out}, log)
+		Answers: out, AwayMS: awayOf(g)}, log)
 	if err != nil {
 		return err
 	}
@@ -76,7 +77,7 @@
 		"sockets": n.Limits.Sockets, "procs": runtime.GOMAXPROCS(0)}).Info("start: serving")
 	count := func(line string) {
 		log.WithFields(logrus.Fields{"accepted": front.Accepted.Load(), "bad": front.Bad.Load(),
-			"framing_lost": front.LostFraming.Load(), "pauses": front.Pauses.Load(), "too_many": front.Full.Load(),
+			"framing_lost": front.LostFraming.Load(), "pauses": front.Pauses.Load(), "too_many": front.Full.Load(), "silent": front.Silent.Load(), "gave_way": front.GaveWay.Load(),
 			"dials": fleet.Dials.Load(), "dials_failed": fleet.Failed.Load(), "strays": fleet.Strays.Load(),
 			"malformed": fleet.Malformed.Load(), "polls": feed.Calls.Load(), "polls_lost": feed.Lost.Load(),
 			"polls_malformed": feed.Malformed.Load(), "told": peers.Sent.Load(), "heard": peers.Heard.Load(),
@@ -89,6 +90,8 @@
 			tick.Stop()
 		case <-tick.C:
 			count("sockets")
+		case <-reload:
+			n = n.reload(feed, log)
 		}
 	}
 
@@ -113,6 +116,14 @@
 	return nil
 }
 
+// awayOf gives the time to stay away that a denial for want of room may name; 0 where none may be told.
+func awayOf(g rules.Given) float64 {
+	if !g.Is("tells_come_back") {
+		return 0
+	}
+	return g.Num("longest_come_back_ms", 0)
+}
+
 // offeringsOf gives what a front needs to know of each offering, and the longest hard limit.
 func offeringsOf(g rules.Given) (map[string]wire.Offering, time.Duration) {
 	offerings, longest := map[string]wire.Offering{}, 0.0
@@ -122,8 +133,9 @@
 		if name == "" {
 			return offerings, time.Duration(longest * float64(time.Millisecond))
 		}
-		offerings[name] = wire.Offering{Labelled: g.Text(at+"effect") == "labelled"}
-		longest = max(longest, g.Num(at+"limit_ms", 0))
+		limit := g.Num(at+"limit_ms", 0)
+		offerings[name] = wire.Offering{Labelled: g.Text(at+"effect") == "labelled", LimitMS: limit}
+		longest = max(longest, limit)
 	}
 }
 
--- a/internal/wire/changelog.go
+++ b/internal/wire/changelog.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -19,8 +20,8 @@
 
 // The change log's figures.
 const (
-	pollMS       = 5000                   // the longest that a call may be held
-	pollGrace    = time.Second            // on top, until a call counts as lost
+	pollMS       = 1000                   // the longest that a call may be held: a log that fell silent shows by then
+	pollGrace    = 500 * time.Millisecond // on top, until a call counts as lost; and for a connection to come up
 	pollAgain    = 200 * time.Millisecond // after a failed call: far below the time that counts as told
 	mostChanges  = 10000                  // events of one page, and entries of one event
 	changeBuffer = 4 << 10
@@ -102,7 +103,6 @@
 
 // Feed follows the change log.
 type Feed struct {
-	address string
 	fleet   *Fleet
 	queue   Queue
 	log     logrus.FieldLogger
@@ -111,18 +111,20 @@
 	down    bool
 	known   []change
 	ask     chan struct{}
-	stop    chan struct{}
+	done    context.Context
+	stop    context.CancelFunc
 
-	mu   sync.Mutex
-	conn net.Conn
+	mu      sync.Mutex
+	address string
+	leave   context.CancelFunc // ends what is under way at this address
 
 	Calls, Lost, Malformed atomic.Uint64
 }
 
 // NewFeed returns a Feed that begins after the events of known.
 func NewFeed(address string, known []byte, fleet *Fleet, queue Queue, log logrus.FieldLogger) (*Feed, error) {
-	f := &Feed{address: address, fleet: fleet, queue: queue, log: log, ask: make(chan struct{}, 1),
-		stop: make(chan struct{})}
+	f := &Feed{address: address, fleet: fleet, queue: queue, log: log, ask: make(chan struct{}, 1), leave: func() {}}
+	f.done, f.stop = context.WithCancel(context.Background())
 	last, changes, err := readChanges(known)
 	if err != nil {
 		return nil, fmt.Errorf("known: %w", err)
@@ -167,63 +169,67 @@
 	}
 }
 
+// Follow goes on with the log at another address, from the last number, without waiting for a call under way.
+// The same address begins a new connection: the old one may tell nothing more.
+func (f *Feed) Follow(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.address = address
+	f.leave()
+}
+
 // Run polls until Stop.
 func (f *Feed) Run() {
-	for {
-		err := f.follow()
-		select {
-		case <-f.stop:
-			return
-		default:
-		}
-		if err != nil {
+	for f.done.Err() == nil {
+		f.mu.Lock()
+		address, here := f.address, context.Context(nil)
+		here, f.leave = context.WithCancel(f.done)
+		leave := f.leave
+		f.mu.Unlock()
+		began := time.Now()
+		err := f.follow(here, address)
+		switch moved := here.Err() != nil; {
+		case f.done.Err() != nil:
+		case moved:
+			f.log.WithField("from", address).Info("list: moves")
+		case err != nil:
 			f.Lost.Add(1)
+			if !f.down {
+				f.down = true
+				f.log.WithField("why", err).Warn("list: out of reach")
+				f.queue.Put(desk.Item{Event: rules.Event{Kind: rules.Listed, List: rules.NoList}})
+			}
 		}
-		if err != nil && !f.down {
-			f.down = true
-			f.log.WithField("why", err).Warn("list: out of reach")
-			f.queue.Put(desk.Item{Event: rules.Event{Kind: rules.Listed, List: rules.NoList}})
+		wait := pollAgain // never in a tight loop, but at once where a connection broke that had held for a while
+		if here.Err() != nil || time.Since(began) > pollAgain {
+			wait = 0
 		}
 		select {
-		case <-f.stop:
-			return
+		case <-here.Done():
 		case <-f.ask:
-		case <-time.After(pollAgain):
+		case <-time.After(wait):
 		}
+		leave()
 	}
 }
 
 // Stop ends Run.
-func (f *Feed) Stop() {
-	close(f.stop)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.conn != nil {
-		_ = f.conn.Close()
-	}
-}
+func (f *Feed) Stop() { f.stop() }
 
-// follow calls over one connection until that fails, or serves no more calls.
-func (f *Feed) follow() error {
-	conn, err := net.DialTimeout("tcp", f.address, pollGrace)
+// follow calls over one connection until that fails, serves no more calls, or is to be left.
+func (f *Feed) follow(here context.Context, address string) error {
+	conn, err := (&net.Dialer{Timeout: pollGrace}).DialContext(here, "tcp", address)
 	if err != nil {
 		return err
 	}
-	f.mu.Lock()
-	f.conn = conn
-	f.mu.Unlock()
 	defer conn.Close()
-	select {
-	case <-f.stop:
-		return errClosed
-	default:
-	}
+	defer context.AfterFunc(here, func() { _ = conn.Close() })()
 	r := bufio.NewReaderSize(conn, changeBuffer)
 	for {
 		f.Calls.Add(1)
 		began := time.Now()
 		_ = conn.SetDeadline(time.Now().Add(millis(pollMS) + pollGrace))
-		call := fmt.Sprintf("GET /changes?since=%d&timeout=%d HTTP/1.1\r\nHost: %s\r\n\r\n", f.last, pollMS, f.address)
+		call := fmt.Sprintf("GET /changes?since=%d&timeout=%d HTTP/1.1\r\nHost: %s\r\n\r\n", f.last, pollMS, address)
 		if _, err := conn.Write([]byte(call)); err != nil {
 			return err
 		}
--- a/internal/wire/executors.go
+++ b/internal/wire/executors.go
@@ -187,22 +187,25 @@
 	}
 	l := &link{fleet: f, machine: m, used: now, open: map[string]*run{}, ends: map[string]float64{},
 		probes: map[string]uint64{}}
-	l.budget, l.patient, l.look, l.most = f.budget, f.connect, idleLook, mostLinedUp
-	l.quiet = l.stale
+	l.budget, l.patient, l.most = f.budget, f.connect, mostLinedUp
+	l.quiet, l.until = l.stale, func() time.Time { return time.Now().Add(idleLook) }
 	m.links = append(m.links, l)
 	f.all[l] = struct{}{}
 	go l.serve()
 	return l
 }
 
-// stale tells whether a link has been unused for long.
-func (l *link) stale() bool {
+// stale tells that a link has been unused for long.
+func (l *link) stale() error {
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
 	if len(l.open) == 0 && len(l.probes) == 0 && time.Since(l.used) > l.fleet.idle {
 		l.leaving = true
 	}
-	return l.leaving && len(l.open) == 0
+	if l.leaving && len(l.open) == 0 {
+		return errClosed
+	}
+	return nil
 }
 
 // Send puts a shot on a connection of its executor, or holds it back for a time.
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -21,16 +21,22 @@
 	mostOpen     = 32              // searches open on a connection
 	mostAnswers  = 3 << 20         // bytes lined up at a connection: a full one's largest answers
 	clientWrite  = 2 * time.Second // for an answer to get through to a client that reads
+	clientWhole  = 2 * time.Second // for the first message, and for each from its first byte on, to come whole
+	clientQuiet  = 5 * time.Second // without a message, with nothing open; usual clients close after 4 s
 	clientLook   = 15 * time.Second
-	clientQuiet  = time.Minute // without any sign, with nothing open; clients close far sooner
-	lastWords    = 5 * time.Second
+	mostFaults   = 64                     // messages of a connection that can't be used, until it is ended
+	lastBytes    = 256 << 10              // read and dropped behind the last answer, so that a reset doesn't overtake it
+	lastWords    = 200 * time.Millisecond // the longest that this takes
 	acceptAgain  = 50 * time.Millisecond
 	clientBuffer = 4 << 10
 	clientKernel = 128 << 10 // bytes that the system holds for one that doesn't read
 )
 
 // Offering is what a front has to know of an offering.
-type Offering struct{ Labelled bool }
+type Offering struct {
+	Labelled bool
+	LimitMS  float64 // no client waits for longer; 0: unknown
+}
 
 // Front is the clients' side.
 type Front struct {
@@ -41,6 +47,7 @@
 	answers   *Budget // lined up
 	offerings map[string]Offering
 	mostHeld  int
+	awayMS    float64
 	listener  net.Listener
 	places    chan struct{} // one for each connection there may be
 	stopped   chan struct{}
@@ -49,12 +56,13 @@
 	mu      sync.Mutex
 	clients map[*client]struct{}
 
-	Accepted, Bad, LostFraming, Pauses, Full atomic.Uint64
+	Accepted, Bad, LostFraming, Pauses, Full, Silent, GaveWay atomic.Uint64
 }
 
 // Doors are the figures that a Front keeps to.
 type Doors struct {
 	Clients, MostHeld int
+	AwayMS            float64 // told to clients that are denied here; 0: nothing may be told
 	Bodies, Answers   *Budget
 }
 
@@ -66,44 +74,49 @@
 		return nil, err
 	}
 	return &Front{queue: queue, clock: clock, log: log, bodies: doors.Bodies, answers: doors.Answers, offerings: offerings,
-		mostHeld: doors.MostHeld, listener: l, stopped: make(chan struct{}), places: make(chan struct{}, max(1, doors.Clients)), clients: map[*client]struct{}{}}, nil
+		mostHeld: doors.MostHeld, awayMS: doors.AwayMS, listener: l, stopped: make(chan struct{}), places: make(chan struct{}, max(1, doors.Clients)), clients: map[*client]struct{}{}}, nil
 }
 
 // Fit sets what the method probe answers.
 func (f *Front) Fit(fit bool) { f.fit.Store(fit) }
 
-// Run accepts until Stop. Where there is no place or no descriptor left it pauses.
+// Run accepts until Stop. Where there is no place left, the longest idle client gives way; where none is idle or
+// no descriptor is left, accepting pauses.
 func (f *Front) Run() {
 	for {
-		select {
-		case f.places <- struct{}{}:
-		default:
-			f.Pauses.Add(1)
-			select {
-			case f.places <- struct{}{}:
-			case <-f.stopped:
-				return
-			}
-		}
 		conn, err := f.listener.Accept()
 		if err != nil {
-			<-f.places
 			if isClosed(err) {
 				return
 			}
 			if f.Pauses.Add(1) == 1 {
 				f.log.WithField("why", err).Warn("front: accepting pauses")
 			}
+			f.giveWay()
 			time.Sleep(acceptAgain)
 			continue
 		}
+		select {
+		case f.places <- struct{}{}:
+		default:
+			if !f.giveWay() {
+				f.Pauses.Add(1)
+			}
+			select {
+			case f.places <- struct{}{}:
+			case <-f.stopped:
+				_ = conn.Close()
+				return
+			}
+		}
 		f.Accepted.Add(1)
-		c := &client{front: f, seen: f.clock.Now()}
+		now := time.Now()
+		c := &client{front: f, seen: now, due: now.Add(clientWhole)}
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			_ = tcp.SetWriteBuffer(clientKernel)
 		}
-		c.conn, c.budget, c.patient, c.look, c.most = conn, f.answers, clientWrite, clientLook, mostAnswers
-		c.quiet = c.stale
+		c.conn, c.budget, c.patient, c.most = conn, f.answers, clientWrite, mostAnswers
+		c.quiet, c.until = c.stale, c.patience
 		f.mu.Lock()
 		f.clients[c] = struct{}{}
 		f.mu.Unlock()
@@ -111,6 +124,26 @@
 	}
 }
 
+// giveWay ends the client that has been idle for longest, one that never said anything before all others, and
+// tells whether there was one. Silent connections by the hundred must not cost those who ask their places.
+func (f *Front) giveWay() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var oldest *client
+	var since time.Time
+	for c := range f.clients {
+		if at, idle := c.idle(); idle && (oldest == nil || at.Before(since)) {
+			oldest, since = c, at
+		}
+	}
+	if oldest == nil || !oldest.depart() {
+		return false
+	}
+	f.GaveWay.Add(1)
+	oldest.end(false)
+	return true
+}
+
 // Stop accepts no more and ends what is still connected.
 func (f *Front) Stop() {
 	close(f.stopped)
@@ -127,7 +160,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c := range f.clients {
-		if !c.idle() {
+		if !c.written() {
 			return false
 		}
 	}
@@ -139,13 +172,15 @@
 // client is one connection of a client.
 type client struct {
 	pipe
-	front *Front
+	front  *Front
+	faults int
+	due    time.Time // when the message that is coming in must be whole; zero while none is
 
-	lock    sync.Mutex
-	open    []pending
-	tag     uint64
-	seen    float64
-	failing bool // framing is lost: what is open is answered, then it ends
+	lock sync.Mutex
+	open []pending
+	tag  uint64
+	seen time.Time // when the last message came
+	left bool      // gets no answers any more
 }
 
 // pending is a search that is open on a connection.
@@ -161,54 +196,114 @@
 	f := c.front
 	err := c.listen(bufio.NewReaderSize(&c.pipe, clientBuffer))
 	if errors.Is(err, errMalformed) {
-		f.LostFraming.Add(1)
-		f.log.WithField("why", err).Warn("front: framing lost")
-		c.last()
+		c.last(err)
 	}
 	c.close()
 	f.mu.Lock()
 	delete(f.clients, c)
 	f.mu.Unlock()
-	c.lock.Lock()
-	left := c.open
-	c.open = nil
-	c.lock.Unlock()
-	for _, r := range left {
+	for _, r := range c.leave() {
 		f.bodies.give(r.held)
 		f.queue.Put(desk.Item{Event: rules.Event{Kind: rules.Left, Search: r.req}, Client: c, Token: r.tag})
 	}
 	<-f.places
 }
 
-// last waits, reading no more messages, until what is open has its answer.
-func (c *client) last() {
-	c.push(func(b []byte) []byte { return appendError(b, nil, fault{codeParse, "framing lost"}, 0) })
+// leave takes out what is open: nothing more is answered here.
+func (c *client) leave() []pending {
 	c.lock.Lock()
-	c.failing = true
-	none := len(c.open) == 0
-	c.lock.Unlock()
-	if none {
-		c.end(false)
+	defer c.lock.Unlock()
+	left := c.open
+	c.open, c.left = nil, true
+	return left
+}
+
+// last ends a connection whose framing is lost, or that sends nothing but what can't be used: all that is open on
+// it fails at once, so that nobody waits, and no answer is written behind the error.
+func (c *client) last(why error) {
+	f := c.front
+	if f.LostFraming.Add(1) == 1 {
+		f.log.WithField("why", why).Warn("front: framing lost")
+	}
+	for _, r := range c.leave() {
+		f.bodies.give(r.held)
+		f.queue.Put(desk.Item{Event: rules.Event{Kind: rules.Left, Search: r.req}, Client: c, Token: r.tag})
+		c.push(func(b []byte) []byte { return appendError(b, r.id, fault{codeFailed, "framing lost"}, 0) })
+	}
+	c.push(func(b []byte) []byte { return appendError(b, nil, fault{codeParse, "framing lost"}, 0) })
+	c.end(false)
+	var scrap [clientBuffer]byte
+	if _, err := c.Read(scrap[:]); !errors.Is(err, errClosed) {
+		return
 	}
-	end := time.Now().Add(lastWords)
-	var scrap [512]byte
-	for time.Now().Before(end) {
-		if _, err := c.Read(scrap[:]); err != nil {
-			return
+	if tcp, ok := c.conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+		_ = tcp.SetReadDeadline(time.Now().Add(lastWords))
+		for read := 0; read < lastBytes; {
+			n, err := tcp.Read(scrap[:])
+			if err != nil {
+				return
+			}
+			read += n
 		}
 	}
 }
 
-// stale tells whether nothing has come for long and nothing is open.
-func (c *client) stale() bool {
+// patience is until when something must come.
+func (c *client) patience() time.Time {
+	if !c.due.IsZero() {
+		return c.due
+	}
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if len(c.open) > 0 {
+		return time.Now().Add(clientLook)
+	}
+	return c.seen.Add(clientQuiet)
+}
+
+// stale tells why a connection on which nothing came in time is to end, if so.
+func (c *client) stale() error {
+	now := time.Now()
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	switch {
+	case !c.due.IsZero() && now.After(c.due):
+		c.front.Silent.Add(1)
+		return malformed("no whole message within %v", clientWhole)
+	case c.due.IsZero() && len(c.open) == 0 && now.After(c.seen.Add(clientQuiet)):
+		c.left = true // a message that crosses the close is not taken
+		return errClosed
+	}
+	return nil
+}
+
+// idle tells since when nothing has come, if nothing is open.
+func (c *client) idle() (since time.Time, idle bool) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	return len(c.open) == 0 && c.front.clock.Now() > c.seen+float64(clientQuiet/time.Millisecond)
+	return c.seen, len(c.open) == 0 && !c.left
+}
+
+// depart lets an idle client take no more; false if it is not idle.
+func (c *client) depart() bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	idle := len(c.open) == 0 && !c.left
+	c.left = c.left || idle
+	return idle
 }
 
 func (c *client) listen(r *bufio.Reader) error {
 	var room []byte
 	for {
+		if r.Buffered() == 0 {
+			if _, err := r.Peek(1); err != nil {
+				return err
+			}
+		}
+		if c.due.IsZero() {
+			c.due = time.Now().Add(clientWhole)
+		}
 		text, err := readMessage(r, room)
 		if err != nil {
 			return err
@@ -217,11 +312,14 @@
 		if cap(text) <= keepRoom {
 			room = text[:0]
 		}
-		now := c.front.clock.Now() // hard limits count from the last byte
+		c.due = time.Time{}
 		c.lock.Lock()
-		c.seen = now
+		c.seen = time.Now()
 		c.lock.Unlock()
-		c.message(text, now)
+		c.message(text, c.front.clock.Now()) // hard limits count from the last byte
+		if c.faults >= mostFaults {
+			return malformed("%d messages that can't be used", c.faults)
+		}
 	}
 }
 
@@ -248,12 +346,17 @@
 // for the answer of the first.
 func (c *client) fail(id []byte, f fault) {
 	c.front.Bad.Add(1)
+	c.faults++
 	c.lock.Lock()
 	if slices.ContainsFunc(c.open, func(r pending) bool { return string(r.id) == string(id) }) {
 		id = nil
 	}
 	c.lock.Unlock()
-	c.push(func(b []byte) []byte { return appendError(b, id, f, 0) })
+	away := 0.0
+	if f.code == codeDenied {
+		away = c.front.awayMS
+	}
+	c.push(func(b []byte) []byte { return appendError(b, id, f, away) })
 }
 
 func (c *client) take(m call, now float64) *fault {
@@ -273,25 +376,33 @@
 		return &fault{codeParams, "opkey is missing"}
 	}
 	r := pending{id: slices.Clone(m.id), req: a.req, held: len(a.body)}
+	if wrong = c.enter(&r); wrong != nil {
+		return wrong
+	}
+	if offering.LimitMS > 0 { // what is kept until a search's hard limit must not be kept for as long as a client says
+		a.timeout = min(a.timeout, offering.LimitMS)
+	}
+	group, _ := groupOf(a.body)
+	f.queue.Take(&desk.Search{ID: a.req, Offering: m.method, Key: a.key, Mark: a.mark, Group: group, NeedMB: a.ram,
+		WorkMS: a.work, Until: now + a.timeout, Repeat: a.repeat, Body: a.body, Client: c, Tag: r.tag})
+	return nil
+}
+
+// enter notes a search as open, unless there is no room for it.
+func (c *client) enter(r *pending) *fault {
+	f := c.front
 	c.lock.Lock()
-	twice := slices.ContainsFunc(c.open, func(o pending) bool { return string(o.id) == string(r.id) })
-	many := len(c.open) >= mostOpen
-	c.lock.Unlock()
+	defer c.lock.Unlock()
 	switch {
-	case twice:
+	case slices.ContainsFunc(c.open, func(o pending) bool { return string(o.id) == string(r.id) }):
 		return &fault{codeRequest, "id is open"}
-	case many || f.mostHeld > 0 && f.queue.Open() >= f.mostHeld || !f.bodies.take(r.held):
+	case c.left, len(c.open) >= mostOpen, f.mostHeld > 0 && f.queue.Open() >= f.mostHeld, !f.bodies.take(r.held):
 		f.Full.Add(1)
 		return &fault{codeDenied, "too much is open here"}
 	}
-	c.lock.Lock()
 	c.tag++
 	r.tag = c.tag
-	c.open = append(c.open, r)
-	c.lock.Unlock()
-	group, _ := groupOf(a.body)
-	f.queue.Take(&desk.Search{ID: a.req, Offering: m.method, Key: a.key, Mark: a.mark, Group: group, NeedMB: a.ram,
-		WorkMS: a.work, Until: now + a.timeout, Repeat: a.repeat, Body: a.body, Client: c, Tag: r.tag})
+	c.open = append(c.open, *r)
 	return nil
 }
 
@@ -327,13 +438,9 @@
 	}
 	r := c.open[k]
 	c.open = slices.Delete(c.open, k, k+1)
-	done := c.failing && len(c.open) == 0
 	c.lock.Unlock()
 	c.front.bodies.give(r.held)
 	c.push(func(b []byte) []byte { return write(b, r.id) })
-	if done {
-		c.end(false)
-	}
 }
 
 // Handled, Denied and WrittenOff answer a search.
--- a/internal/wire/pipe.go
+++ b/internal/wire/pipe.go
@@ -53,9 +53,9 @@
 type pipe struct {
 	conn    net.Conn
 	budget  *Budget
-	patient time.Duration // for a write
-	quiet   func() bool   // asked when nothing came for a while: whether to end
-	look    time.Duration // how often quiet is asked
+	patient time.Duration    // for a write
+	quiet   func() error     // asked when nothing came until then: why to end, if so
+	until   func() time.Time // how long to wait for something to come
 
 	mu      sync.Mutex
 	out     []byte
@@ -108,8 +108,8 @@
 	}
 }
 
-// idle tells whether nothing waits to be written.
-func (p *pipe) idle() bool {
+// written tells whether nothing waits to be written.
+func (p *pipe) written() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return len(p.out) == 0 && !p.writing
@@ -118,6 +118,7 @@
 // Read writes what has lined up, then reads. Only the pipe's own goroutine calls it.
 func (p *pipe) Read(b []byte) (int, error) {
 	for {
+		until := p.until()
 		p.mu.Lock()
 		switch {
 		case p.cut:
@@ -135,7 +136,7 @@
 			p.mu.Unlock()
 			return 0, errClosed
 		}
-		_ = p.conn.SetReadDeadline(time.Now().Add(p.look))
+		_ = p.conn.SetReadDeadline(until)
 		p.reading = true
 		p.mu.Unlock()
 		n, err := p.conn.Read(b)
@@ -149,8 +150,10 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return 0, err
 		}
-		if !woken && p.quiet != nil && p.quiet() {
-			return 0, errClosed
+		if !woken {
+			if err := p.quiet(); err != nil {
+				return 0, err
+			}
 		}
 	}
 }
