Each shot has a connection to itself; a second copy costs no good answer

Cause: executors.go, pick, put up to 100 shots on one connection; one spoilt or silent answer took all along. A connection whose shot was called off unheard went on getting shots, each lost in turn. answer() took a second copy of a page for a broken protocol and closed on it. Ruled out: executors themselves (all five alike, probes answered), the list (3 silent calls, back within 1.5 s).

Changed: a shot or probe takes an unused connection or a new one; only past three quarters of the room they share, the least loaded first. A call-off takes its connection along unless others still hear there. Second copies and unasked pages are counted and dropped. A page must be rows of three columns of text before it is believed.

--- a/internal/wire/executors.go
+++ b/internal/wire/executors.go
@@ -12,6 +12,7 @@
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/sirupsen/logrus"
 
@@ -24,11 +25,13 @@
 const (
 	mostPages    = 64       // pages of one answer
 	mostAnswer   = 64 << 10 // bytes of one answer, all pages
+	columns      = 3        // of a row
 	mostLinedUp  = 1 << 20  // bytes that may line up at one connection
 	mostRetired  = 1024     // ids called off on a connection until it is replaced
 	idleShare    = 0.8      // share of the executors' idle time after which a connection is closed here
 	idleLook     = time.Second
-	answerBuffer = 8 << 10
+	answerBuffer = 4 << 10
+	spareLinks   = 4 // one connection in so many is kept for executors that have none yet
 
 	// apartMS is the least time between calling a shot off and sending its search to the same executor again. Both
 	// go over connections of their own, which overtake one another, and a call-off that comes last ends the new shot,
@@ -63,6 +66,7 @@
 	name, address string
 	since         float64
 	links         []*link
+	halted        map[string]float64 // ids called off there within the last apartMS
 }
 
 // link is one connection to an executor.
@@ -73,8 +77,9 @@
 	up      bool // connected; before, shots and probes wait
 	leaving bool // gets nothing new, and ends once nothing is open on it
 	used    time.Time
+	signs   uint64 // messages that came
 	open    map[string]*run
-	ends    map[string]float64 // when they were called off here; an answer may still come
+	ends    map[string]bool // called off here; an answer may still come
 	probes  map[string]uint64
 }
 
@@ -83,6 +88,7 @@
 	link  *link
 	shot  desk.Shot
 	seq   uint64
+	signs uint64 // of the link, when it went out
 	pages [][]byte
 	have  int
 	size  int
@@ -129,7 +135,7 @@
 			delete(f.machines, e.entry.Executor)
 		} else if m == nil {
 			f.machines[e.entry.Executor] = &machine{id: e.entry.Executor, name: e.name, address: e.address,
-				since: e.entry.UpSince}
+				since: e.entry.UpSince, halted: map[string]float64{}}
 		}
 	}
 	for id, m := range f.machines {
@@ -170,22 +176,35 @@
 	}
 }
 
-// pick gives a connection that a shot of id may take, or makes one; nil if there can't be one more.
+// pick gives a connection that a shot of id may take, or makes one; nil if there can't be one more. What shares a
+// connection is lost with it: as long as there may be more of them, each shot and each probe has one to itself.
+// Only past that they share, the least loaded first.
 func (f *Fleet) pick(m *machine, id string) *link {
 	now := time.Now()
+	var alone, least *link
 	for _, l := range m.links {
 		if !l.leaving && l.up && len(l.open) == 0 && len(l.probes) == 0 && now.Sub(l.used) > f.idle {
 			l.leave() // the other side may be about to close it
 		}
 		// An id called off here goes out on another connection: its late answer would pass for the new one's.
-		if !l.leaving && len(l.open) < f.perLink && l.open[id] == nil && l.ends[id] == 0 {
-			return l
+		if l.leaving || len(l.open) >= f.perLink || l.open[id] != nil || l.ends[id] {
+			continue
+		}
+		if len(l.open)+len(l.probes) == 0 {
+			if alone == nil || l.used.After(alone.used) {
+				alone = l // used last: the others may close as idle
+			}
+		} else if least == nil || len(l.open)+len(l.probes) < len(least.open)+len(least.probes) {
+			least = l
 		}
 	}
-	if len(f.all) >= f.links {
-		return nil
+	if alone != nil {
+		return alone
 	}
-	l := &link{fleet: f, machine: m, used: now, open: map[string]*run{}, ends: map[string]float64{},
+	if len(f.all) >= f.links-f.links/spareLinks && least != nil || len(f.all) >= f.links {
+		return least
+	}
+	l := &link{fleet: f, machine: m, used: now, open: map[string]*run{}, ends: map[string]bool{},
 		probes: map[string]uint64{}}
 	l.budget, l.patient, l.most = f.budget, f.connect, mostLinedUp
 	l.quiet, l.until = l.stale, func() time.Time { return time.Now().Add(idleLook) }
@@ -221,10 +240,8 @@
 		return nil, 0
 	}
 	wait := 0.0
-	for _, other := range m.links {
-		if at := other.ends[shot.Search.ID]; at > 0 {
-			wait = max(wait, at+apartMS-f.clock.Now())
-		}
+	if at, ok := m.halted[shot.Search.ID]; ok {
+		wait = max(0, at+apartMS-f.clock.Now())
 	}
 	f.seq++
 	r := &run{link: l, shot: shot, seq: f.seq}
@@ -252,7 +269,7 @@
 // fetch writes a shot; called under the fleet's lock.
 func (l *link) fetch(r *run) bool {
 	s := r.shot.Search
-	l.used = time.Now()
+	l.used, r.signs = time.Now(), l.signs
 	list := make([]byte, 0, 128)
 	list = append(append(list, "profile="...), s.Offering...)
 	list = strconv.AppendInt(append(list, ",max="...), int64(max(1, s.Until-l.fleet.clock.Now())), 10)
@@ -290,8 +307,15 @@
 	} else {
 		l.say("abort", id)
 	}
-	l.ends[id] = l.fleet.clock.Now()
-	if len(l.ends) >= mostRetired {
+	now := l.fleet.clock.Now()
+	for other, at := range l.machine.halted {
+		if now > at+apartMS {
+			delete(l.machine.halted, other)
+		}
+	}
+	l.ends[id], l.machine.halted[id] = true, now
+	// It may be the connection that is lost, not the executor: it gets nothing new, unless others still hear there.
+	if len(l.open) == 0 || l.signs == r.signs || len(l.ends) >= mostRetired {
 		l.leaving = true
 	}
 	return desk.Halted
@@ -463,6 +487,7 @@
 	defer f.mu.Unlock()
 	defer l.settle()
 	l.used = time.Now()
+	l.signs++
 	if token, ok := l.probes[id]; ok && (word == "well" || word == "ill") {
 		delete(l.probes, id)
 		it = desk.Item{Event: rules.Event{Kind: rules.Probed, Executor: l.machine.id, Report: a.report}, Token: token}
@@ -501,9 +526,18 @@
 			l.say("more", id, strconv.Itoa(k))
 		}
 		a.page = 0
-	case word != "page" || r.pages == nil || a.page < 1 || a.page >= len(r.pages) || r.pages[a.page] != nil:
+	case word == "data", word == "page" && r.pages == nil:
+		f.Strays.Add(1) // a second copy, or nothing that was asked for: the good answer still counts
+		return it, false, nil
+	case word != "page" || a.page < 1 || a.page >= len(r.pages):
 		return it, false, malformed("an answer %q to a shot that has %d pages of %d", clip([]byte(word)), r.have,
 			len(r.pages))
+	case r.pages[a.page] != nil:
+		f.Strays.Add(1)
+		return it, false, nil
+	}
+	if !wholeRows(body) {
+		return it, false, malformed("a page that is no rows: %q", clip(body))
 	}
 	if body == nil {
 		body = []byte{}
@@ -523,6 +557,26 @@
 	return desk.Item{Event: r.event, Body: body}, true, nil
 }
 
+// wholeRows tells whether a page is what pages are: lines of three columns of text. Another length may fit by chance
+// where bytes were spoilt; what is passed on then is nothing that an executor made.
+func wholeRows(page []byte) bool {
+	if len(page) > 0 && page[len(page)-1] != '\n' || !utf8.Valid(page) {
+		return false
+	}
+	tabs := 0
+	for _, c := range page {
+		switch {
+		case c == '\t':
+			tabs++
+		case c == '\n' && tabs != columns-1, c < ' ' && c != '\n', c == 0x7f:
+			return false
+		case c == '\n':
+			tabs = 0
+		}
+	}
+	return true
+}
+
 // told is what the fields of an answer say.
 type told struct {
 	pages, page        int
