Places of executors that are gone are used again; beliefs logged beside the sockets

A test that replaces 200 executors kept 204 places before, 5 now. A place is free once the list calls the executor gone, nothing is out there and no search in hand names it. No decision is touched.

The log now has a line for each executor every 10 s: shots out as the module believes beside those open on sockets, age of signs and reports, who is set aside.

--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -69,6 +69,19 @@
 	Send(shot Shot) (run Run, heldMS float64)
 	Probe(executor uint32, token uint64) bool
 	Unanswered(executor uint32, token uint64) // a probe that nobody waits for any more
+	Holds(executor uint32) Holding
+}
+
+// Holding is what the sockets have of one executor, to compare with what the module believes.
+type Holding struct {
+	Name               string // empty: not listed
+	Shots, Connections int
+	QuietMS            float64 // since anything was written or read; below 0: no connection
+}
+
+// believer is a module that tells what it holds of executors.
+type believer interface {
+	Beliefs(now float64, out []rules.Belief) []rules.Belief
 }
 
 // Peers carries messages to other controllers, List asks for news of the list.
@@ -197,6 +210,7 @@
 			armed = 0
 		case <-d.stop:
 			d.tell("end")
+			d.compare()
 			return
 		}
 	}
@@ -227,6 +241,7 @@
 			}
 		case tallies:
 			d.tell("tally")
+			d.compare()
 			d.timers.push(timer{at: now + tallyMS, what: tallies})
 		}
 		if len(d.timers) == 0 {
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -1,6 +1,7 @@
 package desk
 
 import (
+	"bytes"
 	"io"
 	"testing"
 
@@ -16,6 +17,10 @@
 	told []rules.Event
 }
 
+func (s *script) Beliefs(float64, []rules.Belief) []rules.Belief {
+	return []rules.Belief{{Executor: 7, Out: 3, Aside: true}}
+}
+
 func (s *script) Step(_ float64, ev *rules.Event, out []rules.Action) []rules.Action {
 	s.told = append(s.told, *ev)
 	return append(out, s.on[ev.Kind]...)
@@ -51,6 +56,7 @@
 func (f *side) Release()                   { f.did = append(f.did, "release") }
 func (f *side) Probe(uint32, uint64) bool  { f.did = append(f.did, "probe"); return !f.refuse }
 func (f *side) Unanswered(uint32, uint64)  { f.did = append(f.did, "unanswered") }
+func (f *side) Holds(uint32) Holding       { return Holding{Name: "s-7", Shots: 2} }
 func (f *side) CallOff() Stopped           { f.did = append(f.did, "off"); return f.stopped }
 func (f *side) Relevel(int)                { f.did = append(f.did, "level") }
 func (f *side) Handled(_ uint64, b []byte) { f.did, f.body = append(f.did, "handled"), string(b) }
@@ -245,3 +251,14 @@
 	assert.GreaterOrEqual(t, c.Now(), a)
 	assert.Zero(t, c.until(a-5))
 }
+
+// What the module believes of an executor must be seen beside what passes on the sockets.
+func TestBeliefsAreLoggedBesideTheSockets(t *testing.T) {
+	d, _ := sent(&side{}, nil)
+	var text bytes.Buffer
+	log := logrus.New()
+	log.SetOutput(&text)
+	d.log = log
+	d.compare()
+	assert.Regexp(t, `belief aside=true .*executor=s-7 .*id=7 open=2 out=3`, text.String())
+}
--- a/internal/desk/tally.go
+++ b/internal/desk/tally.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 
 	"github.com/sirupsen/logrus"
@@ -68,3 +69,18 @@
 	d.log.WithFields(f).Info(line)
 	t.items, t.steps, t.waitSum, t.waitMost, t.stepSum, t.stepMost, t.waitsLong, t.stepLong = 0, 0, 0, 0, 0, 0, 0, 0
 }
+
+// compare logs what the module believes of each executor beside what the sockets have. Shots may differ by ends that
+// stand in the queue, no further.
+func (d *Desk) compare() {
+	one, ok := d.one.(believer)
+	if !ok {
+		return
+	}
+	for _, b := range one.Beliefs(d.clock.Now(), nil) {
+		has := d.Executors.Holds(b.Executor)
+		d.log.WithFields(logrus.Fields{"executor": has.Name, "id": b.Executor, "out": b.Out, "open": has.Shots,
+			"connections": has.Connections, "quiet_ms": math.Round(has.QuietMS), "threads": b.Threads, "bad": b.Bad, "standing": b.Standing,
+			"aside": b.Aside, "cold": b.Cold, "heard_ms": math.Round(b.HeardMS), "report_ms": math.Round(b.ReportMS)}).Info("belief")
+	}
+}
--- a/internal/wire/executors.go
+++ b/internal/wire/executors.go
@@ -371,6 +371,24 @@
 	}
 }
 
+// Holds tells what there is of an executor here.
+func (f *Fleet) Holds(executor uint32) desk.Holding {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.machines[executor]
+	if m == nil {
+		return desk.Holding{}
+	}
+	h, last := desk.Holding{Name: m.name, Connections: len(m.links), QuietMS: -1}, time.Time{}
+	for _, l := range m.links {
+		if h.Shots += len(l.open); l.used.After(last) {
+			last = l.used
+			h.QuietMS = float64(time.Since(last)) / float64(time.Millisecond)
+		}
+	}
+	return h
+}
+
 // serve is the goroutine of a link: it connects, then reads until the end.
 func (l *link) serve() {
 	f := l.fleet
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -509,3 +509,27 @@
 		}
 	})
 }
+
+// Executors are replaced without end, ids are always new: places return, but not while a search still names one.
+func TestPlacesOfExecutorsThatAreGoneAreUsedAgain(t *testing.T) {
+	g := gateway(4, nil)
+	take(g, 1000, "a", "once")
+	held := g.slab.places[0].last().executor
+	live := []uint32{1, 2, 3, 4}
+	for n := range uint32(200) {
+		g.Step(2000+float64(n), &Event{Kind: Listed, Entries: []Entry{{Executor: live[n%4], Standing: Gone},
+			{Executor: 100 + n, Kind: "big"}}}, nil)
+		live[n%4] = 100 + n
+	}
+	assert.Equal(t, 5, len(g.executors))
+	assert.Equal(t, 5, len(g.Beliefs(2500, nil)), "the one gone still has a shot")
+	assert.Less(t, g.executors[held].id, uint32(5), "a search in hand had its shot there")
+	take(g, 3000, "b", "read")
+	ended(g, 3100, "b", 0, Handled)
+	ended(g, 3100, "a", 0, Severed)
+	g.Step(9000, &Event{Kind: Left, Search: "a"}, nil)
+	g.Step(9001, &Event{Kind: Listed, Entries: []Entry{{Executor: 999, Kind: "big"}}}, nil)
+	assert.Equal(t, uint32(999), g.executors[held].id)
+	assert.Equal(t, 5, len(g.executors))
+	assert.Empty(t, g.slab.byID)
+}
--- a/rules/slab.go
+++ b/rules/slab.go
@@ -378,6 +378,23 @@
 	mail []byte
 }
 
+// Beliefs appends what is held of each executor that is listed or has shots out.
+func (g *Gateway) Beliefs(now float64, out []Belief) []Belief {
+	since := func(at float64) float64 {
+		if at == 0 {
+			return -1
+		}
+		return now - at
+	}
+	for x := range g.executors {
+		if e := &g.executors[x]; e.standing != Gone || e.out > 0 {
+			out = append(out, Belief{Executor: e.id, Out: e.out, Threads: e.threads, Bad: e.bad, Standing: e.standing,
+				Aside: e.state == aside, Cold: now < e.coldUntil, HeardMS: since(e.heard), ReportMS: since(e.seenAt)})
+		}
+	}
+	return out
+}
+
 // New starts an instance with nothing but its settings and its seed.
 func New(seed uint64, given Given) *Gateway {
 	g := &Gateway{given: given, seed: seed, slab: newSlab(), rests: map[string]float64{},
@@ -464,13 +481,33 @@
 func (g *Gateway) enter(n *Entry, fresh executor) int {
 	x := g.at(n.Executor)
 	if x < 0 {
-		x = len(g.executors)
-		g.executors = append(g.executors, fresh)
+		if x = g.vacant(); x == len(g.executors) {
+			g.executors = append(g.executors, fresh)
+		}
+		g.executors[x] = fresh
+		g.seen = slices.DeleteFunc(g.seen, func(h holding) bool { return h.executor == x })
 	}
 	g.executors[x].read(g.given, n)
 	return x
 }
 
+// vacant gives the first place of an executor that is gone and that no search in hand names, or the end: ids are
+// always new, so places that were never used again would grow without end.
+func (g *Gateway) vacant() int {
+	x := 0
+	for x < len(g.executors) && (g.executors[x].standing != Gone || g.executors[x].out > 0 || g.named(x)) {
+		x++
+	}
+	return x
+}
+
+// named tells whether a search in hand had a shot at x.
+func (g *Gateway) named(x int) bool {
+	return slices.ContainsFunc(g.slab.places, func(s search) bool {
+		return s.used && slices.ContainsFunc(s.shots[:s.fired], func(h shot) bool { return h.executor == x })
+	})
+}
+
 // read takes over what the list says of an executor's machine.
 func (e *executor) read(given Given, n *Entry) {
 	e.place, e.kind, e.cell = n.Place, n.Kind, n.Cell
--- a/rules/types.go
+++ b/rules/types.go
@@ -175,6 +175,19 @@
 	Data     []byte // read before the next Step
 }
 
+// Belief is what an instance holds of one executor, for the front's log.
+type Belief struct {
+	Executor uint32
+	Out      int // shots there without an outcome
+	Threads  int // of them
+	Bad      int // failures in a row
+	Standing Standing
+	Aside    bool    // gets nothing until it has answered probes
+	Cold     bool    // gets its part of a cold budget
+	HeardMS  float64 // since the last sign of work; below 0: none yet
+	ReportMS float64 // since the last load report or telling; below 0: none yet
+}
+
 // Instance is what a front calls: every event in the order it happened, with the clock in milliseconds. The
 // actions are appended to out, which the caller owns and may reuse. An instance shares nothing with
 // another.
