Lost pages come over another connection; shots avoid the kind of connection that breaks

Probes: logs of what lost connections had carried show 480 resets on used connections that had answered before, 9 in 100 reuses, against 47 on 2,970 new ones; and 7 a second that ended with EOF right behind page 0 of several (152 of 240 losses once the resets were gone). Ruled out: our idle limit (12 s of 15 s, none closed as idle), call-offs (they end connections on this side), executors that restart (none did).

At fault: executors.go, pick, used an idle connection whatever became of the last ones; finish told a shot as severed between pages, though the search had run and its pages wait at the executor.

--- a/internal/wire/executors.go
+++ b/internal/wire/executors.go
@@ -31,7 +31,8 @@
 	idleShare    = 0.8      // share of the executors' idle time after which a connection is closed here
 	idleLook     = time.Second
 	answerBuffer = 4 << 10
-	spareLinks   = 4 // one connection in so many is kept for executors that have none yet
+	spareLinks   = 4   // one connection in so many is kept for executors that have none yet
+	fatesRoom    = 256 // shots that fates count before both counts are halved: some seconds' worth
 
 	// apartMS is the least time between calling a shot off and sending its search to the same executor again. Both
 	// go over connections of their own, which overtake one another, and a call-off that comes last ends the new shot,
@@ -56,8 +57,9 @@
 	machines map[uint32]*machine
 	all      map[*link]struct{} // connections, those of executors that are gone included
 	seq      uint64
+	fates    [2]fate // of shots on new connections, and on used ones
 
-	Strays, Malformed, Dials, Failed atomic.Uint64
+	Strays, Malformed, Dials, Failed, Moved atomic.Uint64
 }
 
 // machine is one executor as listed. Its connections belong to it, not to its address.
@@ -83,12 +85,42 @@
 	probes  map[string]uint64
 }
 
+// fate counts shots on connections of a kind, and those of them that a break ended before any message came.
+type fate struct{ shots, lost int }
+
+const (
+	onNew = iota
+	onUsed
+)
+
+// tell counts a shot; called under the fleet's lock.
+func (f *Fleet) tell(kind int, lost bool) {
+	if f.fates[kind].shots++; lost {
+		f.fates[kind].lost++
+	}
+	if f.fates[kind].shots >= fatesRoom {
+		for k := range f.fates {
+			f.fates[k].shots, f.fates[k].lost = f.fates[k].shots/2, f.fates[k].lost/2
+		}
+	}
+}
+
+// wary tells that used connections break under shots more often than new ones. They are tried again once that is so
+// long ago that it counts for nothing.
+func (f *Fleet) wary() bool {
+	u, n := f.fates[onUsed], f.fates[onNew]
+	return u.lost*max(1, n.shots) > n.lost*max(1, u.shots)
+}
+
 // run is a shot on a link.
 type run struct {
+	fleet *Fleet
 	link  *link
 	shot  desk.Shot
 	seq   uint64
 	signs uint64 // of the link, when it went out
+	kind  int    // of connection
+	moved bool   // its connection was lost between pages: the rest comes over another
 	pages [][]byte
 	have  int
 	size  int
@@ -198,10 +230,13 @@
 			least = l
 		}
 	}
-	if alone != nil {
+	scarce := len(f.all) >= f.links-f.links/spareLinks
+	if alone != nil && (scarce || !f.wary()) {
 		return alone
 	}
-	if len(f.all) >= f.links-f.links/spareLinks && least != nil || len(f.all) >= f.links {
+	if alone != nil {
+		alone.leave() // it is not used again while used ones break
+	} else if scarce && least != nil || len(f.all) >= f.links {
 		return least
 	}
 	l := &link{fleet: f, machine: m, used: now, open: map[string]*run{}, ends: map[string]bool{},
@@ -244,8 +279,11 @@
 		wait = max(0, at+apartMS-f.clock.Now())
 	}
 	f.seq++
-	r := &run{link: l, shot: shot, seq: f.seq}
+	r := &run{fleet: f, link: l, shot: shot, seq: f.seq}
 	r.event = rules.Event{Kind: rules.Ended, Search: shot.Search.ID, Shot: shot.N}
+	if l.signs > 0 {
+		r.kind = onUsed
+	}
 	l.open[shot.Search.ID] = r
 	r.held = wait > 0
 	if l.up && !r.held && !l.fetch(r) {
@@ -258,14 +296,50 @@
 
 // Release sends a shot that was held back, unless it was called off meanwhile.
 func (r *run) Release() {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
 	l := r.link
-	l.fleet.mu.Lock()
-	defer l.fleet.mu.Unlock()
 	if r.held = false; l.up && l.open[r.shot.Search.ID] == r {
 		l.fetch(r)
 	}
 }
 
+// put writes a shot, or asks for the pages that are missing; called under the fleet's lock.
+func (l *link) put(r *run) bool {
+	if r.pages == nil {
+		return l.fetch(r)
+	}
+	ok := true
+	for k := 1; k < len(r.pages); k++ {
+		if r.pages[k] == nil {
+			ok = l.say("more", r.shot.Search.ID, strconv.Itoa(k)) && ok
+		}
+	}
+	return ok
+}
+
+// move asks for the rest of an answer over another connection, once: the search has run, and its pages are lost only
+// when their executor ends. Run again, it would cost a further shot. Called under the fleet's lock.
+func (l *link) move(r *run) bool {
+	f, m := l.fleet, l.machine
+	if r.have == 0 || r.moved || f.machines[m.id] != m {
+		return false
+	}
+	to := f.pick(m, r.shot.Search.ID)
+	if to == nil {
+		return false
+	}
+	r.link, r.moved, r.signs = to, true, to.signs
+	to.open[r.shot.Search.ID] = r
+	if to.up && !to.put(r) {
+		delete(to.open, r.shot.Search.ID)
+		to.leave()
+		return false
+	}
+	f.Moved.Add(1)
+	return true
+}
+
 // fetch writes a shot; called under the fleet's lock.
 func (l *link) fetch(r *run) bool {
 	s := r.shot.Search
@@ -290,16 +364,16 @@
 
 // CallOff gives a shot up.
 func (r *run) CallOff() desk.Stopped {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
 	l := r.link
-	l.fleet.mu.Lock()
-	defer l.fleet.mu.Unlock()
 	id := r.shot.Search.ID
 	if l.open[id] != r {
 		return desk.Decided
 	}
 	delete(l.open, id)
 	defer l.settle()
-	if !l.up || r.held {
+	if r.held || !l.up && r.pages == nil {
 		return desk.Unsent
 	}
 	if r.pages != nil { // only pages are still under way
@@ -323,9 +397,9 @@
 
 // Relevel changes the level of a shot that runs.
 func (r *run) Relevel(level int) {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
 	l := r.link
-	l.fleet.mu.Lock()
-	defer l.fleet.mu.Unlock()
 	r.shot.Level = level
 	if l.up && !r.held && l.open[r.shot.Search.ID] == r && r.pages == nil {
 		l.say("renice", r.shot.Search.ID, strconv.Itoa(level))
@@ -402,7 +476,7 @@
 	f.mu.Lock()
 	l.conn, l.up = conn, true
 	for _, r := range l.runs() {
-		if !r.held && !l.fetch(r) {
+		if !r.held && !l.put(r) {
 			break
 		}
 	}
@@ -423,7 +497,7 @@
 	}
 	l.close()
 	if shots := l.finish(rules.Severed); shots > 0 {
-		f.log.WithFields(logrus.Fields{"executor": l.machine.name, "why": err, "shots": shots}).
+		f.log.WithFields(logrus.Fields{"executor": l.machine.name, "why": err, "shots": shots, "messages": l.signs}).
 			Info("executor: connection lost")
 	}
 }
@@ -446,6 +520,11 @@
 	delete(f.all, l)
 	l.machine.links = slices.DeleteFunc(l.machine.links, func(o *link) bool { return o == l })
 	runs := l.runs()
+	for _, r := range runs {
+		if l.up && !r.held && l.signs == r.signs {
+			f.tell(r.kind, true)
+		}
+	}
 	var tokens []uint64
 	for _, token := range l.probes {
 		tokens = append(tokens, token)
@@ -453,9 +532,12 @@
 	slices.Sort(tokens)
 	clear(l.open)
 	clear(l.probes)
+	runs = slices.DeleteFunc(runs, l.move)
 	f.mu.Unlock()
 	for _, r := range runs {
-		if r.event.Outcome = as; r.held {
+		if r.event.Outcome = as; r.pages != nil {
+			r.event.Outcome = rules.Severed // it ran, whatever became of the second connection
+		} else if r.held {
 			r.event.Outcome = rules.Refused // it never left
 		}
 		f.queue.Put(desk.Item{Event: r.event})
@@ -515,6 +597,9 @@
 		return it, true, nil
 	}
 	r := l.open[id]
+	if r != nil && l.signs == r.signs+1 {
+		f.tell(r.kind, false)
+	}
 	if r == nil {
 		if word != "news" && word != "page" {
 			delete(l.ends, id)
@@ -540,9 +625,7 @@
 		}
 		r.pages = make([][]byte, a.pages)
 		r.event.Report, r.event.SpentMS, r.event.UsedMB = a.report, a.spent, a.used
-		for k := 1; k < a.pages; k++ {
-			l.say("more", id, strconv.Itoa(k))
-		}
+		l.put(r)
 		a.page = 0
 	case word == "data", word == "page" && r.pages == nil:
 		f.Strays.Add(1) // a second copy, or nothing that was asked for: the good answer still counts
--- a/internal/wire/executors_test.go
+++ b/internal/wire/executors_test.go
@@ -91,6 +91,16 @@
 	}
 }
 
+func (e *executor) conn(t *testing.T) net.Conn {
+	select {
+	case c := <-e.conns:
+		return c
+	case <-time.After(3 * time.Second):
+		require.Fail(t, "no connection")
+	}
+	return nil
+}
+
 func say(c net.Conn, words ...string) { _, _ = c.Write(appendArray(nil, words...)) }
 
 // fleetOf has one executor, numbered 1, at an address; its connections are closed when unused for idleMS.
@@ -169,6 +179,79 @@
 	assert.Empty(t, e.conns, "an unused one is used again")
 }
 
+// A connection may end between the pages of an answer: the search has run, and the rest is asked for over another one.
+func TestPagesComeOverAnotherConnectionOnce(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		e := standIn(t, "127.0.0.1:0")
+		f, m := fleetOf(t, e.listener.Addr().String(), 15000)
+		f.Send(shotOf("a"))
+		e.hears(t, "fetch a .*")
+		c := e.conn(t)
+		say(c, "a", "data", "batches=3", "one\t1\tx\n")
+		e.hears(t, "more a 1")
+		e.hears(t, "more a 2")
+		say(c, "a", "page", "batch=2", "three\t1\tx\n")
+		c.Close()
+		e.hears(t, "closed|more a 1")
+		e.hears(t, "closed|more a 1")
+		c = e.conn(t)
+		if !known {
+			say(c, "a", "failed", "-", "")
+			assert.Equal(t, rules.Erred, m.next(t).Event.Outcome)
+			continue
+		}
+		say(c, "a", "page", "batch=1", "two\t1\tx\n")
+		e.hears(t, "done a")
+		assert.Equal(t, "one\t1\tx\ntwo\t1\tx\nthree\t1\tx\n", string(m.next(t).Body))
+		assert.Equal(t, uint64(1), f.Moved.Load())
+	}
+}
+
+// A second connection that doesn't come up proves nothing: the search ran.
+func TestAnAnswerLostBetweenPagesMayHaveRun(t *testing.T) {
+	e := standIn(t, "127.0.0.1:0")
+	f, m := fleetOf(t, e.listener.Addr().String(), 15000)
+	f.Send(shotOf("b"))
+	e.hears(t, "fetch b .*")
+	c := e.conn(t)
+	e.listener.Close()
+	say(c, "b", "data", "batches=2", "one\t1\tx\n")
+	e.hears(t, "more b 1")
+	c.Close()
+	assert.Equal(t, rules.Severed, m.next(t).Event.Outcome)
+}
+
+// While used connections break under shots more often than new ones, shots take new ones, and come back in time.
+func TestShotsAvoidTheKindOfConnectionThatBreaks(t *testing.T) {
+	f := &Fleet{}
+	assert.False(t, f.wary())
+	for range 30 {
+		f.tell(onNew, false)
+		f.tell(onUsed, false)
+	}
+	f.tell(onNew, true)
+	assert.False(t, f.wary())
+	f.tell(onUsed, true)
+	f.tell(onUsed, true)
+	assert.True(t, f.wary())
+	for n := 0; f.wary(); n++ {
+		f.tell(onNew, false)
+		require.Less(t, n, 4*fatesRoom)
+	}
+	e := standIn(t, "127.0.0.1:0")
+	f, m := fleetOf(t, e.listener.Addr().String(), 15000)
+	f.Send(shotOf("a"))
+	e.hears(t, "fetch a .*")
+	c := e.conn(t)
+	say(c, "a", "data", "-", "")
+	m.next(t)
+	f.Send(shotOf("b")) // over the same, and lost with it
+	e.hears(t, "fetch b .*")
+	c.Close()
+	assert.Equal(t, rules.Severed, m.next(t).Event.Outcome)
+	assert.Equal(t, []fate{{1, 0}, {1, 1}}, f.fates[:])
+}
+
 // Bytes may be spoilt where every length still fits.
 func TestAPageIsRowsOfThreeColumns(t *testing.T) {
 	for page, want := range map[string]bool{"": true, "a\tb\tc\n": true, "a\tb\tc\n\t\t\n": true, "ä\t\u20ac\t\n": true, "a\tb\tc": false,
@@ -269,7 +352,7 @@
 	f, _ := fleetOf(t, "127.0.0.1:9", 15000)
 	f.mu.Lock() // the connection can't come up meanwhile
 	l := &link{fleet: f, open: map[string]*run{}, ends: map[string]bool{}}
-	r := &run{link: l, shot: shotOf("a")}
+	r := &run{fleet: f, link: l, shot: shotOf("a")}
 	l.open["a"] = r
 	f.mu.Unlock()
 	assert.Equal(t, desk.Unsent, r.CallOff())
