A search that errs at two executors is given up at once

A log of ends showed 52 such ids in 25 s, 21 of them with six shots. Ruled out: telling them apart before they are passed on (statement, figures, key and id have the usual form) and the executors (all alike, 0.2% errors otherwise).

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -52,6 +52,7 @@
 	probeMS     = 500  // ms between probes of an executor under suspicion: two probe time-outs
 	probesBack  = 2    // probes in a row that bring an executor back: one may be luck
 	badInARow   = 5    // failures in a row that set aside, as breaks hit good ones too; one, after a return
+	errorsMost  = 2    // errors after which a search itself is at fault: a third executor would say the same
 	restMS      = 300  // ms that an executor is left alone after it refused
 	coldMargin  = 0.6  // part of the cold budget that is used: what a search weighs is a guess
 	fade        = 0.1  // weight of the newest figure in fading means
@@ -212,7 +213,7 @@
 	})
 	for _, i := range g.waiting {
 		s := &g.slab.places[i]
-		if s.earns == 0 || s.fired > 0 && (g.maySend(s, 0) == never || g.mayDeny(s) && !g.rationLeft()) {
+		if s.earns == 0 || s.erred >= errorsMost || s.fired > 0 && (g.maySend(s, 0) == never || g.mayDeny(s) && !g.rationLeft()) {
 			g.search(i, hopeless)
 		} else if g.full {
 			continue // no executor has room for a single thread, so nobody need ask again in this pass
@@ -479,6 +480,7 @@
 	case Full:
 		e.restUntil = g.now + restMS
 	case Erred, Refused, Severed:
+		s.erred += count(ev.Outcome == Erred)
 		if e.bad++; e.bad > 1 || ev.Outcome == Refused {
 			e.restUntil = g.now + restMS
 		}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -533,3 +533,16 @@
 	assert.Equal(t, 5, len(g.executors))
 	assert.Empty(t, g.slab.byID)
 }
+
+// A search that no executor can use must not eat the ration of further shots, nor go round all executors.
+func TestASearchThatErrsTwiceIsAtFaultItself(t *testing.T) {
+	g := gateway(4, nil)
+	take(g, 1000, "a", "read")
+	assert.Contains(t, kinds(ended(g, 1100, "a", 0, Erred)), Send)
+	assert.Equal(t, []ActionKind{Deny}, kinds(ended(g, 1200, "a", 1, Erred)), "the client hears so at once")
+	take(g, 1300, "b", "once")
+	assert.Equal(t, []ActionKind{WriteOff}, kinds(ended(g, 1400, "b", 0, Erred)))
+	take(g, 1500, "c", "read") // breaks are no errors of the search
+	ended(g, 1600, "c", 0, Severed)
+	assert.Contains(t, kinds(ended(g, 1700, "c", 1, Severed)), Send)
+}
--- a/rules/slab.go
+++ b/rules/slab.go
@@ -45,7 +45,7 @@
 	fired    int
 	out      int // shots without an outcome
 	state    state
-	recalls  int
+	erred    int // shots that ended in an error
 	used     bool
 	bound    bool // a stream has begun: the client owns it
 }
