--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/assert"
@@ -262,3 +264,32 @@
 	d.compare()
 	assert.Regexp(t, `belief aside=true .*executor=s-7 .*id=7 open=2 out=3`, text.String())
 }
+
+// Ids are always new: nothing is kept of a search past its hard limit, however it ended.
+func TestNothingIsKeptOfSearchesThatAreOver(t *testing.T) {
+	f := &side{stopped: Halted}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	d := New(NewClock(), &script{}, log)
+	d.Executors = f
+	for n := range 300 {
+		s := search0(d, f)
+		s.ID, s.Until = fmt.Sprint("a", n), d.clock.Now()+200
+		d.open.Add(1)
+		d.play(Item{Event: rules.Event{Kind: rules.Taken}, Search: s})
+		d.act(d.clock.Now(), &rules.Action{Kind: rules.Send, Search: s.ID, Executor: uint32(n)})
+		switch n % 3 {
+		case 0:
+			d.play(Item{Event: rules.Event{Kind: rules.Ended, Search: s.ID, Outcome: rules.Handled}})
+		case 1:
+			d.play(Item{Event: rules.Event{Kind: rules.Left, Search: s.ID}, Client: f, Token: s.Tag})
+			d.act(d.clock.Now(), &rules.Action{Kind: rules.CallOff, Search: s.ID})
+			d.rest()
+		}
+		d.act(d.clock.Now(), &rules.Action{Kind: rules.Deny, Search: s.ID})
+	}
+	time.Sleep(250 * time.Millisecond) // all hard limits go by
+	d.timers.push(timer{at: d.clock.Now() + 1e6, what: tallies})
+	d.due()
+	assert.Equal(t, []int{0, 0, 1, 0}, []int{len(d.searches), len(d.spent), len(d.timers), d.Open()})
+}
--- a/internal/wire/executors_test.go
+++ b/internal/wire/executors_test.go
@@ -450,3 +450,38 @@
 	run, _ := f.Send(shotOf("g"))
 	assert.Nil(t, run)
 }
+
+// Executors are replaced without end, some at the address of one that is gone: what was kept for them ends with them.
+func TestNothingIsKeptOfExecutorsThatAreGone(t *testing.T) {
+	e := standIn(t, "127.0.0.1:0")
+	at := e.listener.Addr().String()
+	f, m := fleetOf(t, at, 15000)
+	f.links = 100
+	for id := uint32(1); id <= 50; id++ {
+		shot := shotOf(fmt.Sprint("a", id))
+		shot.Executor = id
+		run, _ := f.Send(shot)
+		assert.True(t, f.Probe(id, uint64(id)))
+		e.hears(t, "fetch .*|alive .*")
+		e.hears(t, "fetch .*|alive .*")
+		if id%2 == 0 {
+			run.CallOff()
+		}
+		f.update(false, []listed{{rules.Entry{Executor: id, Standing: rules.Gone}, "s", at},
+			{rules.Entry{Executor: id + 1}, "s", at}})
+		for range 2 {
+			e.conn(t).Close() // it ends, and its connections with it
+		}
+		for len(e.heard) > 0 {
+			<-e.heard
+		}
+	}
+	assert.Equal(t, 1, len(f.machines))
+	assert.Eventually(t, func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.all) == 0 && len(f.machines[51].links) == 0
+	}, 3*time.Second, time.Millisecond)
+	assert.GreaterOrEqual(t, len(m), 25+50, "each shot and each probe was told its end")
+	assert.Zero(t, f.budget.Held())
+}
--- a/internal/wire/front_test.go
+++ b/internal/wire/front_test.go
@@ -227,3 +227,28 @@
 	assert.True(t, cut)
 	assert.Eventually(t, func() bool { return f.answers.Held() == 0 }, 5*time.Second, time.Millisecond)
 }
+
+// Clients and connections are always new: what was kept for them ends with them.
+func TestNothingIsKeptOfClientsThatAreGone(t *testing.T) {
+	f, m, first, _ := door(t, Doors{Clients: 10})
+	first.Close()
+	for n := range 100 {
+		c, r := dial(t, f)
+		ask(c, look(1, fmt.Sprint("a", n)))
+		s := m.next(t).Search
+		if n%2 == 0 {
+			s.Client.Handled(s.Tag, nil)
+			_, _ = readMessage(r, nil)
+		}
+		c.Close()
+		if n%2 == 1 {
+			assert.Equal(t, rules.Left, m.next(t).Event.Kind)
+		}
+	}
+	assert.Eventually(t, func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.clients) == 0 && len(f.places) == 0
+	}, 3*time.Second, time.Millisecond)
+	assert.Zero(t, f.bodies.Held()+f.answers.Held())
+}
--- a/internal/wire/parsers_test.go
+++ b/internal/wire/parsers_test.go
@@ -204,6 +204,10 @@
 	f.Add(appendMessage(nil, func(b []byte) []byte {
 		return append(b, `{"id":1,"jsonrpc":"2.0","method":"x","params":{"req":"a","timeout":5,"data":"c2VsZWN0"}}`...)
 	}))
+	for _, bad := range []string{"Content-Length: -1\r\n\r\n", "Content-Length: 60000000\r\n\r\n{", "Content-Length: 9\r\n\r\n{}", "x",
+		"Content-Length: 83\r\n\r\n" + `{"id":1,"jsonrpc":"2.0","method":"x","params":{"req":"","timeout":1e999,"ms":"NaN"}}`} {
+		f.Add([]byte(bad))
+	}
 	f.Fuzz(func(t *testing.T, in []byte) {
 		r := bufio.NewReader(bytes.NewReader(in))
 		for {
@@ -223,6 +227,10 @@
 func FuzzArray(f *testing.F) {
 	f.Add(appendArray(nil, "9b1f03aa5c7e2d41", "news", "remark=pct,num=0.5", ""))
 	f.Add(appendArray(nil, "9b1f03aa5c7e2d41", "data", "batches=2,report=1,2", "a\tb\tc\n"))
+	for _, bad := range []string{"*4\r\n$1\r\na\r\n$4\r\ndata\r\n$1\r\n-\r\n$3000000000\r\nxx", "*4\r\n:5\r\n", "*1\r\n$2\r\nabxx\r\n",
+		"*2\r\n$1\r\na\r\n$12\r\nbatches=-900\r\n"} {
+		f.Add([]byte(bad))
+	}
 	f.Fuzz(func(t *testing.T, in []byte) {
 		r := bufio.NewReader(bytes.NewReader(in))
 		for {
@@ -234,6 +242,9 @@
 			for _, p := range parts {
 				size += len(p)
 				_, _ = readAnswer(string(p), []string{"queue"})
+				if wholeRows(p) && bytes.Count(p, []byte("\t")) != 2*bytes.Count(p, []byte("\n")) {
+					t.Fatalf("no rows: %q", p)
+				}
 			}
 			if size > len(in) {
 				t.Fatal("more came out than went in")
