A shot is called off only where the ration has one for each that waits to return

Ruled out by the tally and log: lost replies, the release, executors set aside, the stop.

At fault: rules.go, mayFollow, asked for room for one shot and did not count those that wait to return. What was called off past the ration was denied.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -164,7 +164,7 @@
 			}
 		}
 	}
-	if s.fired > 0 && !g.rationLeft() || s.key != "" && (g.now < g.rests[s.key] || g.earlier(s)) {
+	if s.fired > 0 && !g.rationLeft(0) || s.key != "" && (g.now < g.rests[s.key] || g.earlier(s)) {
 		return notNow
 	}
 	if !among(o.kinds, e.kind) || !among(o.places, e.place) || e.standing != Active || e.state == aside ||
@@ -174,12 +174,12 @@
 	return yes
 }
 
-// rationLeft tells whether one more shot beyond a search's first stays within the ration.
-func (g *Gateway) rationLeft() bool {
+// rationLeft tells whether one more shot beyond a search's first, besides those coming, is in the ration.
+func (g *Gateway) rationLeft(coming int) bool {
 	length := g.given.Num("ration_span_ms", 0)
 	g.extras.forget(g.now-length-beatMS, 0)
 	g.takes.forget(g.now-length, 0)
-	return length == 0 || float64(g.extras.count()+1) <= g.given.Num("ration_floor", 0)+
+	return length == 0 || float64(g.extras.count()+coming+1) <= g.given.Num("ration_floor", 0)+
 		g.given.Num("ration_share", 0)*float64(g.takes.count())
 }
 
@@ -213,7 +213,7 @@
 	})
 	for _, i := range g.waiting {
 		s := &g.slab.places[i]
-		if s.earns == 0 || s.erred >= errorsMost || s.fired > 0 && (g.maySend(s, 0) == never || g.mayDeny(s) && !g.rationLeft()) {
+		if s.earns == 0 || s.fired > 0 && (g.maySend(s, 0) == never || g.mayDeny(s) && !g.rationLeft(0)) {
 			g.search(i, hopeless)
 		} else if g.full {
 			continue // no executor has room for a single thread, so nobody need ask again in this pass
@@ -232,7 +232,7 @@
 	o := &g.offerings[s.offering]
 	least := s.work / float64(o.threads)
 	switch {
-	case g.now+least > s.until-closingMS:
+	case g.now+least > s.until-closingMS || s.erred >= errorsMost:
 		return 0
 	case g.now+least > s.due:
 		return o.gain * o.late / s.work
@@ -461,7 +461,7 @@
 }
 
 func (g *Gateway) mayFollow(s *search) bool {
-	return g.given.Is("may_call_off") && g.shotsLeft(s) && g.rationLeft()
+	return g.given.Is("may_call_off") && g.shotsLeft(s) && g.rationLeft(g.returning())
 }
 
 func (g *Gateway) shotsLeft(s *search) bool {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -197,9 +197,9 @@
 	for range 9 {
 		g.takes.add(1030, 1)
 	}
-	assert.True(t, g.rationLeft(), "a tenth of ten")
+	assert.True(t, g.rationLeft(0), "a tenth of ten")
 	g.now = 11025
-	assert.False(t, g.rationLeft(), "the first was taken too long ago")
+	assert.False(t, g.rationLeft(0), "the first was taken too long ago")
 }
 
 func TestShotsLeft(t *testing.T) {
@@ -546,3 +546,20 @@
 	ended(g, 1600, "c", 0, Severed)
 	assert.Contains(t, kinds(ended(g, 1700, "c", 1, Severed)), Send)
 }
+
+// Called off without a further shot to follow, a shot that might still be handled would be thrown away.
+func TestNobodyIsCalledOffForAShotThatTheRationLacks(t *testing.T) {
+	g := gateway(2, Given{"ration_span_ms": 10000.0, "ration_floor": 1.0, "offering.0.stands_behind": true})
+	for _, id := range []string{"a", "b"} {
+		take(g, 1000, id, "read")
+	}
+	for k := range g.executors { // nobody else has room, so that the first waits for its next shot
+		g.executors[k].threads += 100
+	}
+	behind := func(id string) []ActionKind {
+		return kinds(g.Step(1100, &Event{Kind: Noted, Search: id, Note: Waits, Value: 2}, nil))
+	}
+	assert.Contains(t, behind("a"), CallOff)
+	assert.Equal(t, 1, g.returning())
+	assert.NotContains(t, behind("b"), CallOff)
+}
--- a/rules/slab.go
+++ b/rules/slab.go
@@ -552,6 +552,16 @@
 	s.out, e.out, e.threads, e.memory = s.out-1, e.out-1, e.threads-h.threads, e.memory-h.grant
 }
 
+// returning counts the searches whose shot was lost or called off and that wait for their next one. Whoever is called off
+// besides them needs one more: without it a shot would be thrown away that might still have been handled.
+func (g *Gateway) returning() (n int) {
+	for i := range g.slab.places {
+		s := &g.slab.places[i]
+		n += count(s.used && s.fired > 0 && (s.state == waiting || s.state == recalling))
+	}
+	return n
+}
+
 // holds tells whether a load is known to hold a group on an executor.
 func (g *Gateway) holds(group uint64, x int) bool {
 	return slices.ContainsFunc(g.held, func(h holding) bool { return h.group == group && h.executor == x })
