--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -285,8 +285,9 @@
 			d.play(Item{Event: rules.Event{Kind: rules.Left, Search: s.ID}, Client: f, Token: s.Tag})
 			d.act(d.clock.Now(), &rules.Action{Kind: rules.CallOff, Search: s.ID})
 			d.rest()
+		default:
+			d.act(d.clock.Now(), &rules.Action{Kind: rules.Deny, Search: s.ID})
 		}
-		d.act(d.clock.Now(), &rules.Action{Kind: rules.Deny, Search: s.ID})
 	}
 	time.Sleep(250 * time.Millisecond) // all hard limits go by
 	d.timers.push(timer{at: d.clock.Now() + 1e6, what: tallies})
