--- a/internal/wire/executors_test.go
+++ b/internal/wire/executors_test.go
@@ -472,8 +472,13 @@
 		for range 2 {
 			e.conn(t).Close() // it ends, and its connections with it
 		}
-		for len(e.heard) > 0 {
-			<-e.heard
+		for closed := 0; closed < 2; {
+			select {
+			case word := <-e.heard:
+				closed += strings.Count(word, "closed")
+			case <-time.After(3 * time.Second):
+				require.Fail(t, "a connection stays")
+			}
 		}
 	}
 	assert.Equal(t, 1, len(f.machines))
