--- /dev/null
+++ b/internal/members/news.go
@@ -0,0 +1,482 @@
+package members
+
+import (
+	"fmt"
+	"math"
+	"slices"
+)
+
+// merge takes what somebody says of a member. By an exchange it comes with the whole view of who says it.
+func (v *View) merge(m *Member, by string, whole bool) (changed bool) {
+	if m.Name == v.self.Name {
+		v.ofMyself(m, by)
+		return false
+	}
+	h := v.byName[m.Name]
+	if h == nil {
+		if h = v.enter(m); h == nil {
+			return false
+		}
+	}
+	if m.Life < h.Life {
+		return false // an old life never comes back
+	}
+	if m.Life > h.Life {
+		if h.Phase.Living() && h.Address != m.Address && m.Phase.Living() && h.Phase != Suspect {
+			v.note(h, "a later life of it, at "+m.Address, by)
+		}
+		v.reset(h, m)
+	} else if m.Inc < h.Inc || m.Inc == h.Inc && m.Address > h.Address {
+		return false
+	}
+	in := inputs[m.Phase]
+	if own := in <= saysHere; own && m.Inc == h.Inc && h.Phase != Unknown {
+		return false // known
+	}
+	if m.Phase == Suspect || m.Phase == Gone {
+		who := m.By
+		if who == "" {
+			who = by
+		}
+		if h.Phase != m.Phase {
+			v.note(h, "said to be "+m.Phase.String()+", by way of "+by, who)
+		}
+	}
+	return v.input(h, in, m)
+}
+
+// input plays an input on a member, with the news that it comes from.
+func (v *View) input(h *member, in input, m *Member) bool {
+	r := find(h.Phase, in)
+	if r == nil {
+		return false
+	}
+	was, marks, inc := h.Phase, h.Marks, h.Inc
+	h.Inc = max(h.Inc, m.Inc)
+	if in <= saysLeft || was == Unknown {
+		h.Marks, h.Version, h.Address, h.Zone, h.Region = m.Marks, m.Version, m.Address, m.Zone, m.Region
+	}
+	if h.Phase = r.next; r.do != nil {
+		r.do(v, h, m)
+	}
+	if h.Phase != was {
+		if h.Since = v.now; h.Phase == Suspect && !slices.Contains(v.accused, h) {
+			v.accused = append(v.accused, h)
+		}
+		v.living += count(h.Phase.Living()) - count(was.Living())
+		if h.Phase.Living() && !was.Living() {
+			v.seat(h)
+		}
+	}
+	if h.Phase != Suspect {
+		h.By, h.accusers, h.hurried = "", nil, false
+	}
+	moved := h.Phase != was || h.Marks != marks
+	if moved || h.Inc != inc {
+		v.rehash(h)
+		v.tellAll(h)
+	}
+	if moved {
+		v.effects = append(v.effects, Effect{Kind: Changed, Member: h.Member, From: was, Why: v.why(h)})
+	}
+	return moved
+}
+
+// why is the newest evidence of a member that is accused or gone.
+func (v *View) why(h *member) string {
+	if len(h.evidence) == 0 || h.Phase != Suspect && h.Phase != Gone {
+		return ""
+	}
+	e := h.evidence[len(h.evidence)-1]
+	return e.What + " (" + e.Who + ")"
+}
+
+// note keeps evidence of a member that somebody complains of.
+func (v *View) note(h *member, what, who string) {
+	if len(h.evidence) >= keptEvidence {
+		h.evidence = append(h.evidence[:0], h.evidence[1:]...)
+	}
+	h.evidence = append(h.evidence, Evidence{At: v.now, What: what, Who: who})
+}
+
+// enter makes room for one that was not known.
+func (v *View) enter(m *Member) *member {
+	if len(v.byName) >= v.most && !v.makeRoom() {
+		v.counts.Crowded++
+		return nil
+	}
+	h := &member{Member: Member{Name: m.Name, Life: m.Life, Address: m.Address}}
+	v.byName[m.Name] = h
+	return h
+}
+
+// makeRoom forgets the one that has been gone for longest.
+func (v *View) makeRoom() bool {
+	var old *member
+	for _, h := range v.byName {
+		if !h.Phase.Living() && h != v.self && (old == nil || h.Since < old.Since || h.Since == old.Since && h.Name < old.Name) {
+			old = h
+		}
+	}
+	if old != nil {
+		v.forget(old)
+	}
+	return old != nil
+}
+
+func (v *View) forget(h *member) {
+	delete(v.byName, h.Name)
+	v.hash ^= h.hash
+	h.tells = 0
+	if k := slices.Index(v.ring, h); k >= 0 {
+		v.ring = slices.Delete(v.ring, k, k+1)
+	}
+}
+
+// seat puts a member at a place of the ring that is drawn.
+func (v *View) seat(h *member) {
+	if !slices.Contains(v.ring, h) {
+		v.ring = slices.Insert(v.ring, int(v.chance()*float64(len(v.ring)+1)), h)
+	}
+}
+
+// reset makes room for a later life of a name.
+func (v *View) reset(h *member, m *Member) {
+	v.living -= count(h.Phase.Living())
+	v.ring = slices.DeleteFunc(v.ring, func(o *member) bool { return o == h })
+	v.hash ^= h.hash
+	h.hash = 0
+	h.Member = Member{Name: m.Name, Life: m.Life, Address: m.Address}
+	h.accusers, h.hurried = nil, false
+	v.probes = slices.DeleteFunc(v.probes, func(p probe) bool { return p.of == h })
+}
+
+// rehash counts a member's new state into the view's hash. What is not living counts by its life alone: it is forgotten at
+// different times.
+func (v *View) rehash(h *member) {
+	v.hash ^= h.hash
+	h.hash = 0
+	if h.Phase.Living() {
+		h.hash = hashOf(&h.Member)
+	}
+	v.hash ^= h.hash
+}
+
+// tellAll lines up news of a member, ahead of older ones.
+func (v *View) tellAll(h *member) {
+	h.tells = newsLogs * int(math.Ceil(math.Log10(float64(v.living+2))))
+	v.calmAt = v.now + calmMS
+	if !h.queued {
+		h.queued = true
+		v.news = append(v.news, nil)
+		copy(v.news[1:], v.news)
+		v.news[0] = h
+	}
+}
+
+// pack writes a message with as much news as fits. First is who goes ahead of all, if anybody: the one who is told of itself what
+// is held against it.
+func (v *View) pack(m *message, first *member) []byte {
+	b := v.header(m)
+	put := func(n *Member) bool {
+		with := appendRecord(b, n)
+		if len(with) > mostDatagram {
+			return false
+		}
+		b = with
+		return true
+	}
+	for k := range m.news {
+		put(&m.news[k])
+	}
+	if first != nil && first.Phase != Here && first.Phase != Joining && first.Phase != Unknown {
+		put(&first.Member)
+	}
+	told := 0
+	for ; told < len(v.news); told++ {
+		h := v.news[told]
+		if h == v.self || h == first {
+			h.tells--
+			continue // stands in front
+		}
+		if h.tells <= 0 {
+			continue
+		}
+		if !put(&h.Member) {
+			break
+		}
+		h.tells--
+	}
+	done := append([]*member(nil), v.news[:told]...)
+	v.news = append(v.news[:0], v.news[told:]...)
+	for _, h := range done {
+		if h.tells > 0 {
+			v.news = append(v.news, h)
+		} else {
+			h.queued = false
+		}
+	}
+	return b
+}
+
+func (v *View) send(to *member, m *message, first *member) { v.sendTo(to.Address, m, first) }
+
+func (v *View) sendTo(address string, m *message, first *member) {
+	data := v.pack(m, first)
+	v.counts.Sent++
+	v.counts.SentBytes += uint64(len(data))
+	v.effects = append(v.effects, Effect{Kind: Send, To: address, Data: data})
+}
+
+// spread tells news to some at once, not only with probes.
+func (v *View) spread() {
+	for k := 0; k < gossipTo && len(v.news) > 0; k++ {
+		if m := v.anyone(nil); m != nil {
+			v.send(m, &message{kind: gossip}, nil)
+		}
+	}
+}
+
+// ---- what is said of this controller
+
+// ofMyself answers what others say of this controller.
+func (v *View) ofMyself(m *Member, by string) {
+	if m.Life != v.self.Life || m.Address != v.self.Address {
+		v.heardTwin(m, false)
+		return
+	}
+	if m.Phase != Suspect && m.Phase != Gone && m.Inc <= v.self.Inc || m.Inc < v.self.Inc || v.self.Phase == Left {
+		return
+	}
+	v.counts.Refuted++
+	if m.Phase == Gone {
+		v.counts.Condemned++
+	}
+	v.note(v.self, "said to be "+m.Phase.String()+", refuted", by)
+	v.trust(1)
+	v.self.Inc = m.Inc + 1
+	v.rehash(v.self)
+	v.tellAll(v.self)
+}
+
+// ---- suspicion
+
+// leastSuspicion is the time in which a suspect may say that it is here.
+func (v *View) leastSuspicion() float64 {
+	return max(v.suspectMS, suspectLogs*v.probeMS*math.Log10(float64(v.living+1)))
+}
+
+// span is how long a suspicion lasts with so many who accuse.
+func (v *View) span(h *member) float64 {
+	least := v.leastSuspicion()
+	most, need := least*suspectMost, min(accusers, max(1, v.living-1))
+	if h.hurried || need <= 1 || len(h.accusers) >= need {
+		return least
+	}
+	return max(least, most-(most-least)*math.Log(float64(len(h.accusers)))/math.Log(float64(need)))
+}
+
+func (v *View) accuse(h *member, m *Member) {
+	h.accusedAt, h.By = v.now, m.By
+	h.accusers = append(h.accusers[:0], m.By)
+	h.until = v.now + v.span(h)
+	if m.By != v.self.Name && v.chance()*float64(v.living) < lookers {
+		v.probeOf(h)
+	}
+}
+
+// confirm adds one more who accuses; news of it is told on, as others wait for it, too.
+func (v *View) confirm(h *member, m *Member) {
+	if m.By == "" || len(h.accusers) >= accusers || slices.Contains(h.accusers, m.By) {
+		return
+	}
+	h.accusers = append(h.accusers, m.By)
+	h.By = m.By
+	h.until = min(h.until, max(v.now, h.accusedAt+v.span(h)))
+	v.tellAll(h)
+}
+
+// hasten starts a suspicion of the least length: others have waited already.
+func (v *View) hasten(h *member, m *Member) {
+	v.accuse(h, m)
+	h.hurried = true
+	h.until = v.now + v.span(h)
+}
+
+// acquit ends a suspicion: its subject spoke.
+func (v *View) acquit(h *member, _ *Member) { h.accusers = nil }
+
+// welcome takes back one that was given up.
+func (v *View) welcome(h *member, m *Member) {
+	v.note(h, fmt.Sprintf("says that it is here, incarnation %d", m.Inc), h.Name)
+}
+
+// bury gives a member up. Where many go at once, it may be this controller that is cut off: it raises its incarnation, so that
+// what the others say of it meanwhile is refuted before they meet again.
+func (v *View) bury(h *member, m *Member) {
+	if m.By == "" {
+		v.note(h, "did not say in time that it is here", v.self.Name)
+	}
+	if v.now > v.cutAt+cutMS {
+		v.cutAt, v.gones = v.now, 0
+	}
+	v.gones++
+	if v.gones == max(cutLeast, int(cutShare*float64(v.living))) {
+		v.effects = append(v.effects, Effect{Kind: Cut})
+		v.self.Inc++
+		v.rehash(v.self)
+		v.tellAll(v.self)
+	}
+}
+
+// endSuspicions gives up who has not spoken in time. One that stood still itself waits until it hears again.
+func (v *View) endSuspicions() {
+	if v.now < v.trustAt {
+		return
+	}
+	if v.self.Marks&Stalled != 0 {
+		v.mark(v.self.Marks &^ Stalled)
+	}
+	kept := v.accused[:0]
+	for _, h := range v.accused {
+		if h.Phase == Suspect && v.now >= h.until {
+			v.input(h, expired, &Member{Name: h.Name, Life: h.Life, Inc: h.Inc})
+		}
+		if h.Phase == Suspect {
+			kept = append(kept, h)
+		}
+	}
+	clear(v.accused[len(kept):])
+	v.accused = kept
+}
+
+// ---- exchanges
+
+// exchange begins one: the hash first, whole views only where it differs.
+func (v *View) exchange(address string) {
+	v.counts.Exchanges++
+	v.effects = append(v.effects, Effect{Kind: Exchange, To: address, Data: v.header(&message{kind: digest})})
+}
+
+// fullState is all that the view holds, as a message.
+func (v *View) fullState() []byte {
+	b := v.header(&message{kind: full})
+	for _, m := range v.Members() {
+		if m.Name != v.self.Name && m.Phase != Unknown {
+			b = appendRecord(b, &m)
+		}
+	}
+	return b
+}
+
+// exchanged takes a part of an exchange, the asker's or the reply.
+func (v *View) exchanged(ev *Event, asked bool) {
+	m, ok := v.read(ev.Data)
+	if !ok {
+		return
+	}
+	reply := func(data []byte) {
+		if asked {
+			v.effects = append(v.effects, Effect{Kind: Reply, Data: data})
+		}
+	}
+	if m.own.Name == v.self.Name {
+		v.heardTwin(&m.own, m.own.Address != v.self.Address)
+		reply(v.header(&message{kind: same}))
+		return
+	}
+	changes := count(v.merge(&m.own, m.own.Name, true))
+	for k := range m.news {
+		changes += count(v.merge(&m.news[k], m.own.Name, true))
+	}
+	if len(m.news) > 0 {
+		v.counts.Merged++
+	}
+	if v.self.Phase == Joining && !asked {
+		v.say(Here)
+	}
+	switch {
+	case m.kind == digest && m.hash == v.hash:
+		reply(v.header(&message{kind: same}))
+	case m.kind == digest:
+		reply(v.fullState())
+	case m.kind == full && asked:
+		reply(v.header(&message{kind: same}))
+	case m.kind == full && m.hash != v.hash: // it lacks something that is known here
+		v.effects = append(v.effects, Effect{Kind: Exchange, To: ev.From, Data: v.fullState()})
+	}
+	if changes >= hotChanges {
+		v.warm()
+	}
+}
+
+// warm has exchanges follow one another for a while: two halves meet.
+func (v *View) warm() {
+	v.hot = hotRounds
+	v.exchangeAt = min(v.exchangeAt, v.now+v.probeMS*(0.3+0.7*v.chance()))
+}
+
+// compare begins an exchange with one whose view has been another for a while, though there is no news.
+func (v *View) compare(hash uint64, with *member) {
+	if hash != v.hash && with != nil && with.Phase.Living() && len(v.news) == 0 && v.now >= v.calmAt {
+		v.calmAt = v.now + calmMS*(0.5+v.chance())
+		v.exchange(with.Address)
+	}
+}
+
+// seekLost tries a seed that nobody living is at, or one that is gone: halves that were parted meet again by it.
+func (v *View) seekLost() {
+	v.watchTwin()
+	if v.self.Phase == Leaving {
+		return
+	}
+	var at []string
+	for _, s := range v.seeds {
+		if !slices.ContainsFunc(v.ring, func(h *member) bool { return h.Address == s && h.Phase.Living() }) {
+			at = append(at, s)
+		}
+	}
+	if v.self.Phase == Joining {
+		if len(at) > 0 {
+			v.exchange(at[int(v.chance()*float64(len(at)))])
+		} else if m := v.anyone(nil); m != nil {
+			v.exchange(m.Address)
+		}
+		v.returnAt = v.now + v.probeMS
+		return
+	}
+	var gone []*member
+	for _, h := range v.ring {
+		if h.Phase == Gone {
+			gone = append(gone, h)
+		}
+	}
+	if n := len(at) + len(gone); n > 0 {
+		v.numbers++
+		if k := int(v.chance() * float64(n)); k < len(at) {
+			v.sendTo(at[k], &message{kind: ping, number: v.numbers}, nil)
+		} else {
+			h := gone[k-len(at)]
+			v.send(h, &message{kind: ping, number: v.numbers}, h)
+		}
+	}
+}
+
+// sweep forgets who has been gone for long. Its name is kept that long so that an old life is known when it is heard of again.
+func (v *View) sweep() {
+	v.sweepAt = v.now + cutMS
+	var old []*member
+	for _, h := range v.byName {
+		if h != v.self && !h.Phase.Living() && v.now-h.Since > forgetMS {
+			old = append(old, h)
+		}
+	}
+	for _, h := range old {
+		v.forget(h)
+	}
+	for k := len(v.ring) - 1; k >= 0; k-- {
+		if v.ring[k].Phase == Left {
+			v.ring = slices.Delete(v.ring, k, k+1)
+		}
+	}
+}
--- /dev/null
+++ b/internal/members/table.go
@@ -0,0 +1,69 @@
+package members
+
+// input is what a member's phase goes by.
+type input uint8
+
+// Inputs. What a member says of itself counts if its incarnation is later than the one held; what others say, if it is not
+// earlier; what it says on leaving, if it is not earlier either.
+const (
+	saysJoining input = iota
+	saysHere
+	saysLeaving
+	saysLeft
+	accused   // somebody had no answer from it
+	condemned // somebody waited in vain for it to say that it is here
+	silent    // no answer to this controller, nor by way of others
+	expired   // the time in which it could have said that it is here is over
+)
+
+type row struct {
+	phase Phase
+	input input
+	next  Phase
+	do    func(*View, *member, *Member)
+}
+
+// table has for each phase and input the next phase and what is done besides. What is not in it changes nothing.
+var table = []row{
+	{Unknown, saysJoining, Joining, nil},
+	{Unknown, saysHere, Here, nil},
+	{Unknown, saysLeaving, Leaving, nil},
+	{Unknown, saysLeft, Left, nil},
+	{Unknown, accused, Suspect, (*View).accuse},
+	{Unknown, condemned, Gone, nil},
+	{Joining, saysHere, Here, nil},
+	{Joining, accused, Suspect, (*View).accuse},
+	{Joining, silent, Suspect, (*View).accuse},
+	{Joining, condemned, Suspect, (*View).hasten},
+	{Here, saysHere, Here, nil},
+	{Here, accused, Suspect, (*View).accuse},
+	{Here, silent, Suspect, (*View).accuse},
+	{Here, condemned, Suspect, (*View).hasten}, // it may say that it is here before this view, too, gives it up
+	{Suspect, saysJoining, Joining, (*View).acquit},
+	{Suspect, saysHere, Here, (*View).acquit},
+	{Suspect, accused, Suspect, (*View).confirm},
+	{Suspect, silent, Suspect, (*View).confirm},
+	{Suspect, condemned, Gone, (*View).bury},
+	{Suspect, expired, Gone, (*View).bury},
+	{Gone, saysJoining, Joining, (*View).welcome},
+	{Gone, saysHere, Here, (*View).welcome},
+	{Leaving, silent, Left, nil}, // it said that it would go
+	{Leaving, accused, Leaving, nil},
+	{Leaving, condemned, Left, nil},
+	{Left, saysLeft, Left, nil},
+	{anyPhase, saysLeaving, Leaving, (*View).acquit},
+	{anyPhase, saysLeft, Left, (*View).acquit},
+}
+
+// find gives the row for a phase and an input, or nil. A row for its own phase goes before one for any.
+func find(p Phase, in input) *row {
+	for k := range table {
+		if r := &table[k]; r.input == in && (r.phase == p || r.phase == anyPhase && p != Left) {
+			return r
+		}
+	}
+	return nil
+}
+
+// inputs gives the input that news of a member in some phase is.
+var inputs = [...]input{Joining: saysJoining, Here: saysHere, Suspect: accused, Gone: condemned, Leaving: saysLeaving, Left: saysLeft}
