--- a/internal/installation/door.go
+++ b/internal/installation/door.go
@@ -30,6 +30,9 @@
 
 // answer answers a question of the operators' tools.
 func (i *Installation) answer(_ context.Context, question string, fields map[string]any) (map[string]any, error) {
+	if ours, out, err := i.fleet.answer(question, fields); ours {
+		return out, err
+	}
 	if i.team == nil {
 		return nil, control.Wrongf("there are no budgets: the operators' file has no block budgets")
 	}
--- /dev/null
+++ b/internal/installation/fleet.go
@@ -0,0 +1,264 @@
+package installation
+
+import (
+	"fmt"
+	"hash/crc32"
+	"math"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"liftshift/internal/control"
+	"liftshift/internal/desk"
+	"liftshift/internal/fleetwire"
+	"liftshift/internal/ledger"
+	"liftshift/internal/members"
+	"liftshift/internal/operator"
+	"liftshift/rules"
+)
+
+const (
+	lifeNote    = "fleet life"
+	version     = 1  // of what this program can say to others
+	mostLines   = 40 // lines of the log for changes in the fleet, in so long
+	linesSpan   = 10 * time.Second
+	changedRoom = 64
+)
+
+// fleet joins the view of the fleet to a controller: who uses it, what is logged, what is asked of it. It decides nothing.
+type fleet struct {
+	inst    *Installation
+	file    *operator.Fleet
+	carrier *fleetwire.Carrier
+	view    *members.View // the carrier's goroutine owns it
+	clock   desk.Clock
+	log     logrus.FieldLogger
+	changes chan float64 // how many there are, for the desk
+	ended   chan struct{}
+
+	lines   int
+	linesAt float64
+	unsaid  uint64
+	present float64
+	counts  atomic.Pointer[members.Counts]
+}
+
+// openFleet makes the view and begins to listen, where the file has a block fleet.
+func (i *Installation) openFleet(name string, given rules.Given, clock desk.Clock) error {
+	file := i.file.Fleet
+	if file == nil {
+		return nil
+	}
+	if file.Member != "" {
+		name = file.Member
+	}
+	if name == "" {
+		return fmt.Errorf("fleet: this controller has no name: give member, or a name in the platform's configuration")
+	}
+	f := &fleet{inst: i, file: file, clock: clock, log: i.log, changes: make(chan float64, changedRoom), ended: make(chan struct{})}
+	f.carrier = fleetwire.New(file.Listen, i.log)
+	f.carrier.Said = f.said
+	self := members.Member{Name: name, Life: f.life(), Address: file.Address, Zone: file.Zone, Region: file.Region, Version: version}
+	seed := crc32.ChecksumIEEE([]byte(name + strconv.FormatUint(self.Life, 10)))
+	f.view = members.New(f.carrier.Now(), file.Name, self, file.Seeds, file.Given, seed)
+	if err := f.carrier.Start(f.view, nil); err != nil {
+		return err
+	}
+	i.fleet = f
+	i.log.WithFields(logrus.Fields{"fleet": file.Name, "member": name, "life": self.Life, "address": file.Address}).Info("fleet: joining")
+	return nil
+}
+
+// life gives the number of this start: later than any that is on record here, and than any start before by the machine's clock.
+func (f *fleet) life() uint64 {
+	life := uint64(max(1, time.Now().UnixMilli()))
+	if f.inst.keep == nil {
+		return life
+	}
+	for _, n := range f.inst.keep.Notes() {
+		if n.ID != lifeNote {
+			continue
+		}
+		if before, err := strconv.ParseUint(string(n.Body), 10, 64); err == nil && before >= life {
+			life = before + 1
+		}
+	}
+	f.keepLife(life)
+	return life
+}
+
+func (f *fleet) keepLife(life uint64) {
+	f.inst.keep.Step(f.clock.Now(), &ledger.Event{Kind: ledger.Noted, ID: lifeNote, Body: []byte(strconv.FormatUint(life, 10))})
+}
+
+// begin tells the others that this controller serves, and the module how many there are whenever that changes.
+func (f *fleet) begin() {
+	if f == nil {
+		return
+	}
+	f.carrier.Mark(members.Ready)
+	go func() {
+		for {
+			select {
+			case n := <-f.changes:
+				f.inst.desk.Put(desk.Item{Event: rules.Event{Kind: rules.Counted, Value: n}})
+				if t := f.inst.team; t != nil {
+					f.inst.desk.Put(desk.Item{Call: func(float64) { t.parts.Owners(int(n)) }})
+				}
+			case <-f.ended:
+				return
+			}
+		}
+	}()
+}
+
+func (f *fleet) stopping() {
+	if f != nil {
+		f.carrier.Mark(members.Draining)
+		f.carrier.Leave()
+	}
+}
+
+func (f *fleet) close() {
+	if f != nil {
+		f.carrier.Stop()
+		close(f.ended)
+	}
+}
+
+// said takes what the view says; the carrier's goroutine calls it.
+func (f *fleet) said(now float64, e members.Effect) {
+	m := &e.Member
+	switch e.Kind {
+	case members.Changed:
+		if m.Name != f.view.Self().Name {
+			line := f.line(now).WithFields(logrus.Fields{"member": m.Name, "life": m.Life, "was": e.From.String(), "zone": m.Zone, "why": e.Why})
+			if m.Phase == members.Gone || m.Phase == members.Suspect {
+				line.Warn("fleet: " + m.Phase.String())
+			} else if e.From != m.Phase {
+				line.Info("fleet: " + m.Phase.String())
+			}
+		}
+	case members.Relived:
+		f.log.WithField("life", m.Life).Warn("fleet: the others knew a later life of this name; this one goes on under a later still")
+		if f.inst.keep != nil {
+			life := m.Life
+			go f.inst.desk.Put(desk.Item{Call: func(float64) { f.keepLife(life) }})
+		}
+	case members.Twins:
+		f.log.WithFields(logrus.Fields{"name": m.Name, "address": m.Address, "life": m.Life, "why": e.Why}).Error("fleet: a name borne twice")
+	case members.Stood:
+		f.line(now).WithField("ms", math.Round(e.MS)).Warn("fleet: this controller stood still, and judges nobody by it")
+	case members.Cut:
+		f.log.Warn("fleet: many went at once; it may be this controller that is cut off")
+	}
+	if n := f.view.Present(); n != f.present {
+		select {
+		case f.changes <- n:
+			f.present = n
+		default: // told with the next change
+		}
+	}
+	c := f.view.Counts()
+	f.counts.Store(&c)
+}
+
+// line bounds the lines that a fleet in trouble costs.
+func (f *fleet) line(now float64) logrus.FieldLogger {
+	if now > f.linesAt+float64(linesSpan/time.Millisecond) {
+		if f.unsaid > 0 {
+			f.log.WithField("lines", f.unsaid).Warn("fleet: further changes were not logged one by one")
+		}
+		f.lines, f.linesAt, f.unsaid = 0, now, 0
+	}
+	if f.lines++; f.lines > mostLines {
+		f.unsaid++
+		return silence
+	}
+	return f.log
+}
+
+// silence is a log that says nothing.
+var silence = func() logrus.FieldLogger {
+	l := logrus.New()
+	l.SetLevel(logrus.PanicLevel)
+	return l
+}()
+
+// count logs the counters.
+func (f *fleet) count() {
+	if f == nil {
+		return
+	}
+	c := f.counts.Load()
+	if c == nil {
+		return
+	}
+	f.log.WithFields(logrus.Fields{"probes": c.Probes, "unanswered": c.Unanswered, "indirect": c.Indirect, "refuted": c.Refuted,
+		"condemned": c.Condemned, "stalls": c.Stalls, "sent": c.Sent, "sent_bytes": c.SentBytes, "heard": c.Heard, "foreign": c.Foreign,
+		"newer": c.Newer, "malformed": c.Malformed, "exchanges": c.Exchanges, "merged": c.Merged, "crowded": c.Crowded,
+		"dropped": f.carrier.Dropped.Load(), "calls_lost": f.carrier.CallsLost.Load()}).Info("fleet")
+}
+
+// answer answers the questions of the operators' tools that are the fleet's.
+func (f *fleet) answer(question string, fields map[string]any) (ours bool, out map[string]any, err error) {
+	if !strings.HasPrefix(question, "members") && !strings.HasPrefix(question, "council") {
+		return false, nil, nil
+	}
+	if f == nil {
+		return true, nil, control.Wrongf("there is no fleet: the operators' file has no block fleet")
+	}
+	done := f.carrier.Do(func(now float64, v *members.View) {
+		switch question {
+		case "members":
+			out = f.show(now, v)
+		case "members explain":
+			name, _ := fields["name"].(string)
+			out, err = explain(now, v, name)
+		default:
+			err = control.Wrongf("no question %q", question)
+		}
+	})
+	if !done {
+		return true, nil, fmt.Errorf("this controller stops")
+	}
+	return true, out, err
+}
+
+func names(m members.Marks) (list []any) {
+	for _, n := range m.Names() {
+		list = append(list, n)
+	}
+	return list
+}
+
+// show gives the whole view.
+func (f *fleet) show(now float64, v *members.View) map[string]any {
+	var list []any
+	for _, m := range v.Members() {
+		list = append(list, map[string]any{"name": m.Name, "life": strconv.FormatUint(m.Life, 10), "incarnation": float64(m.Inc),
+			"phase": m.Phase.String(), "marks": names(m.Marks), "address": m.Address, "zone": m.Zone, "region": m.Region,
+			"version": float64(m.Version), "for_ms": math.Round(now - m.Since)})
+	}
+	c := v.Counts()
+	return map[string]any{"fleet": f.file.Name, "self": v.Self().Name, "members": list, "present": v.Present(),
+		"slow": float64(v.Health()), "probes": float64(c.Probes), "unanswered": float64(c.Unanswered), "sent": float64(c.Sent),
+		"sent_bytes": float64(c.SentBytes), "heard": float64(c.Heard), "hash": strconv.FormatUint(v.Hash(), 16)}
+}
+
+// explain gives what was noticed of a member.
+func explain(now float64, v *members.View, name string) (map[string]any, error) {
+	m, known := v.Find(name)
+	if !known {
+		return nil, control.Wrongf("no member %q is known here", name)
+	}
+	var list []any
+	for _, e := range v.Explain(name) {
+		list = append(list, map[string]any{"ago_ms": math.Round(now - e.At), "what": e.What, "who": e.Who})
+	}
+	return map[string]any{"name": m.Name, "phase": m.Phase.String(), "for_ms": math.Round(now - m.Since), "address": m.Address,
+		"life": strconv.FormatUint(m.Life, 10), "incarnation": float64(m.Inc), "accused_by": m.By, "evidence": list}, nil
+}
--- a/internal/installation/installation.go
+++ b/internal/installation/installation.go
@@ -21,12 +21,13 @@
 
 // Installation is what an operators' file makes of a controller.
 type Installation struct {
-	file *operator.File
-	desk *desk.Desk
-	keep *keeper.Keeper // nil: no store
-	team *teams         // nil: no budgets
-	door *control.Server
-	log  logrus.FieldLogger
+	file  *operator.File
+	desk  *desk.Desk
+	keep  *keeper.Keeper // nil: no store
+	team  *teams         // nil: no budgets
+	door  *control.Server
+	fleet *fleet // nil: none
+	log   logrus.FieldLogger
 }
 
 // New reads the operators' file at a path; without one there is nothing besides the platform's side.
@@ -42,7 +43,7 @@
 }
 
 // Open opens the store, if there is to be one, and gives the desk its memory.
-func (i *Installation) Open(d *desk.Desk, given rules.Given, clock desk.Clock, log logrus.FieldLogger) error {
+func (i *Installation) Open(name string, d *desk.Desk, given rules.Given, clock desk.Clock, log logrus.FieldLogger) error {
 	i.desk, i.log = d, log
 	if i.file.Budgets != nil {
 		t, err := newTeams(clock.Now(), i.file.Budgets, given)
@@ -51,9 +52,19 @@
 		}
 		i.team, d.Budgets = t, t
 	}
-	s := i.file.Store
+	if err := i.openStore(d, given, clock); err != nil {
+		return err
+	}
+	if err := i.openFleet(name, given, clock); err != nil {
+		return err
+	}
+	return i.openDoor()
+}
+
+func (i *Installation) openStore(d *desk.Desk, given rules.Given, clock desk.Clock) error {
+	s, log := i.file.Store, i.log
 	if s == nil {
-		return i.openDoor()
+		return nil
 	}
 	dir, err := vfs.OpenDir(s.Directory, true)
 	if err != nil {
@@ -69,7 +80,7 @@
 	}
 	i.keep, d.Memory = k, k
 	i.recallLimits()
-	return i.openDoor()
+	return nil
 }
 
 // ledgerGiven is what the ledger goes by: the platform's settings, and the operators' own.
@@ -86,6 +97,7 @@
 			i.desk.Put(desk.Item{Event: ev})
 		}
 	}
+	i.fleet.begin()
 }
 
 // Reread reads the file again.
@@ -110,13 +122,18 @@
 	if i.keep != nil {
 		i.log.WithFields(i.keep.Fields()).Info("store")
 	}
+	i.fleet.count()
 }
 
+// Stopping tells the fleet that this controller is on its way out.
+func (i *Installation) Stopping() { i.fleet.stopping() }
+
 // Close ends the store and shuts the door.
 func (i *Installation) Close() {
 	if i.door != nil {
 		i.door.Close()
 	}
+	i.fleet.close()
 	if i.keep == nil {
 		return
 	}
--- a/internal/members/news.go
+++ b/internal/members/news.go
@@ -266,10 +266,18 @@
 	return max(v.suspectMS, suspectLogs*v.probeMS*math.Log10(float64(v.living+1)))
 }
 
+// suspects counts who is Suspect.
+func (v *View) suspects() (n int) {
+	for _, h := range v.accused {
+		n += count(h.Phase == Suspect)
+	}
+	return n
+}
+
 // span is how long a suspicion lasts with so many who accuse.
 func (v *View) span(h *member) float64 {
 	least := v.leastSuspicion()
-	most, need := least*suspectMost, min(accusers, max(1, v.living-1))
+	most, need := least*suspectMost, min(accusers, v.living-v.suspects())
 	if h.hurried || need <= 1 || len(h.accusers) >= need {
 		return least
 	}
@@ -339,6 +347,7 @@
 	}
 	kept := v.accused[:0]
 	for _, h := range v.accused {
+		h.until = min(h.until, h.accusedAt+v.span(h)) // where hardly anybody is left to accuse, fewer do
 		if h.Phase == Suspect && v.now >= h.until {
 			v.input(h, expired, &Member{Name: h.Name, Life: h.Life, Inc: h.Inc})
 		}
--- a/internal/members/view.go
+++ b/internal/members/view.go
@@ -161,6 +161,19 @@
 // Size is how many others are living.
 func (v *View) Size() int { return v.living }
 
+// Present is how many controllers there are to go by where that bounds what each may do, this one among them. One that hears fewer
+// than half of those that have not left takes it that it is cut off, and goes by all of them.
+func (v *View) Present() float64 {
+	known := 0
+	for _, m := range v.byName {
+		known += count(m.Phase != Left && m.Phase != Unknown)
+	}
+	if here := v.living + 1; 2*here > known {
+		return float64(here)
+	}
+	return float64(known)
+}
+
 // Hash is equal where two views are.
 func (v *View) Hash() uint64 { return v.hash }
 
@@ -534,6 +547,7 @@
 	for _, m := range v.accused {
 		if m.Phase == Suspect {
 			m.until += ms
+			m.accusedAt += ms
 		}
 	}
 	v.trustAt = v.now + mistrustMS
--- a/internal/operator/file.go
+++ b/internal/operator/file.go
@@ -18,6 +18,7 @@
 	Path    string
 	Store   *Store
 	Budgets *Budgets
+	Fleet   *Fleet
 	Control string // path of the control socket; empty: none
 }
 
@@ -48,7 +49,7 @@
 }
 
 // file is what may stand in the file.
-var file = &block{blocks: map[string]*block{"store": {fields: storeFields}, "budgets": budgetsBlock,
+var file = &block{blocks: map[string]*block{"store": {fields: storeFields}, "budgets": budgetsBlock, "fleet": fleetBlock,
 	"control": {fields: []field{{name: "socket", kind: text, required: true, help: "path of a Unix socket, for its owner alone"}}}}}
 
 // Read reads the file at a path. The error has a line for each complaint.
@@ -84,6 +85,11 @@
 			return nil, complaint(diags)
 		}
 	}
+	for _, b := range body.kids["fleet"] {
+		if f.Fleet, diags = fleetOf(b, f.Store != nil); diags.HasErrors() {
+			return nil, complaint(diags)
+		}
+	}
 	return f, nil
 }
 
@@ -101,5 +107,8 @@
 	if (f.Budgets == nil) != (next.Budgets == nil) || f.Budgets != nil && !f.Budgets.SameTree(next.Budgets) {
 		names = append(names, "budgets: which teams there are, or whose")
 	}
+	if (f.Fleet == nil) != (next.Fleet == nil) || f.Fleet != nil && !f.Fleet.Same(next.Fleet) {
+		names = append(names, "fleet")
+	}
 	return names
 }
--- a/internal/parts/parts.go
+++ b/internal/parts/parts.go
@@ -77,6 +77,14 @@
 	return p
 }
 
+// Owners tells how many controllers own a part. More of them count at once; fewer never do, as one that is not heard may still use
+// its part.
+func (p *Parts) Owners(n int) {
+	if n > p.n {
+		p.n, p.home = n, whole/n
+	}
+}
+
 // Part is the part that may be used now, from 0 to 1.
 func (p *Parts) Part(now float64) float64 {
 	p.forget(now)
--- /dev/null
+++ b/internal/rehearse/rehearse.go
@@ -0,0 +1,301 @@
+package rehearse
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"liftshift/internal/control"
+	"liftshift/internal/standin"
+)
+
+// Plan is what a rehearsal starts.
+type Plan struct {
+	Program     string // path of liftshift
+	Folder      string // scratch room
+	Controllers int
+	Engines     int
+	Zones       int
+	Founders    int // of the council; 0: none
+	Store       bool
+	Seed        uint64
+	Fleet       string // further lines of the block fleet
+	WorkMS      float64
+}
+
+// Controller is one process.
+type Controller struct {
+	Name   string
+	Client string // where clients connect
+	Socket string
+	Folder string
+	cmd    *exec.Cmd
+	waited chan struct{}
+	log    bytes.Buffer
+	mu     sync.Mutex
+	env    []string
+}
+
+// Write keeps what the process logs.
+func (c *Controller) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.log.Write(b)
+}
+
+// Log is what it has logged so far.
+func (c *Controller) Log() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.log.String()
+}
+
+// Up tells whether it runs.
+func (c *Controller) Up() bool { return c.cmd != nil }
+
+// Fleet is several real controllers, with engines and relays.
+type Fleet struct {
+	Plan        Plan
+	Relay       *Relay
+	Controllers []*Controller
+	Engines     []*standin.Engine
+	Memory      *standin.Memory
+	stops       []func()
+}
+
+// New writes the files and starts the engines and the relay; no controller yet.
+func New(p Plan) (f *Fleet, err error) {
+	f = &Fleet{Plan: p, Memory: &standin.Memory{}}
+	defer func() {
+		if err != nil {
+			f.Close()
+		}
+	}()
+	if f.Relay, err = NewRelay(p.Controllers, p.Seed); err != nil {
+		return nil, err
+	}
+	for k := range max(1, p.Engines) {
+		e := &standin.Engine{Name: fmt.Sprint("s-", k), Place: fmt.Sprint("z", k%max(1, p.Zones)), Drops: 100 * time.Millisecond,
+			Work: time.Duration(p.WorkMS * float64(time.Millisecond)), Memory: f.Memory}
+		if err = e.Start(); err != nil {
+			return nil, err
+		}
+		f.Engines = append(f.Engines, e)
+	}
+	list, stop, err := standin.List()
+	if err != nil {
+		return nil, err
+	}
+	f.stops = append(f.stops, stop)
+	for k := range p.Controllers {
+		if err = f.write(k, list); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// write writes the files of a controller.
+func (f *Fleet) write(k int, list string) error {
+	c := &Controller{Name: fmt.Sprint("c", k), Folder: filepath.Join(f.Plan.Folder, fmt.Sprint("c", k))}
+	f.Controllers = append(f.Controllers, c)
+	if err := os.MkdirAll(c.Folder, 0o700); err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	c.Client = l.Addr().String()
+	_ = l.Close()
+	c.Socket = filepath.Join(c.Folder, "sock")
+	seeds := []string{}
+	for s := range min(3, f.Plan.Controllers) {
+		seeds = append(seeds, f.Relay.Known(s))
+	}
+	node := map[string]any{}
+	if err := json.Unmarshal(standin.Node(c.Client, list, 20*time.Second, f.Engines...), &node); err != nil {
+		return err
+	}
+	node["name"] = c.Name
+	settings := node["settings"].(map[string]any)
+	settings["Siblings"], settings["SlotNo"] = f.Plan.Controllers, k
+	text, err := json.Marshal(node)
+	if err != nil {
+		return err
+	}
+	var hcl strings.Builder
+	fmt.Fprintf(&hcl, "control { socket = %q }\nfleet {\n  name = \"rehearsal\"\n  address = %q\n  listen = %q\n  zone = \"z%d\"\n", c.Socket,
+		f.Relay.Known(k), f.Relay.Listen(k), k%max(1, f.Plan.Zones))
+	quoted, _ := json.Marshal(seeds)
+	fmt.Fprintf(&hcl, "  seeds = %s\n  %s\n", quoted, f.Plan.Fleet)
+	if f.Plan.Founders > 0 {
+		var names []string
+		for n := range f.Plan.Founders {
+			names = append(names, fmt.Sprint("c", n))
+		}
+		quoted, _ := json.Marshal(names)
+		fmt.Fprintf(&hcl, "  founders = %s\n", quoted)
+	}
+	hcl.WriteString("}\n")
+	if f.Plan.Store {
+		fmt.Fprintf(&hcl, "store {\n  directory = %q\n  segment = \"256KiB\"\n}\n", filepath.Join(c.Folder, "store"))
+	}
+	file := filepath.Join(c.Folder, "office.hcl")
+	c.env = append(os.Environ(), "RELAY_CONFIG="+filepath.Join(c.Folder, "node.json"), "LIFTSHIFT_FILE="+file)
+	return errors.Join(os.WriteFile(filepath.Join(c.Folder, "node.json"), text, 0o600), os.WriteFile(file, []byte(hcl.String()), 0o600))
+}
+
+// Start starts a controller.
+func (f *Fleet) Start(k int) error {
+	c := f.Controllers[k]
+	if c.cmd != nil {
+		return fmt.Errorf("%s runs already", c.Name)
+	}
+	cmd := exec.Command(f.Plan.Program)
+	cmd.Env, cmd.Stderr = c.env, c
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	c.cmd, c.waited = cmd, make(chan struct{})
+	go func(done chan struct{}) {
+		_ = cmd.Wait()
+		close(done)
+	}(c.waited)
+	return nil
+}
+
+// StartAll starts all that do not run.
+func (f *Fleet) StartAll() error {
+	for k, c := range f.Controllers {
+		if c.cmd == nil {
+			if err := f.Start(k); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Signal sends a signal to a controller.
+func (f *Fleet) Signal(k int, s syscall.Signal) error {
+	if c := f.Controllers[k]; c.cmd != nil {
+		return c.cmd.Process.Signal(s)
+	}
+	return fmt.Errorf("%s does not run", f.Controllers[k].Name)
+}
+
+// Kill ends a controller without a word.
+func (f *Fleet) Kill(k int) {
+	if c := f.Controllers[k]; c.cmd != nil {
+		_ = c.cmd.Process.Kill()
+		<-c.waited
+		c.cmd = nil
+	}
+}
+
+// Term ends a controller as planned, and gives its exit code.
+func (f *Fleet) Term(k int) int {
+	c := f.Controllers[k]
+	if c.cmd == nil {
+		return -1
+	}
+	_ = c.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-c.waited:
+	case <-time.After(10 * time.Second):
+		_ = c.cmd.Process.Kill()
+		<-c.waited
+	}
+	code := c.cmd.ProcessState.ExitCode()
+	c.cmd = nil
+	return code
+}
+
+// Process gives the number of a controller's process; 0 if it does not run.
+func (f *Fleet) Process(k int) int {
+	if c := f.Controllers[k]; c.cmd != nil {
+		return c.cmd.Process.Pid
+	}
+	return 0
+}
+
+// Ask asks a controller's control socket.
+func (f *Fleet) Ask(k int, question string, fields map[string]any) (map[string]any, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return control.Ask(ctx, f.Controllers[k].Socket, question, fields)
+}
+
+// View gives the phase of each member as a controller holds it.
+func (f *Fleet) View(k int) (map[string]string, error) {
+	a, err := f.Ask(k, "members", nil)
+	if err != nil {
+		return nil, err
+	}
+	view := map[string]string{}
+	list, _ := a["members"].([]any)
+	for _, x := range list {
+		m, _ := x.(map[string]any)
+		name, _ := m["name"].(string)
+		view[name], _ = m["phase"].(string)
+	}
+	return view, nil
+}
+
+// Settled tells whether each controller that runs holds those that run for here, and no other for living; else it says who does not.
+func (f *Fleet) Settled() (bool, string) {
+	for k, c := range f.Controllers {
+		if c.cmd == nil {
+			continue
+		}
+		view, err := f.View(k)
+		if err != nil {
+			return false, c.Name + ": " + err.Error()
+		}
+		for _, o := range f.Controllers {
+			if p := view[o.Name]; (o.cmd != nil) != (p == "here") || o.cmd == nil && p != "" && p != "gone" && p != "left" {
+				return false, fmt.Sprintf("%s holds %s for %q", c.Name, o.Name, p)
+			}
+		}
+	}
+	return true, ""
+}
+
+// WhenSettled waits until all views are settled and gives the time it took.
+func (f *Fleet) WhenSettled(most time.Duration) (time.Duration, error) {
+	for began := time.Now(); ; time.Sleep(20 * time.Millisecond) {
+		good, why := f.Settled()
+		if took := time.Since(began); good {
+			return took, nil
+		} else if took > most {
+			return took, fmt.Errorf("not settled within %v: %s (seed %d)", most, why, f.Plan.Seed)
+		}
+	}
+}
+
+// Close ends all.
+func (f *Fleet) Close() {
+	for k := range f.Controllers {
+		f.Kill(k)
+	}
+	for _, e := range f.Engines {
+		e.Stop()
+	}
+	if f.Relay != nil {
+		f.Relay.Close()
+	}
+	for _, stop := range f.stops {
+		stop()
+	}
+}
--- /dev/null
+++ b/internal/rehearse/relay.go
@@ -0,0 +1,196 @@
+// Package rehearse starts several real controllers with stand-ins for all else, carries every link between them through relays of
+// its own, causes failures, and checks what clients and executors saw. The daemon never uses it.
+package rehearse
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Link is how the way from one controller to another is.
+type Link struct {
+	Cut            bool
+	Loss, Doubling float64
+	DelayMS        float64 // at most: drawn for each datagram, so that they overtake one another
+}
+
+// Relay carries what controllers say to one another. Each has an address that others know, in 127.2, and listens at one in 127.1.
+type Relay struct {
+	Messages, Bytes atomic.Uint64 // datagrams
+
+	mu     sync.Mutex
+	way    func(from, to int) Link
+	chance *rand.Rand
+	udp    []*net.UDPConn
+	tcp    []net.Listener
+	conns  map[net.Conn][2]int
+	port   int
+	wait   sync.WaitGroup
+}
+
+// Known gives the address by which others know a controller.
+func (r *Relay) Known(k int) string { return fmt.Sprintf("127.2.%d.%d:%d", k/200, 1+k%200, r.port) }
+
+// Listen gives the address at which a controller listens.
+func (r *Relay) Listen(k int) string { return fmt.Sprintf("127.1.%d.%d:%d", k/200, 1+k%200, r.port) }
+
+// numbered tells which controller an address is of.
+func numbered(a netip.Addr) int {
+	b := a.Unmap().As4()
+	return int(b[2])*200 + int(b[3]) - 1
+}
+
+// NewRelay returns a relay for n controllers.
+func NewRelay(n int, seed uint64) (*Relay, error) {
+	r := &Relay{chance: rand.New(rand.NewPCG(seed, 7)), conns: map[net.Conn][2]int{}, way: func(int, int) Link { return Link{} }}
+	for try := 0; ; try++ {
+		r.port = 20000 + int(r.chance.Uint32()%20000)
+		err := r.listen(n)
+		if err == nil {
+			break
+		}
+		r.Close()
+		if r.udp, r.tcp = nil, nil; try > 20 {
+			return nil, err
+		}
+	}
+	for k := range n {
+		r.wait.Add(2)
+		go r.datagrams(k)
+		go r.connections(k)
+	}
+	return r, nil
+}
+
+func (r *Relay) listen(n int) error {
+	for k := range n {
+		at := netip.MustParseAddrPort(r.Known(k))
+		u, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+		if err != nil {
+			return err
+		}
+		r.udp = append(r.udp, u)
+		l, err := net.Listen("tcp", at.String())
+		if err != nil {
+			return err
+		}
+		r.tcp = append(r.tcp, l)
+	}
+	return nil
+}
+
+// Set changes the ways; connections over one that is cut now end.
+func (r *Relay) Set(way func(from, to int) Link) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.way = way
+	for c, ends := range r.conns {
+		if way(ends[0], ends[1]).Cut || way(ends[1], ends[0]).Cut {
+			_ = c.Close()
+		}
+	}
+}
+
+// Close ends all.
+func (r *Relay) Close() {
+	for _, u := range r.udp {
+		_ = u.Close()
+	}
+	for _, l := range r.tcp {
+		_ = l.Close()
+	}
+	r.mu.Lock()
+	for c := range r.conns {
+		_ = c.Close()
+	}
+	r.mu.Unlock()
+	r.wait.Wait()
+}
+
+func (r *Relay) datagrams(k int) {
+	defer r.wait.Done()
+	var b [2048]byte
+	to := net.UDPAddrFromAddrPort(netip.MustParseAddrPort(r.Listen(k)))
+	for {
+		n, at, err := r.udp[k].ReadFromUDPAddrPort(b[:])
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		from := numbered(at.Addr())
+		if err != nil || from < 0 || from >= len(r.udp) {
+			continue
+		}
+		r.Messages.Add(1)
+		r.Bytes.Add(uint64(n))
+		r.mu.Lock()
+		w := r.way(from, k)
+		times, lost := 1, w.Cut || r.chance.Float64() < w.Loss
+		if r.chance.Float64() < w.Doubling {
+			times = 2
+		}
+		delay := r.chance.Float64() * w.DelayMS
+		r.mu.Unlock()
+		if lost {
+			continue
+		}
+		data := append([]byte(nil), b[:n]...)
+		send := func() { _, _ = r.udp[from].WriteToUDP(data, to) }
+		for range times {
+			if delay > 0 {
+				time.AfterFunc(time.Duration(delay*float64(time.Millisecond)), send)
+			} else {
+				send()
+			}
+		}
+	}
+}
+
+func (r *Relay) connections(k int) {
+	defer r.wait.Done()
+	for {
+		c, err := r.tcp[k].Accept()
+		if err != nil {
+			return
+		}
+		at, _ := netip.ParseAddrPort(c.RemoteAddr().String())
+		go r.connection(numbered(at.Addr()), k, c)
+	}
+}
+
+func (r *Relay) connection(from, k int, c net.Conn) {
+	defer c.Close()
+	r.mu.Lock()
+	cut := r.way(from, k).Cut || r.way(k, from).Cut
+	r.mu.Unlock()
+	if cut {
+		return
+	}
+	back := &net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: net.ParseIP(netip.MustParseAddrPort(r.Known(from)).Addr().String())}}
+	on, err := back.Dial("tcp", r.Listen(k))
+	if err != nil {
+		return
+	}
+	defer on.Close()
+	r.mu.Lock()
+	r.conns[c], r.conns[on] = [2]int{from, k}, [2]int{from, k}
+	r.mu.Unlock()
+	done := make(chan struct{}, 2)
+	pass := func(a, b net.Conn) {
+		_, _ = io.Copy(a, b)
+		done <- struct{}{}
+	}
+	go pass(on, c)
+	go pass(c, on)
+	<-done
+	r.mu.Lock()
+	delete(r.conns, c)
+	delete(r.conns, on)
+	r.mu.Unlock()
+}
--- a/internal/service/beside.go
+++ b/internal/service/beside.go
@@ -10,14 +10,16 @@
 // Beside is what an installation has besides the platform's side. Package service knows nothing of it, so that where it is
 // not wanted it is not even in the program.
 type Beside interface {
-	// Open is called before the desk runs, and may give it a memory.
-	Open(d *desk.Desk, given rules.Given, clock desk.Clock, log logrus.FieldLogger) error
+	// Open is called before the desk runs, with this controller's name, and may give it a memory.
+	Open(name string, d *desk.Desk, given rules.Given, clock desk.Clock, log logrus.FieldLogger) error
 	// Begin is called when the desk runs and has been told nothing yet.
 	Begin()
 	// Reread reads again what belongs to it and changes nothing; take makes it count, and names what needs a restart.
 	Reread(given rules.Given) (take func() []string, err error)
 	// Count logs its counters.
 	Count()
+	// Stopping is called when a planned stop begins.
+	Stopping()
 	// Close is called at the end, when the desk has ended.
 	Close()
 }
@@ -26,7 +28,9 @@
 type Nothing struct{}
 
 // Open does nothing, as all of these.
-func (Nothing) Open(*desk.Desk, rules.Given, desk.Clock, logrus.FieldLogger) error { return nil }
+func (Nothing) Open(string, *desk.Desk, rules.Given, desk.Clock, logrus.FieldLogger) error {
+	return nil
+}
 
 // Begin does nothing.
 func (Nothing) Begin() {}
@@ -39,5 +43,8 @@
 // Count does nothing.
 func (Nothing) Count() {}
 
+// Stopping does nothing.
+func (Nothing) Stopping() {}
+
 // Close does nothing.
 func (Nothing) Close() {}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -46,7 +46,7 @@
 	held := int64(n.Limits.MemoryMB * heldShare * (1 << 20))
 	bodies, out := wire.NewBudget(held), wire.NewBudget(held)
 	d := desk.New(clock, rules.New(n.seed, g), log)
-	if err := beside.Open(d, g, clock, log); err != nil {
+	if err := beside.Open(n.Name, d, g, clock, log); err != nil {
 		return err
 	}
 	defer beside.Close()
@@ -104,6 +104,7 @@
 	began := time.Now()
 	limit := frontLeaves + min(longestStop, longest)
 	front.Fit(false)
+	beside.Stopping()
 	d.Close(clock.Now() + float64(limit-stopSpare)/float64(time.Millisecond))
 	log.WithFields(logrus.Fields{"open": d.Open(), "within": limit}).Info("stop: begun")
 	for time.Since(began) < limit-stopSpare/2 {
--- a/rules/slab.go
+++ b/rules/slab.go
@@ -291,6 +291,7 @@
 	levels     []byte
 	told       []telling // by controller, at those that add up
 	askAt      float64   // when the list is to be asked for
+	present    float64   // controllers that share the executors, where that is heard
 	closing    float64   // when this instance stops; far off unless that is planned
 }
 
@@ -507,7 +508,7 @@
 }
 
 // share is this controller's part of the traffic.
-func (g *Gateway) share() float64 { return 1 / max(1, g.given.Num("controllers", 1)) }
+func (g *Gateway) share() float64 { return 1 / max(1, cmp.Or(g.present, g.given.Num("controllers", 1))) }
 
 // release frees a search that is over once all its shots have their outcome.
 func (g *Gateway) release(i int) {
--- a/rules/step.go
+++ b/rules/step.go
@@ -35,6 +35,8 @@
 		g.recall(ev)
 	case Closing:
 		g.stop(ev.Until)
+	case Counted:
+		g.present = ev.Value
 	case Heard:
 		g.heard(ev.FromPeer, ev.Data)
 	}
--- a/rules/types.go
+++ b/rules/types.go
@@ -52,6 +52,7 @@
 	Closing                    // the instance stops: by Until all it has taken must have its answer
 	Kept                       // what was known before the instance was last ended
 	Pressed                    // a search is held under a priority, or no longer
+	Counted                    // so many controllers share the executors now
 	eventKinds
 )
 
@@ -142,7 +143,7 @@
 	UsedMB   float64 // Ended: memory it needed, where told
 	Report   []float64
 	Note     NoteKind // Noted
-	Value    float64  // Noted
+	Value    float64  // Noted; Counted: controllers, this one among them
 	Token    uint64   // Rang
 	List     ListKind // Listed
 	Entries  []Entry  // Listed
