--- a/internal/members/types.go
+++ b/internal/members/types.go
@@ -42,9 +42,10 @@
 	Full
 	Doubled // another process bears its name: it takes no part in common work
 	Stalled // it stood still lately and does not trust its own view yet
+	Elector // it has a disk for the council
 )
 
-var markNames = []string{"ready", "draining", "disk-sick", "full", "doubled", "stalled"}
+var markNames = []string{"ready", "draining", "disk-sick", "full", "doubled", "stalled", "elector"}
 
 // Names gives the marks that are set.
 func (m Marks) Names() (names []string) {
@@ -82,6 +83,7 @@
 	Answered                  // the reply to our part of one
 	Failed                    // an exchange came to nothing
 	Marked                    // this controller's own marks are now these
+	Renew                     // this controller goes on under a later life: the one it had has been declared lost
 	Leave                     // a planned stop begins
 	Leaves                    // it ends: this is the last that is said
 )
--- a/internal/members/view.go
+++ b/internal/members/view.go
@@ -232,6 +232,8 @@
 	case Failed:
 	case Marked:
 		v.mark(ev.Marks&^(Doubled|Stalled) | v.self.Marks&(Doubled|Stalled))
+	case Renew:
+		v.relive(v.self.Life + 1)
 	case Leave:
 		v.say(Leaving)
 	case Leaves:
--- a/internal/simfleet/simfleet.go
+++ b/internal/simfleet/simfleet.go
@@ -26,6 +26,7 @@
 	Address string
 	Up      bool
 	until   float64 // it stands still until then
+	Rate    float64 // of its clock
 	run     int     // of its starts
 	ticking float64 // the tick that is lined up
 }
@@ -82,7 +83,7 @@
 func New(n int, seed uint64) *Fleet {
 	f := &Fleet{Net: Net{LeastMS: 0.2, MostMS: 2}, chance: rand.New(rand.NewPCG(seed, 1)), byAddress: map[string]int{}, life: 1000, Zones: 3}
 	for k := range n {
-		nd := &Node{Name: fmt.Sprintf("n%d", k), Address: fmt.Sprintf("10.0.%d.%d:7", k/250, k%250)}
+		nd := &Node{Rate: 1, Name: fmt.Sprintf("n%d", k), Address: fmt.Sprintf("10.0.%d.%d:7", k/250, k%250)}
 		f.Nodes = append(f.Nodes, nd)
 		f.byAddress[nd.Address] = k
 		if k < 3 {
@@ -101,7 +102,7 @@
 	f.life++
 	nd.Up, nd.until = true, 0
 	nd.run++
-	nd.View = members.New(f.Now, "sim", members.Member{Name: nd.Name, Life: f.life, Address: nd.Address, Zone: fmt.Sprintf("z%d", k%f.Zones),
+	nd.View = members.New(f.Local(k), "sim", members.Member{Name: nd.Name, Life: f.life, Address: nd.Address, Zone: fmt.Sprintf("z%d", k%f.Zones),
 		Version: 1, Marks: members.Ready}, f.Seeds, f.Given, f.chance.Uint32())
 	nd.ticking = f.Now
 	f.put(event{at: f.Now, to: k, run: nd.run, ev: members.Event{Kind: members.Ticked}})
@@ -163,7 +164,7 @@
 // play hands an event to a node and carries what follows.
 func (f *Fleet) play(k, from int, ev *members.Event) {
 	nd := f.Nodes[k]
-	effects := nd.View.Step(f.Now, ev)
+	effects := nd.View.Step(f.Local(k), ev)
 	for i := range effects {
 		e := &effects[i]
 		switch e.Kind {
@@ -186,12 +187,15 @@
 			}
 		}
 	}
-	if next := max(nd.View.Next(), f.Now+0.01); next != nd.ticking || ev.Kind == members.Ticked {
+	if next := max(nd.View.Next()/nd.Rate, f.Now+0.01); next != nd.ticking || ev.Kind == members.Ticked {
 		nd.ticking = next
 		f.put(event{at: next, to: k, run: nd.run, from: -1, ev: members.Event{Kind: members.Ticked}})
 	}
 }
 
+// Local is a node's own clock.
+func (f *Fleet) Local(k int) float64 { return f.Now * f.Nodes[k].Rate }
+
 func (f *Fleet) delay() float64 {
 	return f.Net.LeastMS + (f.Net.MostMS-f.Net.LeastMS)*f.chance.Float64()
 }
