--- a/internal/desk/budgets.go
+++ b/internal/desk/budgets.go
@@ -2,6 +2,7 @@
 
 import (
 	"liftshift/internal/budget"
+	"liftshift/internal/ledger"
 	"liftshift/internal/parts"
 	"liftshift/rules"
 )
@@ -22,82 +23,69 @@
 	Waits(tag uint64, startMS, endMS float64)
 }
 
-// offering is an effect of the budgets that is still to be done.
-type offering struct {
-	budget.Effect
-}
-
-// budget tells the budgets of an event. What they want is lined up: they may be told from within a step of the module.
-func (d *Desk) budget(ev *budget.Event) {
-	d.lined(d.Budgets.Step(d.clock.Now(), ev))
-}
+// Budgeting puts budgets beside the module.
+func Budgeting(b Budgets) Part { return budgeting{b} }
 
-func (d *Desk) lined(effects []budget.Effect) {
-	for _, e := range effects {
-		d.offers = append(d.offers, offering{e})
-	}
-}
+type budgeting struct{ Budgets }
 
-// lineUp puts a search in its team's line.
-func (d *Desk) lineUp(s *search) {
-	s.inLine = true
-	d.budget(&budget.Event{Kind: budget.Asked, ID: s.ID, Team: d.Budgets.Whose(&s.Search), Offering: s.Offering, WorkMS: s.WorkMS,
-		NeedMB: s.NeedMB, Until: s.Until, Ordered: s.Key != ""})
-	if w, ok := s.Client.(Waiter); ok && s.Waits {
-		start, end := d.Budgets.Wait(d.clock.Now(), s.ID)
-		w.Waits(s.Tag, start, end)
-	}
-}
-
-// post sends what other controllers are to hear of ceilings.
-func (d *Desk) post(list []parts.Message) {
-	for _, m := range list {
-		d.Peers.Tell(m.To, m.Data)
-	}
-}
-
-// tellWaits tells clients that asked for it how long their searches wait, where that has changed much.
-func (d *Desk) tellWaits(now float64) {
-	d.Budgets.Changed(now, func(id string, start, end float64) {
-		s := d.searches[id]
-		if s == nil || s.answered || s.fired > 0 || !s.Waits {
-			return
+// Hear tells the budgets, in their own words.
+func (b budgeting) Hear(now float64, h *Happening, out []Follow) []Follow {
+	switch s := h.Search; h.Kind {
+	case Entered:
+		out = append(out, Follow{Kind: Detain})
+		out = Offers(out, b.Step(now, &budget.Event{Kind: budget.Asked, ID: s.ID, Team: b.Whose(s), Offering: s.Offering, WorkMS: s.WorkMS,
+			NeedMB: s.NeedMB, Until: s.Until, Ordered: s.Key != ""}))
+		if s.Waits {
+			start, end := b.Wait(now, s.ID)
+			out = append(out, Follow{Kind: Foretell, ID: s.ID, StartMS: start, EndMS: end})
+		}
+	case Fired:
+		out = Offers(out, b.Step(now, &budget.Event{Kind: budget.Sent, ID: s.ID, GrantMB: h.GrantMB}))
+	case ShotOver:
+		out = Offers(out, b.Step(now, &budget.Event{Kind: budget.ShotEnded, ID: s.ID}))
+	case GivenBack:
+		out = Offers(out, b.Step(now, &budget.Event{Kind: budget.Back, ID: s.ID}))
+	case Closed:
+		out = Offers(out, b.Step(now, &budget.Event{Kind: budget.Closed, ID: s.ID, SpentMS: h.SpentMS, Handled: h.Outcome == ledger.Handled}))
+	case Denying:
+		// When its search would have begun, where that is known and no longer than may be told.
+		if start, _ := b.Wait(now, s.ID); h.AfterMS > 0 && start > 0 {
+			out = append(out, Follow{Kind: ComeBack, AfterMS: min(start, 2*h.AfterMS)})
 		}
-		if w, ok := s.Client.(Waiter); ok {
-			w.Waits(s.Tag, start, end)
+	case ListNews:
+		out = Offers(out, b.Listed(now, h.List.List, h.List.Entries))
+	case Stopping:
+		out = Offers(out, b.Step(now, &budget.Event{Kind: budget.Closing}))
+	case Ticks:
+		out = Offers(out, b.Step(now, &budget.Event{Kind: budget.Ticked}))
+		b.Changed(now, func(id string, start, end float64) {
+			out = append(out, Follow{Kind: Foretell, ID: id, StartMS: start, EndMS: end})
+		})
+		out = posts(out, b.Tell(now))
+	case Letter:
+		if len(h.Data) > 0 && h.Data[0] == parts.Tag {
+			out = posts(append(out, Follow{Kind: Mine}), b.Heard(now, h.Peer, h.Data))
 		}
-	})
+	}
+	return out
 }
 
-// comeBack is when a client that is denied is to come back: when its search would have begun, where that is known and no
-// longer than may be told.
-func (d *Desk) comeBack(s *search, afterMS float64) float64 {
-	if d.Budgets == nil || afterMS <= 0 {
-		return afterMS
-	}
-	if start, _ := d.Budgets.Wait(d.clock.Now(), s.ID); start > 0 {
-		return min(start, 2*afterMS)
+// Offers appends what budgets want.
+func Offers(out []Follow, effects []budget.Effect) []Follow {
+	for _, e := range effects {
+		f := Follow{Kind: Press, ID: e.ID, Start: e.Start, Part: e.Grant, Barred: e.Full, Now: e.Now}
+		if e.Kind == budget.Offer {
+			f.Kind = Offer
+		}
+		out = append(out, f)
 	}
-	return afterMS
+	return out
 }
 
-// offer does what the budgets want: the module gets a search, or hears that one is held down, or no more.
-func (d *Desk) offer(o *offering) {
-	s := d.searches[o.ID]
-	if s == nil || s.answered {
-		return // it has gone meanwhile
-	}
-	switch o.Kind {
-	case budget.Offer:
-		if !s.inLine {
-			return
-		}
-		s.inLine = false
-		d.step(&rules.Event{Kind: rules.Taken, Search: s.ID, Offering: s.Offering, Group: s.Group, Key: s.Key, NeedMB: s.NeedMB,
-			WorkMS: s.WorkMS, Until: s.Until, Repeat: s.Repeat, Prior: s.prior, Barred: s.barred || o.Full, Start: o.Start,
-			Part: o.Grant, Now: o.Now})
-	case budget.Press, budget.Ease:
-		d.step(&rules.Event{Kind: rules.Pressed, Search: s.ID, Start: o.Start, Part: o.Grant})
+// posts appends what other controllers are to hear of ceilings.
+func posts(out []Follow, list []parts.Message) []Follow {
+	for _, m := range list {
+		out = append(out, Follow{Kind: Post, Peer: m.To, Data: m.Data})
 	}
-	d.release(s)
+	return out
 }
--- a/internal/desk/budgets_test.go
+++ b/internal/desk/budgets_test.go
@@ -57,7 +57,8 @@
 	d.play(end(rules.Handled)) // the search that is there already
 	f.side.did, f.side.sent, one.told = nil, nil, nil
 	d.spent = map[string]struct{}{}
-	d.Budgets, d.Peers = p, f
+	d.Peers = f
+	d.Join(Budgeting(p))
 	d.open.Add(1)
 	s := search0(d, &f.side)
 	s.Client, s.Team, s.Waits, s.Key = f, "x", true, "k"
@@ -74,7 +75,7 @@
 	assert.Equal(t, "team of x", p.told[0].Team)
 	assert.True(t, p.told[0].Ordered)
 	assert.Equal(t, []float64{50, 60}, f.waits)
-	d.tick(d.clock.Now())
+	d.tick()
 	ev := one.last(rules.Taken)
 	assert.Equal(t, []any{"a", 500.0, 0.7, false, false}, []any{ev.Search, ev.Start, ev.Part, ev.Now, ev.Barred})
 	assert.Len(t, f.sent, 1)
@@ -85,7 +86,7 @@
 	assert.Equal(t, []budget.EventKind{budget.Asked, budget.Ticked, budget.Sent, budget.ShotEnded, budget.Closed}, p.kinds())
 	assert.True(t, p.told[4].Handled)
 	assert.Empty(t, d.searches)
-	d.offer(&offering{budget.Effect{Kind: budget.Press, ID: "a", Start: 500}}) // it crosses the answer
+	d.offer(&Follow{Kind: Press, ID: "a", Start: 500}) // it crosses the answer
 	assert.Equal(t, []string{"handled"}, f.did)
 }
 
@@ -95,13 +96,13 @@
 	p, f := &purse{wants: map[budget.EventKind][]budget.Effect{budget.Ticked: {{Kind: budget.Offer, ID: "a", Now: true}}}}, &told{}
 	d, one := lined(p, f, nil)
 	one.on = back
-	d.tick(d.clock.Now())
+	d.tick()
 	assert.True(t, one.last(rules.Taken).Now)
 	assert.True(t, d.searches["a"].inLine)
 	assert.Equal(t, budget.Back, p.told[len(p.told)-1].Kind)
 	one.on = map[rules.EventKind][]rules.Action{rules.Taken: {{Kind: rules.Deny, Search: "a", AfterMS: 400}}}
 	p.wait = 300
-	d.tick(d.clock.Now())
+	d.tick()
 	assert.Equal(t, []string{"denied"}, f.did)
 	assert.Empty(t, d.searches)
 	d, _ = lined(p, f, nil)
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -10,10 +10,8 @@
 
 	"github.com/sirupsen/logrus"
 
-	"liftshift/internal/budget"
 	"liftshift/internal/check"
 	"liftshift/internal/ledger"
-	"liftshift/internal/parts"
 	"liftshift/rules"
 )
 
@@ -65,18 +63,6 @@
 	Decided                // its end is in the queue already
 )
 
-// Memory remembers through crashes. Its methods are called by the desk's goroutine alone and never wait.
-type Memory interface {
-	Step(now float64, ev *ledger.Event) []ledger.Effect
-	WantsBeliefs(now float64) bool
-}
-
-// Question asks what became of a search, by its id or its mark. Reply is called by the desk's goroutine and must not wait.
-type Question struct {
-	ID, Mark string
-	Reply    func(ledger.Effect)
-}
-
 // Run is a shot under way. Its methods never wait. One that was held back goes out at Release.
 type Run interface {
 	Release()
@@ -117,11 +103,11 @@
 // Item is one thing in the queue: an event for the module, and what belongs to it.
 type Item struct {
 	Event  rules.Event
-	Search *Search       // Taken
-	Body   []byte        // Ended: the answer
-	Client Client        // Left: who left
-	Token  uint64        // Probed: which probe; Left: the tag of the search
-	Note   *ledger.Event // for the memory alone
+	Search *Search // Taken
+	Body   []byte  // Ended: the answer
+	Client Client  // Left: who left
+	Token  uint64  // Probed: which probe; Left: the tag of the search
+	Note   any     // for the part whose it is
 	Ask    *Question
 	Call   func(now float64) // for the operators' tools: looks at what the desk's goroutine owns, and must not wait
 	at     float64
@@ -163,8 +149,6 @@
 	Executors Executors
 	Peers     Peers
 	List      List
-	Memory    Memory  // nil: a crash forgets all
-	Budgets   Budgets // nil: the module gets every search as it comes
 	ProbeMS   float64 // how long a probe is waited for
 
 	clock    Clock
@@ -182,8 +166,9 @@
 	later    []Item // ends that came of the module's own actions
 	actions  []rules.Action
 	tally    Tally
-	offers   []offering // what the budgets offer, in order
-	refused  bool       // the record of the shot being sent could not be lined up
+	offers   []Follow // what parts offer, in order
+	parts    []Part   // beside the module; none: it gets every search as it comes, and a crash forgets all
+	follows  []Follow
 	beliefs  []rules.Belief
 	figures  []rules.Figure
 	open     atomic.Int64
@@ -230,9 +215,6 @@
 	}
 }
 
-// Line lines up what the budgets want because of a call.
-func (d *Desk) Line(effects []budget.Effect) { d.lined(effects) }
-
 // Stop ends Run and waits for it.
 func (d *Desk) Stop() {
 	close(d.stop)
@@ -247,7 +229,7 @@
 	defer alarm.Stop()
 	d.play(Item{Event: rules.Event{Kind: rules.Began}, at: d.clock.Now()})
 	d.timers.push(timer{at: d.clock.Now() + tallyMS, what: tallies})
-	if d.Memory != nil || d.Budgets != nil {
+	if len(d.parts) > 0 {
 		d.timers.push(timer{at: d.clock.Now() + tickMS, what: ticks})
 	}
 	for {
@@ -297,7 +279,7 @@
 			}
 		case ticks:
 			d.timers.push(timer{at: now + tickMS, what: ticks})
-			d.tick(now)
+			d.tick()
 		case tallies:
 			d.tell("tally")
 			d.compare()
@@ -314,13 +296,12 @@
 	d.tally.waited(d.clock.Now() - it.at)
 	switch {
 	case it.Note != nil:
-		d.remember(it.Note)
+		d.happen(Happening{Kind: Told, Note: it.Note})
 	case it.Ask != nil:
 		d.ask(it.Ask)
 	case it.Call != nil:
 		it.Call(d.clock.Now())
-	case it.Event.Kind == rules.Heard && d.Budgets != nil && len(it.Event.Data) > 0 && it.Event.Data[0] == parts.Tag:
-		d.post(d.Budgets.Heard(d.clock.Now(), it.Event.FromPeer, it.Event.Data))
+	case it.Event.Kind == rules.Heard && d.happen(Happening{Kind: Letter, Peer: it.Event.FromPeer, Data: it.Event.Data}).mine:
 	default:
 		d.hand(it)
 	}
@@ -353,8 +334,8 @@
 		if s = d.take(it.Search, ev); s == nil {
 			return
 		}
-		if d.Budgets != nil {
-			d.lineUp(s)
+		if d.happen(Happening{Kind: Entered, Search: &s.Search}).detain {
+			s.inLine = true
 			return
 		}
 	case rules.Left:
@@ -390,14 +371,10 @@
 	if s != nil {
 		d.release(s)
 	}
-	if ev.Kind == rules.Listed && d.Budgets != nil && ev.List != rules.NoList {
-		d.lined(d.Budgets.Listed(d.clock.Now(), ev.List, ev.Entries))
-	} else if ev.Kind == rules.Closing && d.Budgets != nil {
-		d.budget(&budget.Event{Kind: budget.Closing})
-	}
-	if ev.Kind == rules.Listed && d.Memory != nil && ev.List != rules.NoList {
-		d.remember(&ledger.Event{Kind: ledger.Listed, Index: ev.Index, Restored: ev.List == rules.Restored,
-			Whole: ev.List != rules.Changes, Entries: ev.Entries})
+	if ev.Kind == rules.Listed && ev.List != rules.NoList {
+		d.happen(Happening{Kind: ListNews, List: ev})
+	} else if ev.Kind == rules.Closing {
+		d.happen(Happening{Kind: Stopping})
 	}
 }
 
@@ -415,8 +392,13 @@
 // id given back or answered, too, up to its hard limit: run anew, each copy would count as a further shot.
 func (d *Desk) take(in *Search, ev *rules.Event) *search {
 	d.tally.Taken++
-	if d.Memory != nil && d.searches[in.ID] == nil && d.known(in, ev) {
-		return nil
+	if d.searches[in.ID] == nil {
+		v := d.happen(Happening{Kind: Came, Search: in})
+		if v.answer != nil {
+			d.told(in, v.answer)
+			return nil
+		}
+		ev.Prior, ev.Barred = v.prior, v.barred
 	}
 	if _, spent := d.spent[in.ID]; spent || d.searches[in.ID] != nil {
 		in.Client.WrittenOff(in.Tag)
@@ -449,12 +431,7 @@
 	h.out, s.out, h.run = false, s.out-1, nil
 	ev.Executor, ev.TookMS = h.executor, d.clock.Now()-h.sent
 	d.tally.Ends[ev.Outcome]++
-	if d.Budgets != nil {
-		d.budget(&budget.Event{Kind: budget.ShotEnded, ID: s.ID})
-	}
-	if d.Memory != nil {
-		d.remember(&ledger.Event{Kind: ledger.ShotEnded, ID: s.ID, Shot: ev.Shot, Unrun: ev.Outcome.NeverRan()})
-	}
+	d.happen(Happening{Kind: ShotOver, Search: &s.Search, Shot: ev.Shot, Unrun: ev.Outcome.NeverRan()})
 	return s
 }
 
@@ -462,12 +439,7 @@
 	if check.That(!s.answered, "a search is answered once") {
 		s.answered = true
 		d.open.Add(-1)
-		if d.Budgets != nil {
-			d.budget(&budget.Event{Kind: budget.Closed, ID: s.ID, SpentMS: spentMS, Handled: as == ledger.Handled})
-		}
-		if d.Memory != nil {
-			d.remember(&ledger.Event{Kind: ledger.Closed, ID: s.ID, Outcome: as, Body: body})
-		}
+		d.happen(Happening{Kind: Closed, Search: &s.Search, Outcome: as, Body: body, SpentMS: spentMS})
 	}
 }
 
@@ -518,7 +490,7 @@
 		d.send(now, s, a)
 	case rules.Back:
 		s.inLine = true
-		d.budget(&budget.Event{Kind: budget.Back, ID: s.ID})
+		d.happen(Happening{Kind: GivenBack, Search: &s.Search})
 	case rules.Terms:
 		if s.grant != a.GrantMB {
 			s.grant = a.GrantMB
@@ -545,7 +517,7 @@
 			return
 		}
 		if a.Kind == rules.Deny {
-			s.Client.Denied(s.Tag, d.comeBack(s, a.AfterMS))
+			s.Client.Denied(s.Tag, d.happen(Happening{Kind: Denying, Search: &s.Search, AfterMS: a.AfterMS}).afterMS)
 			d.tally.Denied++
 			d.answered(s, ledger.Denied, nil, 0)
 		} else {
@@ -560,18 +532,20 @@
 	if !check.That(s.fired < mostShots && !s.answered, "shots go out for open searches alone") {
 		return
 	}
-	n, kept := s.fired, d.putDown(s, a.Executor)
+	n := s.fired
+	v := d.happen(Happening{Kind: Firing, Search: &s.Search, Shot: n, Executor: a.Executor})
+	kept := v.hold
 	run, held := d.Executors.Send(Shot{Search: &s.Search, N: n, Executor: a.Executor, GrantMB: s.grant,
 		Level: s.level, MaxMS: s.Until - now, Held: kept})
 	s.shots[n] = shot{run: run, executor: a.Executor, sent: now, due: now + held, out: true}
 	s.fired, s.out = n+1, s.out+1
-	if d.Budgets != nil {
-		d.budget(&budget.Event{Kind: budget.Sent, ID: s.ID, GrantMB: s.grant})
-	}
+	d.happen(Happening{Kind: Fired, Search: &s.Search, Shot: n, Executor: a.Executor, GrantMB: s.grant})
 	if run == nil {
 		d.end(s, n, rules.Refused)
+	} else if v.forbid {
+		d.withhold(s.ID, n) // its record could not even be lined up
 	} else if kept {
-		d.early(s, n)
+		return // until its record lasts
 	} else if held > 0 {
 		d.timers.push(timer{at: now + held, what: releases, run: run})
 	}
--- a/internal/desk/memory.go
+++ b/internal/desk/memory.go
@@ -1,92 +1,115 @@
 package desk
 
 import (
-	"liftshift/internal/budget"
 	"liftshift/internal/check"
 	"liftshift/internal/ledger"
 	"liftshift/rules"
 )
 
+// Memory remembers through crashes. Its methods are called by the desk's goroutine alone and never wait.
+type Memory interface {
+	Step(now float64, ev *ledger.Event) []ledger.Effect
+	WantsBeliefs(now float64) bool
+}
+
+// Question asks what became of a search, by its id or its mark. Reply is called by the desk's goroutine and must not wait.
+type Question struct {
+	ID, Mark string
+	Reply    func(ledger.Effect)
+}
+
 // learner is a module that tells what it has learnt.
 type learner interface {
 	Learnt(out []rules.Figure) []rules.Figure
 }
 
-// remember tells the memory of an event and does what it asks for.
-func (d *Desk) remember(ev *ledger.Event) {
-	effects := d.Memory.Step(d.clock.Now(), ev)
+// Remembering puts a memory beside the module.
+func Remembering(m Memory) Part { return remembering{m} }
+
+type remembering struct{ Memory }
+
+// Hear tells the memory, in its own words.
+func (r remembering) Hear(now float64, h *Happening, out []Follow) []Follow {
+	var ev ledger.Event
+	switch s := h.Search; h.Kind {
+	case Came:
+		ev = ledger.Event{Kind: ledger.Taken, ID: s.ID, Mark: s.Mark, Offering: s.Offering, Until: s.Until}
+	case Firing:
+		ev = ledger.Event{Kind: ledger.Fired, ID: s.ID, Shot: h.Shot, Executor: h.Executor}
+	case ShotOver:
+		ev = ledger.Event{Kind: ledger.ShotEnded, ID: s.ID, Shot: h.Shot, Unrun: h.Unrun}
+	case Closed:
+		ev = ledger.Event{Kind: ledger.Closed, ID: s.ID, Outcome: h.Outcome, Body: h.Body}
+	case ListNews:
+		l := h.List
+		ev = ledger.Event{Kind: ledger.Listed, Index: l.Index, Restored: l.List == rules.Restored, Whole: l.List != rules.Changes, Entries: l.Entries}
+	case Ticks:
+		ev = ledger.Event{Kind: ledger.Ticked}
+		if r.WantsBeliefs(now) {
+			ev.Beliefs, ev.Figures = h.Beliefs()
+		}
+	case Told:
+		note, ours := h.Note.(*ledger.Event)
+		if !ours {
+			return out
+		}
+		ev = *note
+	case Inquiry:
+		for _, e := range r.Step(now, &ledger.Event{Kind: ledger.Asked, ID: h.Ask.ID, Mark: h.Ask.Mark}) {
+			if e.Kind == ledger.Tell {
+				h.Ask.Reply(e)
+			}
+		}
+		return append(out, Follow{Kind: Mine})
+	default:
+		return out
+	}
+	effects := r.Step(now, &ev)
 	for i := range effects {
-		e := &effects[i]
-		switch e.Kind {
+		switch e := &effects[i]; e.Kind {
+		case ledger.Hold:
+			out = append(out, Follow{Kind: Hold})
 		case ledger.Release:
-			d.let(e.ID, e.Shot)
+			out = append(out, Follow{Kind: Release, ID: e.ID, Shot: e.Shot})
 		case ledger.Refuse:
-			d.withhold(e.ID, e.Shot)
+			f := Follow{Kind: Withhold, ID: e.ID, Shot: e.Shot}
+			if h.Kind == Firing { // its record could not even be lined up
+				f.Kind = Forbid
+			}
+			out = append(out, f)
+		case ledger.Admit, ledger.Bar:
+			out = append(out, Follow{Kind: Admit, Prior: e.Prior, Barred: e.Kind == ledger.Bar})
+		case ledger.Tell:
+			out = append(out, Follow{Kind: Answer, Outcome: e.Outcome, Body: e.Body, AfterMS: e.AfterMS})
 		case ledger.Recall:
-			d.later = append(d.later, Item{Event: e.Module})
+			out = append(out, Follow{Kind: Recall, Event: e.Module})
 		}
 	}
+	return out
 }
 
-// known asks the memory about a search that comes in, and tells whether it is answered by what is on record.
-func (d *Desk) known(in *Search, ev *rules.Event) bool {
-	effects := d.Memory.Step(d.clock.Now(), &ledger.Event{Kind: ledger.Taken, ID: in.ID, Mark: in.Mark, Offering: in.Offering,
-		Until: in.Until})
-	for i := range effects {
-		switch e := &effects[i]; e.Kind {
-		case ledger.Admit, ledger.Bar:
-			ev.Prior, ev.Barred = e.Prior, e.Kind == ledger.Bar
-		case ledger.Tell:
-			switch {
-			case e.Outcome == ledger.Handled && e.Body != nil:
-				in.Client.Handled(in.Tag, e.Body)
-			case e.Outcome == ledger.Denied:
-				in.Client.Denied(in.Tag, e.AfterMS)
-			default:
-				in.Client.WrittenOff(in.Tag)
-			}
-			d.open.Add(-1)
-			d.tally.Told++
+// Remembers tells whether a part can say what became of searches.
+func (d *Desk) Remembers() bool {
+	for _, p := range d.parts {
+		if _, ok := p.(remembering); ok {
 			return true
 		}
 	}
 	return false
 }
 
-// putDown has a shot put on record before it is sent, and tells whether it is to be held until then.
-func (d *Desk) putDown(s *search, executor uint32) (held bool) {
-	if d.Memory == nil {
-		return false
-	}
-	effects := d.Memory.Step(d.clock.Now(), &ledger.Event{Kind: ledger.Fired, ID: s.ID, Shot: s.fired, Executor: executor})
-	d.refused = false
-	for i := range effects {
-		held = held || effects[i].Kind == ledger.Hold
-		d.refused = d.refused || effects[i].Kind == ledger.Refuse
-	}
-	return held
-}
-
-// early refuses a shot whose record could not even be lined up.
-func (d *Desk) early(s *search, n int) {
-	if d.refused {
-		d.refused = false
-		d.withhold(s.ID, n)
-	}
-}
-
-// let lets a shot leave whose record lasts, unless its connection asks for more time.
-func (d *Desk) let(id string, n int) {
-	s := d.searches[id]
-	if s == nil || n >= s.fired || s.shots[n].run == nil {
-		return // it was called off meanwhile
-	}
-	h := &s.shots[n]
-	if now := d.clock.Now(); now < h.due {
-		d.timers.push(timer{at: h.due, what: releases, run: h.run})
-	} else {
-		h.run.Release()
+// told answers a search by what is on record.
+func (d *Desk) told(in *Search, f *Follow) {
+	switch {
+	case f.Outcome == ledger.Handled && f.Body != nil:
+		in.Client.Handled(in.Tag, f.Body)
+	case f.Outcome == ledger.Denied:
+		in.Client.Denied(in.Tag, f.AfterMS)
+	default:
+		in.Client.WrittenOff(in.Tag)
 	}
+	d.open.Add(-1)
+	d.tally.Told++
 }
 
 // withhold ends a shot whose record can't be made to last. It never left, and no other may leave now.
@@ -102,46 +125,3 @@
 		d.later[k].Event.Barred = true
 	}
 }
-
-// tick gives the memory its time, and what the module believes where that is due.
-func (d *Desk) tick(now float64) {
-	if d.Budgets != nil {
-		d.budget(&budget.Event{Kind: budget.Ticked})
-		d.tellWaits(now)
-		d.post(d.Budgets.Tell(now))
-	}
-	if d.Memory == nil {
-		d.rest()
-		return
-	}
-	ev := ledger.Event{Kind: ledger.Ticked}
-	if d.Memory.WantsBeliefs(now) {
-		if one, ok := d.one.(believer); ok {
-			d.beliefs = one.Beliefs(now, d.beliefs[:0])
-			ev.Beliefs = d.beliefs
-		}
-		if one, ok := d.one.(learner); ok {
-			d.figures = one.Learnt(d.figures[:0])
-			ev.Figures = d.figures
-		}
-	}
-	d.remember(&ev)
-	d.rest()
-}
-
-// ask answers a question about a search. One that is open here has no outcome yet, whatever is on record.
-func (d *Desk) ask(q *Question) {
-	if q.ID != "" && d.searches[q.ID] != nil && !d.searches[q.ID].answered {
-		q.Reply(ledger.Effect{Outcome: ledger.Open})
-		return
-	}
-	if d.Memory == nil {
-		q.Reply(ledger.Effect{})
-		return
-	}
-	for _, e := range d.Memory.Step(d.clock.Now(), &ledger.Event{Kind: ledger.Asked, ID: q.ID, Mark: q.Mark}) {
-		if e.Kind == ledger.Tell {
-			q.Reply(e)
-		}
-	}
-}
--- /dev/null
+++ b/internal/desk/seam.go
@@ -0,0 +1,240 @@
+package desk
+
+import (
+	"liftshift/internal/ledger"
+	"liftshift/rules"
+)
+
+// Part is a subsystem that stands beside the module. It hears what happens, in order, and says what follows, which it appends to out.
+// It is called by the desk's goroutine alone and never waits.
+type Part interface {
+	Hear(now float64, h *Happening, out []Follow) []Follow
+}
+
+// HappeningKind tells what happens.
+type HappeningKind uint8
+
+// What happens to a search, in this order; then what happens besides.
+const (
+	Came      HappeningKind = iota // before it is entered: a part may Answer or Admit it
+	Entered                        // before the module has it: a part may Detain it
+	Firing                         // a shot is about to be made: a part may Hold or Forbid it
+	Fired                          // it has been made, and may be on its way
+	ShotOver                       // it has its outcome
+	GivenBack                      // the module does not have the search any more
+	Denying                        // it is being denied: a part may say when to ComeBack
+	Closed                         // it has its final answer, or its client left
+	ListNews                       // of the list, once the module has heard it
+	Stopping                       // a planned stop has begun
+	Ticks                          // each 100 ms
+	Letter                         // Data from the controller numbered Peer: a part may say that it is Mine, or the module gets it
+	Told                           // Note, from a part's own goroutines
+	Inquiry                        // Ask: the part that replies says that it is Mine
+)
+
+// Happening is one thing that happens. Only the fields of its kind are set.
+type Happening struct {
+	Kind     HappeningKind
+	Search   *Search // of what happens to one
+	Shot     int
+	Executor uint32 // Firing
+	GrantMB  float64
+	Unrun    bool           // ShotOver: the outcome proves that it never ran
+	Outcome  ledger.Outcome // Closed
+	Body     []byte         // Closed: the answer
+	SpentMS  float64        // Closed
+	AfterMS  float64        // Denying: as the module has it
+	List     *rules.Event   // ListNews
+	Peer     int
+	Data     []byte
+	Note     any
+	Ask      *Question
+	// Beliefs gives what the module holds of executors and what it has learnt, on Ticks, to a part that wants it.
+	Beliefs func() ([]rules.Belief, []rules.Figure)
+}
+
+// FollowKind tells what follows.
+type FollowKind uint8
+
+// What follows.
+const (
+	Answer   FollowKind = iota // Came: by what is on record: Outcome, Body, AfterMS
+	Admit                      // Came: with Prior; Barred: nothing may be sent for it
+	Detain                     // Entered: it stands in line until it is offered
+	Hold                       // Firing: it leaves only at Release
+	Forbid                     // Firing: it must not leave, and no other may now
+	ComeBack                   // Denying: after AfterMS
+	Mine                       // Letter, Inquiry
+	Release                    // Shot of ID leaves
+	Withhold                   // Shot of ID must not leave
+	Recall                     // Event is for the module
+	Offer                      // the module gets ID, to start at Start with Part of its memory; Barred: to be denied; Now: or given back
+	Press                      // ID is held under Start
+	Post                       // Data to the controller numbered Peer, or to all below 0
+	Foretell                   // ID, if its client asked: how long until it starts and ends; below 0: not known
+)
+
+// Follow is one thing that follows.
+type Follow struct {
+	Kind    FollowKind
+	ID      string
+	Shot    int
+	Prior   rules.Prior
+	Barred  bool
+	Outcome ledger.Outcome
+	Body    []byte
+	AfterMS float64
+	Start   float64
+	Part    float64
+	Now     bool
+	Peer    int
+	Data    []byte
+	StartMS float64
+	EndMS   float64
+	Event   rules.Event
+}
+
+// Join puts a part beside the module. It is called before Run. Parts hear in the order in which they joined.
+func (d *Desk) Join(p Part) { d.parts = append(d.parts, p) }
+
+// verdict is what parts say of what is about to happen.
+type verdict struct {
+	answer  *Follow
+	prior   rules.Prior
+	barred  bool
+	detain  bool
+	hold    bool
+	forbid  bool
+	mine    bool
+	afterMS float64
+}
+
+// happen tells all parts, does what follows, and gives what they say of what is about to happen. Without parts it costs nothing.
+func (d *Desk) happen(h Happening) verdict {
+	if len(d.parts) == 0 {
+		return verdict{afterMS: h.AfterMS}
+	}
+	return d.hear(h)
+}
+
+func (d *Desk) hear(h Happening) (v verdict) {
+	v.afterMS = h.AfterMS
+	list := d.follows[:0]
+	d.follows = nil // what follows may make more happen
+	for _, p := range d.parts {
+		list = p.Hear(d.clock.Now(), &h, list)
+	}
+	d.follow(list, &v)
+	d.follows = list
+	return v
+}
+
+// Follow does what a part says outside of a happening, in a call on the desk's goroutine.
+func (d *Desk) Follow(list []Follow) { d.follow(list, &verdict{}) }
+
+func (d *Desk) follow(list []Follow, v *verdict) {
+	for i := range list {
+		switch f := &list[i]; f.Kind {
+		case Answer:
+			if v.answer == nil {
+				one := *f
+				v.answer = &one
+			}
+		case Admit:
+			v.prior, v.barred = f.Prior, v.barred || f.Barred
+		case Detain:
+			v.detain = true
+		case Hold:
+			v.hold = true
+		case Forbid:
+			v.forbid = true
+		case ComeBack:
+			v.afterMS = f.AfterMS
+		case Mine:
+			v.mine = true
+		case Release:
+			d.let(f.ID, f.Shot)
+		case Withhold:
+			d.withhold(f.ID, f.Shot)
+		case Recall:
+			d.later = append(d.later, Item{Event: f.Event})
+		case Offer, Press:
+			d.offers = append(d.offers, *f)
+		case Post:
+			d.Peers.Tell(f.Peer, f.Data)
+		case Foretell:
+			d.foretell(f)
+		}
+	}
+}
+
+// foretell tells a client that asked for it how long its search waits.
+func (d *Desk) foretell(f *Follow) {
+	s := d.searches[f.ID]
+	if s == nil || s.answered || s.fired > 0 || !s.Waits {
+		return
+	}
+	if w, ok := s.Client.(Waiter); ok {
+		w.Waits(s.Tag, f.StartMS, f.EndMS)
+	}
+}
+
+// offer hands the module what was in line, or tells it that one is held down, or no more.
+func (d *Desk) offer(o *Follow) {
+	s := d.searches[o.ID]
+	if s == nil || s.answered {
+		return // it has gone meanwhile
+	}
+	switch o.Kind {
+	case Offer:
+		if !s.inLine {
+			return
+		}
+		s.inLine = false
+		d.step(&rules.Event{Kind: rules.Taken, Search: s.ID, Offering: s.Offering, Group: s.Group, Key: s.Key, NeedMB: s.NeedMB,
+			WorkMS: s.WorkMS, Until: s.Until, Repeat: s.Repeat, Prior: s.prior, Barred: s.barred || o.Barred, Start: o.Start,
+			Part: o.Part, Now: o.Now})
+	case Press:
+		d.step(&rules.Event{Kind: rules.Pressed, Search: s.ID, Start: o.Start, Part: o.Part})
+	}
+	d.release(s)
+}
+
+// let lets a shot leave whose record lasts, unless its connection asks for more time.
+func (d *Desk) let(id string, n int) {
+	s := d.searches[id]
+	if s == nil || n >= s.fired || s.shots[n].run == nil {
+		return // it was called off meanwhile
+	}
+	h := &s.shots[n]
+	if now := d.clock.Now(); now < h.due {
+		d.timers.push(timer{at: h.due, what: releases, run: h.run})
+	} else {
+		h.run.Release()
+	}
+}
+
+// tick gives all parts their time.
+func (d *Desk) tick() {
+	d.happen(Happening{Kind: Ticks, Beliefs: func() ([]rules.Belief, []rules.Figure) {
+		if one, ok := d.one.(believer); ok {
+			d.beliefs = one.Beliefs(d.clock.Now(), d.beliefs[:0])
+		}
+		if one, ok := d.one.(learner); ok {
+			d.figures = one.Learnt(d.figures[:0])
+		}
+		return d.beliefs, d.figures
+	}})
+	d.rest()
+}
+
+// ask answers a question about a search. One that is open here has no outcome yet, whatever is on record.
+func (d *Desk) ask(q *Question) {
+	if q.ID != "" && d.searches[q.ID] != nil && !d.searches[q.ID].answered {
+		q.Reply(ledger.Effect{Outcome: ledger.Open})
+		return
+	}
+	if v := d.happen(Happening{Kind: Inquiry, Ask: q}); !v.mine {
+		q.Reply(ledger.Effect{})
+	}
+}
--- a/internal/installation/installation.go
+++ b/internal/installation/installation.go
@@ -50,7 +50,8 @@
 		if err != nil {
 			return fmt.Errorf("budgets: %w", err)
 		}
-		i.team, d.Budgets = t, t
+		i.team = t
+		d.Join(desk.Budgeting(t))
 	}
 	if err := i.openStore(d, given, clock); err != nil {
 		return err
@@ -78,7 +79,8 @@
 	if found.Doubt {
 		log.WithField("why", found.Why).Warn("store: the last records may be missing")
 	}
-	i.keep, d.Memory = k, k
+	i.keep = k
+	d.Join(desk.Remembering(k))
 	i.recallLimits()
 	return nil
 }
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -148,7 +148,8 @@
 	k, _, err := Open(disk, bounds, given(), clock.Now, func(ev ledger.Event) { d.Put(desk.Item{Note: &ev}) }, silent())
 	require.NoError(t, err)
 	f := &fleet{desk: d}
-	d.Executors, d.Peers, d.List, d.Memory, d.ProbeMS = f, f, f, k, 250
+	d.Executors, d.Peers, d.List, d.ProbeMS = f, f, f, 250
+	d.Join(desk.Remembering(k))
 	go d.Run()
 	for _, ev := range k.First() {
 		d.Put(desk.Item{Event: ev})
