Tests of the council and of a voter's disk; deleted entries stay deleted after a restart

Seen by a test: after a restart a voter had the entry that had lost against a later one, as the store hands over deletions as records without a value and the seat read them as nothing. The store's comment said otherwise; both are mended (seat/disk.go openDisk).

--- /dev/null
+++ b/internal/council/council_test.go
@@ -0,0 +1,139 @@
+package council
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"go.etcd.io/raft/v3/raftpb"
+)
+
+// The table of the record: one life of a name at a time, and none comes back.
+func TestEntries(t *testing.T) {
+	in := func(life uint64) *entry { return &entry{Kind: "in", Name: "a", Life: life} }
+	lost := func(life uint64) *entry { return &entry{Kind: "lost", Name: "a", Life: life} }
+	r := Record{Places: map[string]Place{}}
+	for k, c := range []struct {
+		e       *entry
+		changes bool
+		want    Place
+	}{
+		{lost(1), false, Place{}},
+		{in(1), true, Place{Life: 1, Term: 1}},
+		{in(2), false, Place{Life: 1, Term: 1}}, // the one before it first
+		{lost(2), false, Place{Life: 1, Term: 1}},
+		{lost(1), true, Place{Life: 1, Term: 2, Lost: true}},
+		{lost(1), false, Place{Life: 1, Term: 2, Lost: true}}, // told twice
+		{in(1), false, Place{Life: 1, Term: 2, Lost: true}},
+		{in(2), true, Place{Life: 2, Term: 3}},
+		{&entry{Kind: "left", Name: "a", Life: 2}, true, Place{Life: 2, Term: 4, Lost: true, Left: true}},
+	} {
+		p, changed := r.enter(c.e)
+		assert.Equal(t, c.changes, changed, "%d", k)
+		assert.Equal(t, c.want, p, "%d", k)
+	}
+	assert.Equal(t, uint64(2), r.Declared)
+}
+
+// A lease counts from when it was asked for, and ends by the holder's clock alone; an answer to an earlier asking counts for nothing.
+func TestALeaseCountsFromTheAsking(t *testing.T) {
+	c := New(0, "x", 1, "", []string{"a"}, Kept{}, nil, 1)
+	asked := effect(c.Step(0, &Event{Kind: Ticked}), Ask)
+	require.Equal(t, "a", asked.To)
+	c.Step(500, &Event{Kind: Replied, Token: asked.Token + 1, Reply: Reply{Verdict: Granted}})
+	assert.False(t, c.Held(500))
+	c.Step(500, &Event{Kind: Replied, Token: asked.Token, Reply: Reply{Verdict: Granted, Leader: "a"}})
+	assert.True(t, c.Held(500))
+	assert.True(t, c.Held(leaseMS*(1-drift)-1))
+	assert.False(t, c.Held(leaseMS*(1-drift)), "before the granter, whose clock may run ahead, counts it as over")
+	lapsed := c.Step(leaseMS, &Event{Kind: Ticked})
+	assert.False(t, effect(lapsed, Lease).Held)
+	again := effect(lapsed, Ask)
+	c.Step(leaseMS+1, &Event{Kind: Replied, Token: again.Token, Reply: Reply{Verdict: LifeIsLost}})
+	assert.False(t, c.Held(leaseMS+1))
+	assert.Zero(t, effect(c.Step(2*leaseMS, &Event{Kind: Ticked}), Ask).Token, "a lost life asks no more")
+	c.Step(2*leaseMS, &Event{Kind: Relived, Life: 2})
+	assert.Equal(t, uint64(2), effect(c.effects, Ask).Life, "the next life does")
+}
+
+// Founders begin only once each has told its folder, and all with the same beginning; another folder is another voter.
+func TestFounding(t *testing.T) {
+	names := []string{"a", "b", "c"}
+	a := New(0, "a", 1, "fa", names, Kept{}, nil, 1)
+	assert.Len(t, a.Step(0, &Event{Kind: Ticked}), 3, "greets two, and asks for its lease")
+	assert.Empty(t, kept(a.Step(1, &Event{Kind: Met, Hello: Hello{Name: "b", Folder: "fb"}})))
+	assert.Empty(t, kept(a.Step(2, &Event{Kind: Met, Hello: Hello{Name: "stranger", Folder: "fs"}})))
+	snap := kept(a.Step(3, &Event{Kind: Met, Hello: Hello{Name: "c", Folder: "fc"}}))
+	require.Len(t, snap, 1)
+	b := New(0, "b", 1, "fb", names, Kept{}, nil, 2)
+	other := kept(b.Step(9, &Event{Kind: Met, Hello: a.Hello()}))
+	require.Len(t, other, 1, "one that is there already tells who founded it")
+	assert.Equal(t, snap[0].Snap.GetData(), other[0].Snap.GetData())
+	assert.True(t, proto.Equal(snap[0].Snap.GetMetadata(), other[0].Snap.GetMetadata()))
+	forgot := New(0, "b", 2, "another folder", names, Kept{}, nil, 3)
+	assert.Empty(t, kept(forgot.Step(9, &Event{Kind: Met, Hello: a.Hello()})), "who has forgotten how it voted does not vote")
+	assert.False(t, forgot.Hello().Voter)
+	assert.NotEqual(t, Identity("b", "fb"), Identity("b", "another folder"))
+}
+
+// What is kept is kept before anything is said that follows from it; a disk that fails silences this voter, and nothing else.
+func TestKeepBeforeSay(t *testing.T) {
+	for _, fails := range []bool{false, true} {
+		c, _ := founder()
+		now, asked := 0.0, Effect{}
+		for ; asked.Data == nil && now < 5000; now += 50 {
+			asked = effect(c.Step(now, &Event{Kind: Ticked}), Say)
+		}
+		m := said(t, asked)
+		require.Equal(t, raftpb.MsgPreVote, m.GetType(), "which binds nobody")
+		yes, err := proto.Marshal(&raftpb.Message{Type: raftpb.MsgPreVoteResp.Enum(), To: proto.Uint64(c.id),
+			From: proto.Uint64(Identity("b", "fb")), Term: proto.Uint64(m.GetTerm())})
+		require.NoError(t, err)
+		votes := c.Step(now, &Event{Kind: Heard, Name: "b", Data: yes})
+		assert.Nil(t, effect(votes, Say).Data, "a vote for itself is on disk first")
+		require.Len(t, kept(votes), 1)
+		after := c.Step(now+1, &Event{Kind: Stored, Token: kept(votes)[0].Token, Failed: fails})
+		if fails {
+			assert.NotEmpty(t, effect(after, Broken).Why)
+			assert.Nil(t, effect(after, Say).Data)
+		} else {
+			assert.Equal(t, raftpb.MsgVote, said(t, effect(after, Say)).GetType())
+		}
+	}
+}
+
+// What a voter says that can't be, or is for another folder, ends nothing.
+func TestWhatCanNotBe(t *testing.T) {
+	c, _ := founder()
+	wrong := &raftpb.Message{Type: raftpb.MsgHeartbeat.Enum(), To: proto.Uint64(c.id), From: proto.Uint64(Identity("b", "fb")),
+		Term: proto.Uint64(9), Commit: proto.Uint64(1 << 40)}
+	data, err := proto.Marshal(wrong)
+	require.NoError(t, err)
+	for n := range data {
+		c.Step(10, &Event{Kind: Heard, Name: "b", Data: data[:n]})
+	}
+	assert.False(t, c.Status(10).Broken)
+	wrong.To = proto.Uint64(7)
+	foreign, err := proto.Marshal(wrong)
+	require.NoError(t, err)
+	c.Step(10, &Event{Kind: Heard, Name: "b", Data: foreign})
+	assert.False(t, c.Status(10).Broken)
+	assert.NotEmpty(t, effect(c.Step(11, &Event{Kind: Heard, Name: "b", Data: data}), Broken).Why, "its log and what it is told can't both be true")
+	c.Step(12, &Event{Kind: Ticked})
+}
+
+// A record that has grown to its bound takes no more names, and those that are in go on.
+func TestTheRecordIsBounded(t *testing.T) {
+	r := Record{Places: map[string]Place{}}
+	for n := range mostKept + 10 {
+		name, err := json.Marshal(n)
+		require.NoError(t, err)
+		r.enter(&entry{Kind: "in", Name: string(name), Life: 1})
+	}
+	assert.Len(t, r.Places, mostKept)
+	_, changed := r.enter(&entry{Kind: "lost", Name: "1", Life: 1})
+	assert.True(t, changed)
+}
--- a/internal/seat/disk.go
+++ b/internal/seat/disk.go
@@ -48,10 +48,20 @@
 	d := &disk{seat: seat}
 	entries := map[uint64]*raftpb.Entry{}
 	var wrong error
-	read := func(_ store.Key, _ int64, value []byte) {
+	raw := map[store.Key][]byte{}
+	read := func(k store.Key, _ int64, value []byte) { // in the order in which they were written; nil: it was deleted
 		if len(value) == 0 {
-			return
+			delete(raw, k)
+		} else {
+			raw[k] = append([]byte(nil), value...)
 		}
+	}
+	s, found, err := store.Open(folder, store.Bounds{Segment: segment}, read)
+	if err != nil {
+		return nil, fmt.Errorf("council: %w", err)
+	}
+	d.store = s
+	for _, value := range raw {
 		var err error
 		switch kind, rest := value[0], value[1:]; kind {
 		case folderRecord:
@@ -72,11 +82,6 @@
 			wrong = err
 		}
 	}
-	s, found, err := store.Open(folder, store.Bounds{Segment: segment}, read)
-	if err != nil {
-		return nil, fmt.Errorf("council: %w", err)
-	}
-	d.store = s
 	if found.Doubt || wrong != nil {
 		log.WithFields(logrus.Fields{"why": found.Why, "error": wrong}).Warn("council: what this voter promised may be missing: it comes as a newcomer")
 		d.batch.Reset()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -178,7 +178,8 @@
 	TookMS   float64
 }
 
-// Open opens the store in a folder, or begins one. Each live record is handed to keep, in no order.
+// Open opens the store in a folder, or begins one. Each record that is still there is handed to keep in the order in which they were
+// written, with no value where one was deleted: of one key the last counts.
 func Open(fs vfs.FS, bounds Bounds, keep func(Key, int64, []byte)) (*Store, Found, error) {
 	began := time.Now()
 	lock, err := fs.Lock(lockName)
