--- a/internal/council/lead.go
+++ b/internal/council/lead.go
@@ -90,7 +90,7 @@
 		s, seen := c.sights[name]
 		p, known := c.record.Places[name]
 		switch {
-		case (!known || p.Lost) && seen && s.Living && s.Life > p.Life:
+		case (!known || p.Lost) && seen && s.Living && !s.Doubled && s.Life > p.Life:
 			c.propose(entry{Kind: "in", Name: name, Life: s.Life, Address: s.Address, Zone: s.Zone})
 		case known && !p.Lost:
 			c.judge(name, p, s, seen)
@@ -199,7 +199,7 @@
 	}
 	var fit []Sight
 	for _, s := range c.sights {
-		if s.Living && s.Elector && !votes[s.Name] {
+		if s.Living && s.Elector && !s.Doubled && !votes[s.Name] {
 			fit = append(fit, s)
 		}
 	}
--- a/internal/council/types.go
+++ b/internal/council/types.go
@@ -76,6 +76,7 @@
 	Address string
 	Zone    string
 	Elector bool // it has a disk for the council
+	Doubled bool // two processes bear its name: neither is let in
 }
 
 // EventKind tells what an event is.
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -25,7 +25,7 @@
 	}
 	assert.Len(t, b.Members(), len(before))
 	chance := rand.New(rand.NewPCG(1, 2))
-	for range 200_000 {
+	for range 1_000_000 {
 		spoilt := append([]byte(nil), data...)
 		for range 1 + chance.IntN(4) {
 			spoilt[chance.IntN(len(spoilt))] = byte(chance.Uint32())
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -46,14 +46,25 @@
 	f := rehearsal(t, Plan{Controllers: 6, Engines: 3, Zones: 3, Store: true, Fleet: quick, WorkMS: 3})
 	settles(t, f, "all join")
 	history, end := f.Load(4, 5*time.Millisecond)
-	f.Relay.Set(func(a, b int) Link { return Link{Cut: a%2 != b%2} })
-	time.Sleep(3 * time.Second)
-	good, _ := f.Settled()
-	assert.False(t, good, "the halves know that they are parted")
-	f.Relay.Set(func(a, _ int) Link { return Link{Cut: a == 2, Loss: 0.05, Doubling: 0.05, DelayMS: 20} })
-	time.Sleep(2 * time.Second)
-	f.Relay.Set(func(int, int) Link { return Link{} })
-	settles(t, f, "healed")
+	for _, parting := range []struct {
+		name  string
+		knows bool
+		way   func(a, b int) Link
+	}{
+		{"halves", true, func(a, b int) Link { return Link{Cut: a%2 != b%2} }},
+		{"thirds", true, func(a, b int) Link { return Link{Cut: a%3 != b%3} }},
+		{"one from all", true, func(a, b int) Link { return Link{Cut: a == 2 || b == 2} }},
+		{"one way only", false, func(a, _ int) Link { return Link{Cut: a == 2, Loss: 0.05, Doubling: 0.05, DelayMS: 20} }},
+	} {
+		f.Relay.Set(parting.way)
+		time.Sleep(2500 * time.Millisecond)
+		if parting.knows {
+			good, _ := f.Settled()
+			assert.False(t, good, "%s know that they are parted", parting.name)
+		}
+		f.Relay.Set(func(int, int) Link { return Link{} })
+		settles(t, f, parting.name+" healed")
+	}
 	require.NoError(t, f.Signal(3, syscall.SIGSTOP))
 	time.Sleep(4 * time.Second)
 	view, err := f.View(0)
@@ -128,6 +139,10 @@
 	}
 	require.NoError(t, f.StartAll())
 	holding(t, f)
+	next = led(t, f, -1)
+	assert.Zero(t, f.Term(next), "a planned stop of the leader")
+	require.NoError(t, f.Start(next))
+	next = led(t, f, next)
 	assert.Zero(t, f.Term(4))
 	next = led(t, f, -1)
 	require.Eventually(t, lost(4, "left"), 5*time.Second, 50*time.Millisecond, "one that left is told as such, at once")
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -113,7 +113,7 @@
 		var list []council.Sight
 		for _, m := range s.view.Members() {
 			list = append(list, council.Sight{Name: m.Name, Life: m.Life, Living: m.Phase.Living(), Left: m.Phase == members.Left, Address: m.Address,
-				Zone: m.Zone, Elector: m.Marks&members.Elector != 0 && m.Marks&members.Doubled == 0})
+				Zone: m.Zone, Elector: m.Marks&members.Elector != 0, Doubled: m.Marks&members.Doubled != 0})
 		}
 		s.council.See(list)
 	}
--- a/internal/simfleet/hall.go
+++ b/internal/simfleet/hall.go
@@ -118,7 +118,7 @@
 func Sights(v *members.View) (list []council.Sight) {
 	for _, m := range v.Members() {
 		list = append(list, council.Sight{Name: m.Name, Life: m.Life, Living: m.Phase.Living(), Left: m.Phase == members.Left, Address: m.Address,
-			Zone: m.Zone, Elector: m.Marks&members.Elector != 0})
+			Zone: m.Zone, Elector: m.Marks&members.Elector != 0, Doubled: m.Marks&members.Doubled != 0})
 	}
 	return list
 }
--- a/internal/simfleet/hall_test.go
+++ b/internal/simfleet/hall_test.go
@@ -73,3 +73,31 @@
 	h.declared(&council.Effect{Name: "n3", Life: h.Seats[3].life})
 	assert.NotEmpty(t, h.Broken, "one that holds its lease is declared lost")
 }
+
+// A voter is lost for good, and another while its place is being taken; then all that can be is agreed again. A voter whose disk was
+// wiped comes as a newcomer and is no voter by its old number.
+func TestVotersLostWhileOneIsReplaced(t *testing.T) {
+	h := opened(t, 9, 5, 21)
+	h.Kill(1)
+	h.Run(h.Now + 16_500) // the newcomer is about to learn
+	h.Kill(2)
+	h.Run(h.Now + 60_000)
+	voters := func() (names []string) {
+		for _, v := range h.Seats[h.named(h.Leader)].Council.Status(h.Now).Record.Voters {
+			names = append(names, v.Name)
+		}
+		return names
+	}
+	assert.NotContains(t, voters(), "n1")
+	assert.NotContains(t, voters(), "n2")
+	assert.Len(t, voters(), 5)
+	h.Wipe(1)
+	h.Open(1)
+	h.Run(h.Now + 10_000)
+	assert.False(t, h.Seats[1].Council.Hello().Voter)
+	assert.True(t, h.Seats[1].Council.Held(h.Local(1)), "it is let in all the same")
+	for k := range h.Nodes {
+		assert.Equal(t, h.Nodes[k].Up, h.Seats[k].Council.Held(h.Local(k)), "node %d", k)
+	}
+	assert.Empty(t, h.Broken)
+}
