Disks that fail beneath real processes, in builds with the tag faults

A full or failing disk could be played within one process alone. vfs.Beneath puts a layer beneath the stores that fails as a file says, in builds with the tag faults and no other.

--- a/internal/installation/fleet.go
+++ b/internal/installation/fleet.go
@@ -52,6 +52,7 @@
 	present  float64
 	counts   atomic.Pointer[members.Counts]
 	declared atomic.Uint64
+	sick     atomic.Bool // the disk of this voter does not take what must last
 }
 
 // openFleet makes the view and begins to listen, where the file has a block fleet.
@@ -89,7 +90,7 @@
 	if err != nil {
 		return fmt.Errorf("council: %w", err)
 	}
-	if f.seat, err = seat.New(f.carrier, f.view, folder, f.file.Founders, f.file.Given, seed, f.log); err != nil {
+	if f.seat, err = seat.New(f.carrier, f.view, vfs.Beneath(folder), f.file.Founders, f.file.Given, seed, f.log); err != nil {
 		return err
 	}
 	f.seat.Said = f.agreed
@@ -101,6 +102,9 @@
 	if f.seat != nil {
 		m |= members.Elector
 	}
+	if f.sick.Load() {
+		m = m&^members.Elector | members.DiskSick
+	}
 	return m
 }
 
@@ -128,6 +132,8 @@
 		f.carrier.Renew(now)
 	case council.Broken:
 		f.log.WithField("why", e.Why).Error("council: this voter can't go on; the others do")
+		f.sick.Store(true)
+		go f.carrier.Mark(f.marks(members.Ready))
 	}
 }
 
--- a/internal/installation/installation.go
+++ b/internal/installation/installation.go
@@ -71,7 +71,7 @@
 	if err != nil {
 		return fmt.Errorf("store: %w", err)
 	}
-	k, found, err := keeper.Open(dir, store.Bounds{Segment: s.Segment, Lag: s.Lag}, ledgerGiven(given, s), clock.Now,
+	k, found, err := keeper.Open(vfs.Beneath(dir), store.Bounds{Segment: s.Segment, Lag: s.Lag}, ledgerGiven(given, s), clock.Now,
 		func(ev ledger.Event) { d.Put(desk.Item{Note: &ev}) }, log)
 	if err != nil {
 		return fmt.Errorf("%w (folder %s; see: liftshift store verify %s)", err, s.Directory, s.Directory)
--- a/internal/rehearse/helpers_test.go
+++ b/internal/rehearse/helpers_test.go
@@ -24,7 +24,7 @@
 		dir, err := exec.Command("mktemp", "-d").Output()
 		if built.err = err; err == nil {
 			built.path = string(dir[:len(dir)-1])
-			built.out, built.err = exec.Command("go", "build", "-o", built.path+"/", "liftshift/cmd/liftshift", "liftshift/cmd/liftshift-full").CombinedOutput()
+			built.out, built.err = exec.Command("go", "build", "-tags", "faults", "-o", built.path+"/", "liftshift/cmd/liftshift", "liftshift/cmd/liftshift-full").CombinedOutput()
 		}
 	})
 	require.NoError(t, built.err, string(built.out))
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -144,7 +144,7 @@
 		fmt.Fprintf(&hcl, "store {\n  directory = %q\n  segment = \"256KiB\"\n}\n", filepath.Join(c.Folder, "store"))
 	}
 	file := filepath.Join(c.Folder, "office.hcl")
-	c.env = append(os.Environ(), "RELAY_CONFIG="+filepath.Join(c.Folder, "node.json"), "LIFTSHIFT_FILE="+file)
+	c.env = append(os.Environ(), "RELAY_CONFIG="+filepath.Join(c.Folder, "node.json"), "LIFTSHIFT_DISK="+filepath.Join(c.Folder, "disk"), "LIFTSHIFT_FILE="+file)
 	return errors.Join(os.WriteFile(filepath.Join(c.Folder, "node.json"), text, 0o600), os.WriteFile(file, []byte(hcl.String()), 0o600))
 }
 
@@ -212,6 +212,12 @@
 	}
 }
 
+// Disk says how the disk of a controller is from now on: "sound", "full", "failing" or "slow 300ms". It works with programs that were
+// built with the tag faults.
+func (f *Fleet) Disk(k int, state string) error {
+	return os.WriteFile(filepath.Join(f.Controllers[k].Folder, "disk"), []byte(state), 0o600)
+}
+
 // Term ends a controller as planned, and gives its exit code.
 func (f *Fleet) Term(k int) int {
 	c := f.Controllers[k]
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -151,6 +152,61 @@
 	}
 }
 
+// The disk of a voter fills up, and one that only keeps searches fails, under load: labelled work is denied there and nowhere else, the
+// voter falls silent and says so in its marks, the council goes on, no process ends; all is as before once the disks are well.
+func TestDisksUnderLoad(t *testing.T) {
+	f := rehearsal(t, Plan{Controllers: 5, Engines: 2, Zones: 2, Founders: 3, Store: true, Fleet: quick, WorkMS: 2})
+	settles(t, f, "all join")
+	holding(t, f)
+	history, end := f.Load(4, 3*time.Millisecond)
+	defer end()
+	time.Sleep(time.Second)
+	require.NoError(t, f.Disk(1, "full"))
+	require.NoError(t, f.Disk(3, "failing"))
+	f.Kill(4) // something that the council has to keep
+	sick := time.Now()
+	leads := led(t, f, 1)
+	require.Eventually(t, func() bool { return place(f, leads, "c4") == "lost" }, 15*time.Second, 50*time.Millisecond, "two of three voters agree")
+	require.Eventually(t, func() bool { return strings.Contains(f.Controllers[1].Log(), "can't go on") }, 10*time.Second, 20*time.Millisecond)
+	marked := func() bool {
+		a, err := f.Ask(0, "members", nil)
+		list, _ := a["members"].([]any)
+		for _, x := range list {
+			if m, _ := x.(map[string]any); err == nil && m["name"] == "c1" {
+				marks, _ := m["marks"].([]any)
+				return slices.Contains(marks, any("disk-sick"))
+			}
+		}
+		return false
+	}
+	require.Eventually(t, marked, 5*time.Second, 20*time.Millisecond, "the others see its mark")
+	time.Sleep(time.Second)
+	well := time.Now()
+	for _, k := range []int{1, 3} {
+		require.NoError(t, f.Disk(k, "sound"))
+	}
+	time.Sleep(2 * time.Second)
+	end()
+	denied, after := map[int]int{}, map[int]int{}
+	for _, a := range history.List() {
+		if a.Mark != "" && a.Outcome == "denied" && a.At.After(sick) && a.At.Before(well) {
+			denied[a.Controller]++
+		}
+		if a.Mark != "" && a.Outcome == "handled" && a.At.After(well.Add(time.Second)) {
+			after[a.Controller]++
+		}
+	}
+	assert.Positive(t, denied[3])
+	assert.Zero(t, denied[0]+denied[2], "whose disks are well")
+	for k := range 4 {
+		assert.Positive(t, after[k], "%d handles labelled work again", k)
+	}
+	assert.Empty(t, Check(history.List(), f.Memory.Runs(), 5))
+	for k := range 4 {
+		assert.NotZero(t, f.Process(k))
+	}
+}
+
 // A drill as an operator plays it, with its report; one that is broken is told as such.
 func TestDrill(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "drill.hcl")
@@ -161,7 +217,7 @@
 		return s
 	}
 	s := write("controllers = 3\nengines = 2\nclients = 3\nlength = \"4s\"\nseed = 5\nfleet = \"probe = \\\"200ms\\\"\\nanswer = \\\"80ms\\\"\\nsuspect = \\\"800ms\\\"\"\n" +
-		"step \"1s\" { kill = [\"c1\"] }\nstep \"2s\" {\n parts = [[\"c0\"], [\"c2\"]]\n}\nstep \"3s\" {\n heal = true\n start = [\"c1\"]\n}\n")
+		"step \"1s\" { kill = [\"c1\"] }\nstep \"2s\" {\n parts = [[\"c0\"], [\"c2\"]]\n}\nstep \"3s\" {\n heal = true\n start = [\"c1\"]\n disks = [\"c0\"]\n disk = \"slow 5ms\"\n}\n")
 	f := rehearsal(t, Plan{Controllers: 1, Engines: 1}) // builds the program
 	var said bytes.Buffer
 	o, err := Play(s, f.Plan.Program, t.TempDir(), &said)
--- a/internal/rehearse/script.go
+++ b/internal/rehearse/script.go
@@ -1,9 +1,11 @@
 package rehearse
 
 import (
+	"debug/buildinfo"
 	"fmt"
 	"io"
 	"os"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"syscall"
@@ -45,6 +47,8 @@
 	Twice float64    `hcl:"twice,optional"`
 	Delay string     `hcl:"delay,optional"`
 	Heal  bool       `hcl:"heal,optional"`
+	Disks []string   `hcl:"disks,optional"` // those whose disks are as Disk says; with a program built with the tag faults
+	Disk  string     `hcl:"disk,optional"`
 
 	at, delay time.Duration
 }
@@ -75,7 +79,7 @@
 			err = fmt.Errorf("%s: step %q is out of order, or past the length", path, p.At)
 		}
 		before = p.at
-		for _, name := range slices.Concat(p.Kill, p.Start, p.Term, p.Stop, p.Go, p.Wipe, p.From, slices.Concat(p.Parts...)) {
+		for _, name := range slices.Concat(p.Kill, p.Start, p.Term, p.Stop, p.Go, p.Wipe, p.From, p.Disks, slices.Concat(p.Parts...)) {
 			if n := number(name); err == nil && (n < 0 || n >= s.Controllers) {
 				err = fmt.Errorf("%s: step %q: there is no controller %q; they are c0 to c%d", path, p.At, name, s.Controllers-1)
 			}
@@ -127,6 +131,9 @@
 	if o.Seed == 0 {
 		o.Seed = uint64(time.Now().UnixNano() % 1e9)
 	}
+	if sick := slices.ContainsFunc(s.Steps, func(p Step) bool { return len(p.Disks) > 0 }); sick && !hasFaults(program+"-full") {
+		return nil, fmt.Errorf("%s can't make its disk fail: build it with -tags faults", program)
+	}
 	f, err := New(Plan{Program: program, Folder: folder, Controllers: s.Controllers, Engines: max(1, s.Engines), Zones: max(1, s.Zones),
 		Founders: s.Founders, Store: s.Store, Seed: o.Seed, Fleet: s.Fleet, WorkMS: s.WorkMS})
 	if err != nil {
@@ -204,13 +211,21 @@
 	return o, nil
 }
 
+// hasFaults tells whether a program was built with the layer that makes disks fail.
+func hasFaults(program string) bool {
+	info, err := buildinfo.ReadFile(program)
+	return err == nil && slices.ContainsFunc(info.Settings, func(s debug.BuildSetting) bool {
+		return s.Key == "-tags" && slices.Contains(strings.Split(s.Value, ","), "faults")
+	})
+}
+
 // String tells what a step does.
 func (p *Step) String() string {
 	var parts []string
 	for _, x := range []struct {
 		what  string
 		names []string
-	}{{"kill", p.Kill}, {"start", p.Start}, {"end as planned", p.Term}, {"stop", p.Stop}, {"go on", p.Go}, {"wipe", p.Wipe}, {"mute", p.From}} {
+	}{{"kill", p.Kill}, {"start", p.Start}, {"end as planned", p.Term}, {"stop", p.Stop}, {"go on", p.Go}, {"wipe", p.Wipe}, {"mute", p.From}, {"disk " + p.Disk + ":", p.Disks}} {
 		if len(x.names) > 0 {
 			parts = append(parts, x.what+" "+strings.Join(x.names, " "))
 		}
@@ -249,6 +264,7 @@
 		}
 		return os.RemoveAll(f.Controllers[k].Folder + "/store")
 	})
+	each(p.Disks, func(k int) error { return f.Disk(k, p.Disk) })
 	each(p.Start, f.Start)
 	each(p.Stop, func(k int) error { return f.Signal(k, syscall.SIGSTOP) })
 	each(p.Go, func(k int) error { return f.Signal(k, syscall.SIGCONT) })
