--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"hash/crc32"
+	"math"
 	"slices"
 	"strings"
 
@@ -205,6 +206,8 @@
 		c.met(&ev.Hello)
 	case Relived:
 		c.life, c.until, c.askAt = ev.Life, 0, c.now
+	case GivenBack:
+		c.until, c.asked, c.askAt = 0, 0, math.Inf(1)
 	case Moved:
 		c.move = [2]string{ev.Name, ev.To}
 	}
--- a/internal/council/council_test.go
+++ b/internal/council/council_test.go
@@ -59,6 +59,19 @@
 	assert.Equal(t, uint64(2), effect(c.effects, Ask).Life, "the next life does")
 }
 
+// One that gives its lease back acts on it no more, whatever answer is still on its way, and asks for no other.
+func TestALeaseGivenBackIsOver(t *testing.T) {
+	c := New(0, "x", 1, "", []string{"a"}, Kept{}, nil, 1)
+	c.Step(1, &Event{Kind: Replied, Token: effect(c.Step(0, &Event{Kind: Ticked}), Ask).Token, Reply: Reply{Verdict: Granted}})
+	require.True(t, c.Held(2))
+	later := effect(c.Step(2500, &Event{Kind: Ticked}), Ask)
+	require.NotZero(t, later.Token)
+	assert.False(t, effect(c.Step(2501, &Event{Kind: GivenBack}), Lease).Held)
+	c.Step(2502, &Event{Kind: Replied, Token: later.Token, Reply: Reply{Verdict: Granted}})
+	assert.False(t, c.Held(2503))
+	assert.Zero(t, effect(c.Step(9000, &Event{Kind: Ticked}), Ask).Token)
+}
+
 // Founders begin only once each has told its folder, and all with the same beginning; another folder is another voter.
 func TestFounding(t *testing.T) {
 	names := []string{"a", "b", "c"}
--- a/internal/council/types.go
+++ b/internal/council/types.go
@@ -84,14 +84,15 @@
 
 // Events.
 const (
-	Ticked  EventKind = iota
-	Heard             // Data of the voter Name
-	Stored            // what Keep with this Token asked for lasts, or not: Failed
-	Asked             // Name and Life ask for a lease, or give one back: Release
-	Replied           // to our own asking: Reply, or Failed
-	Met               // what a founder, or one to be a voter, said: Hello
-	Relived           // this controller goes on under another Life
-	Moved             // an operator wants a voter replaced: Name by To
+	Ticked    EventKind = iota
+	Heard               // Data of the voter Name
+	Stored              // what Keep with this Token asked for lasts, or not: Failed
+	Asked               // Name and Life ask for a lease, or give one back: Release
+	Replied             // to our own asking: Reply, or Failed
+	Met                 // what a founder, or one to be a voter, said: Hello
+	Relived             // this controller goes on under another Life
+	GivenBack           // this controller is about to give its lease back: it acts on it no more
+	Moved               // an operator wants a voter replaced: Name by To
 )
 
 // Event is something that the council hears.
--- a/internal/desk/budgets_test.go
+++ b/internal/desk/budgets_test.go
@@ -149,3 +149,25 @@
 	assert.Equal(t, []float64{32}, l.mb, "once, and its level stays")
 	assert.Empty(t, l.did)
 }
+
+// Parts hear in the order in which they joined, and say together what is about to happen; without parts nothing is even built.
+func TestPartsHearInOrder(t *testing.T) {
+	d, _ := sent(&side{}, nil)
+	assert.Zero(t, testing.AllocsPerRun(100, func() { d.happen(Happening{Kind: Ticks}) }))
+	var heard []string
+	d.Join(part(func(h *Happening, out []Follow) []Follow {
+		heard = append(heard, "first")
+		return append(out, Follow{Kind: Admit, Barred: true}, Follow{Kind: Hold})
+	}))
+	d.Join(part(func(h *Happening, out []Follow) []Follow {
+		heard = append(heard, "second")
+		return append(out, Follow{Kind: Admit, Prior: rules.Prior{At: 7}}, Follow{Kind: ComeBack, AfterMS: 3})
+	}))
+	v := d.happen(Happening{Kind: Came, AfterMS: 9})
+	assert.Equal(t, []string{"first", "second"}, heard)
+	assert.Equal(t, verdict{barred: true, prior: rules.Prior{At: 7}, hold: true, afterMS: 3}, v)
+}
+
+type part func(h *Happening, out []Follow) []Follow
+
+func (p part) Hear(_ float64, h *Happening, out []Follow) []Follow { return p(h, out) }
--- a/internal/installation/fleet.go
+++ b/internal/installation/fleet.go
@@ -138,20 +138,20 @@
 }
 
 // showCouncil gives how this member stands to the council, and what is agreed.
-func (f *fleet) showCouncil(now float64) map[string]any {
+func (f *fleet) showCouncil(now float64, record council.Record) map[string]any {
 	s := f.seat.Status(now)
 	var voters, places []any
-	for _, v := range s.Record.Voters {
+	for _, v := range record.Voters {
 		m, _ := f.view.Find(v.Name)
 		voters = append(voters, map[string]any{"name": v.Name, "zone": m.Zone, "phase": m.Phase.String(), "id": strconv.FormatUint(v.ID, 16)})
 	}
-	for _, name := range slices.Sorted(maps.Keys(s.Record.Places)) {
-		p := s.Record.Places[name]
+	for _, name := range slices.Sorted(maps.Keys(record.Places)) {
+		p := record.Places[name]
 		places = append(places, map[string]any{"name": name, "life": strconv.FormatUint(p.Life, 10), "term": float64(p.Term), "lost": p.Lost, "left": p.Left})
 	}
 	return map[string]any{"founded": s.Founded, "voter": s.Voter, "broken": s.Broken, "leader": s.Leader, "term": float64(s.Term),
 		"commit": float64(s.Commit), "log": float64(s.Log), "held": s.Held, "lease_ms": math.Round(s.LeftMS), "voters": voters, "places": places,
-		"declared": float64(s.Record.Declared)}
+		"declared": float64(record.Declared)}
 }
 
 // life gives the number of this start: later than any that is on record here, and than any start before by the machine's clock.
@@ -296,6 +296,12 @@
 	if f == nil {
 		return true, nil, control.Wrongf("there is no fleet: the operators' file has no block fleet")
 	}
+	var record council.Record
+	if question == "council" && f.seat != nil {
+		if record, err = f.seat.Record(); err != nil {
+			return true, nil, fmt.Errorf("council: the member that leads did not tell the record: %w", err)
+		}
+	}
 	done := f.carrier.Do(func(now float64, v *members.View) {
 		switch question {
 		case "members":
@@ -308,7 +314,7 @@
 				err = control.Wrongf("there is no council: the block fleet names no founders")
 				return
 			}
-			out = f.showCouncil(now)
+			out = f.showCouncil(now, record)
 		case "council move":
 			from, _ := fields["from"].(string)
 			to, _ := fields["to"].(string)
--- a/internal/members/news.go
+++ b/internal/members/news.go
@@ -244,10 +244,26 @@
 	return list
 }
 
+// inquire asks others after those that are about to be given up: nobody is buried by one who missed that it spoke.
+func (v *View) inquire() {
+	var near []Member
+	for _, h := range v.accused {
+		if h.Phase == Suspect && h.until-v.now < inquireMS && len(near) < mostInquire {
+			near = append(near, h.Member)
+		}
+	}
+	for k := 0; k < inquireOf && len(near) > 0; k++ {
+		if m := v.anyone(func(m *member) bool { return m.Phase != Here }); m != nil {
+			v.numbers++
+			v.send(m, &message{kind: ping, number: v.numbers, target: m.Name, life: m.Life, news: near}, m)
+		}
+	}
+}
+
 // correct appends what is known here of one that another holds for suspect or gone by an older word of it.
 func (v *View) correct(list []Member, m *Member) []Member {
 	h := v.byName[m.Name]
-	if h == nil || m.Phase != Suspect && m.Phase != Gone || len(list) >= mostHeld || !h.Phase.Living() ||
+	if h == nil || m.Phase != Suspect && m.Phase != Gone || len(list) >= mostInquire || !h.Phase.Living() ||
 		h.Life < m.Life || h.Life == m.Life && h.Inc <= m.Inc {
 		return list
 	}
--- a/internal/members/view.go
+++ b/internal/members/view.go
@@ -25,6 +25,9 @@
 	suspectMost = 6.0  // times the least time, while only one accuses: three in a row seldom err together
 	accusers    = 3    // who bring it down to the least
 	mostProbes  = 8    // under way at a time
+	inquireMS   = 900  // before one is given up: others are asked whether they have heard from it since, each gossipMS
+	inquireOf   = 2    // so many each time: nine answers in all, of which one in five is lost on a network that loses a tenth
+	mostInquire = 16   // suspects at a time
 	mostHeld    = 4    // suspects that a probe tells of, and corrections that its answer brings
 	lookers     = 5.0  // members that look for themselves where one is accused, of all: the news finds its subject, or accusers
 
@@ -259,6 +262,7 @@
 	if v.now >= v.gossipAt {
 		v.gossipAt = v.now + gossipMS
 		v.spread()
+		v.inquire()
 	}
 	if v.now >= v.returnAt {
 		v.returnAt = v.now + returnMS*(0.5+v.chance())
@@ -278,7 +282,7 @@
 		v.sweep()
 	}
 	v.wakeAt = min(v.probeAt, v.returnAt, v.exchangeAt, v.sweepAt)
-	if len(v.news) > 0 {
+	if len(v.news) > 0 || v.suspects() > 0 {
 		v.wakeAt = min(v.wakeAt, v.gossipAt)
 	}
 	for k := range v.probes {
@@ -459,7 +463,9 @@
 			known = v.correct(known, &m.news[k])
 		}
 	}
-	v.quieten(m.hash)
+	if m.kind == ping || m.kind == ack { // rounds of news go where news is, and say nothing of the rest
+		v.quieten(m.hash)
+	}
 	from := v.byName[m.own.Name]
 	if wasGone && knew.Phase.Living() { // one was cut off from the other: what each holds of all is compared at once
 		v.exchange(knew.Address)
--- a/internal/rehearse/report.go
+++ b/internal/rehearse/report.go
@@ -20,6 +20,8 @@
 const (
 	width  = 22 * vg.Centimeter
 	height = 8 * vg.Centimeter
+
+	headroom = 1.35 // above the highest line, for the legend
 )
 
 // line is one line of a plot.
@@ -48,6 +50,7 @@
 			p.Legend.Add(l.name, x)
 		}
 	}
+	p.Y.Max *= headroom
 	c := vgsvg.New(width, height)
 	p.Draw(draw.New(c))
 	var b bytes.Buffer
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -31,6 +31,7 @@
 	voterSays   = 'v'
 	asksLease   = 'a'
 	saysHello   = 'h'
+	asksRecord  = 'r'
 	mostNameLen = 64
 )
 
@@ -145,11 +146,33 @@
 	case saysHello:
 		data, err := json.Marshal(s.council.Hello())
 		reply(data, err)
+	case asksRecord:
+		reply(json.Marshal(s.council.Status(now).Record))
 	default:
 		reply(nil, fmt.Errorf("what is said is of a kind %q that is not known here", kind))
 	}
 }
 
+// Record gives what is agreed, from the member that leads where this one does not vote. It may be called from any goroutine but the
+// carrier's, and waits for the answer.
+func (s *Seat) Record() (r council.Record, err error) {
+	at := ""
+	s.carrier.Do(func(now float64, _ *members.View) {
+		st := s.council.Status(now)
+		if r = st.Record; !st.Voter && st.Leader != s.name {
+			at = s.address(st.Leader)
+		}
+	})
+	if at == "" {
+		return r, nil
+	}
+	data, err := s.carrier.CallNow(at, fleetwire.CouncilMethod, []byte{asksRecord})
+	if err == nil {
+		err = json.Unmarshal(data, &r)
+	}
+	return r, err
+}
+
 // Close ends the seat; the carrier calls it last.
 func (s *Seat) Close() {
 	close(s.stop)
@@ -172,7 +195,7 @@
 			close(done)
 			return
 		}
-		s.until.Store(0)
+		s.step(now, council.Event{Kind: council.GivenBack}) // before the council hears of it
 		s.ask(now, to, append([]byte{asksLease}, data...), func(float64, []byte, error) { close(done) })
 	})
 	select {
--- a/internal/simfleet/hall.go
+++ b/internal/simfleet/hall.go
@@ -46,6 +46,7 @@
 	Leader   string
 	LedAt    float64
 	Declared int
+	Invented []council.Sight // that each view has besides: many names at once
 
 	open    map[string]Claim // declarations that are under way
 	folders int
@@ -107,7 +108,7 @@
 	}
 	if h.Now >= s.sawAt+100 {
 		s.sawAt = h.Now
-		s.Council.See(Sights(nd.View))
+		s.Council.See(append(Sights(nd.View), h.Invented...))
 	}
 	h.step(k, council.Event{Kind: council.Ticked})
 	next := max(h.Now+1, min(s.Council.Next()/nd.Rate, h.Now+200))
--- a/internal/simfleet/simfleet_test.go
+++ b/internal/simfleet/simfleet_test.go
@@ -68,6 +68,7 @@
 	f.Kill(2)
 	f.Move(2, "10.9.9.9:7")
 	f.Start(2)
+	f.Run(f.Now + 1000)
 	settles(t, f, 5000, "elsewhere")
 	m, _ := f.Nodes[0].View.Find("n2")
 	assert.Equal(t, "10.9.9.9:7", m.Address)
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -690,3 +690,17 @@
 		assert.NotContains(t, kinds(a), Send, offering)
 	}
 }
+
+// How many controllers there are is heard: the part of an executor follows, the part of a cold one stays that of the settings.
+func TestCountedControllers(t *testing.T) {
+	g := gateway(1, Given{"controllers": 4.0, "slot": 1.0})
+	assert.Equal(t, 0.25, g.share())
+	e, o := &g.executors[0], &g.offerings[0]
+	o.usual, e.coldUntil = 100, 1e9
+	before := g.warmEnough(o, e)
+	g.Step(1001, &Event{Kind: Counted, Value: 2}, nil)
+	assert.Equal(t, 0.5, g.share())
+	assert.Equal(t, before, g.warmEnough(o, e))
+	g.Step(1002, &Event{Kind: Counted, Value: 0}, nil)
+	assert.Equal(t, 0.25, g.share(), "nothing is known")
+}
