--- a/internal/rehearse/script.go
+++ b/internal/rehearse/script.go
@@ -196,8 +196,10 @@
 	o.Asked = history.List()
 	o.Wrong = append(o.Wrong, Check(o.Asked, f.Memory.Runs(), s.Controllers)...)
 	for _, c := range f.Controllers {
-		if strings.Contains(c.Log(), "does not hold") || strings.Contains(c.Log(), "panic:") {
-			o.Wrong = append(o.Wrong, c.Name+" broke a claim of its own; see its log")
+		for _, word := range []string{"does not hold", "panic:", "DATA RACE"} {
+			if at := strings.Index(c.Log(), word); at >= 0 {
+				o.Wrong = append(o.Wrong, fmt.Sprintf("%s said: %.600s", c.Name, c.Log()[max(0, at-100):]))
+			}
 		}
 	}
 	counts := map[string]int{}
