--- a/deploy/drill.hcl
+++ b/deploy/drill.hcl
@@ -20,4 +20,7 @@
 }
 step "22s" { stop = ["c4"] } # it stands still, and wakes up believing itself alive
 step "27s" { go = ["c4"] }
-step "28s" { term = ["c5"] }
+step "28s" {
+  term  = ["c5"]
+  drain = ["s2"] # one engine leaves: nothing new goes there past the grace
+}
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -21,7 +21,7 @@
 	Region  string
 	// Founders are the members that found the council together; empty: there is none.
 	Founders []string
-	Given    rules.Given // for the view and the council: probe_ms, answer_ms, suspect_ms, lease_ms, declare_ms, voters
+	Given    rules.Given // for the view and the council: probe_ms, answer_ms, suspect_ms, lease_ms, declare_ms, replace_ms, voters
 }
 
 const mostName = 60 // bytes of a name that goes over the wire
@@ -41,6 +41,7 @@
 	{name: "answer", kind: span, least: 20, most: 30e3, usual: 200, help: "time after which a probe goes by way of others"},
 	{name: "suspect", kind: span, least: 200, most: 600e3, usual: 2500, help: "least time in which one that does not answer may say that it is here"},
 	{name: "lease", kind: span, least: 1000, most: 600e3, usual: 6000, help: "how long a controller may act on its lease without the council"},
+	{name: "replace", kind: span, least: 1000, most: 3600e3, usual: 15000, help: "how long a voter must be gone before another takes its place"},
 	{name: "declare", kind: span, least: 0, most: 3600e3, usual: 2000, help: "how long one must be gone before the council declares it lost"},
 }}
 
@@ -49,7 +50,7 @@
 	var diags hcl.Diagnostics
 	f := &Fleet{Name: v.texts["name"], Member: v.texts["member"], Address: v.texts["address"], Listen: v.texts["listen"], Seeds: v.lists["seeds"],
 		Zone: v.texts["zone"], Region: v.texts["region"], Founders: v.lists["founders"], Given: rules.Given{"voters": v.nums["voters"]}}
-	for _, name := range []string{"probe", "answer", "suspect", "lease", "declare"} {
+	for _, name := range []string{"probe", "answer", "suspect", "lease", "declare", "replace"} {
 		f.Given[name+"_ms"] = v.nums[name]
 	}
 	for _, name := range []string{"name", "member", "zone", "region"} {
--- a/internal/rehearse/helpers_test.go
+++ b/internal/rehearse/helpers_test.go
@@ -105,3 +105,18 @@
 	}
 	return ""
 }
+
+// voters gives who votes, or learns to, as one controller has it.
+func voters(f *Fleet, k int) (names []string) {
+	a, err := f.Ask(k, "council", nil)
+	if err != nil {
+		return nil
+	}
+	list, _ := a["voters"].([]any)
+	for _, x := range list {
+		v, _ := x.(map[string]any)
+		name, _ := v["name"].(string)
+		names = append(names, name)
+	}
+	return names
+}
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -19,6 +19,9 @@
 	"liftshift/internal/standin"
 )
 
+// drainGrace is the grace of the settings after a drain is told, and what sockets have on top.
+const drainGrace = 550 * time.Millisecond
+
 // Plan is what a rehearsal starts.
 type Plan struct {
 	Program     string // path of liftshift
@@ -71,12 +74,14 @@
 	Controllers []*Controller
 	Engines     []*standin.Engine
 	Memory      *standin.Memory
+	list        *standin.Changes
+	drained     map[string]time.Time // engines that are told to be leaving, since when
 	stops       []func()
 }
 
 // New writes the files and starts the engines and the relay; no controller yet.
 func New(p Plan) (f *Fleet, err error) {
-	f = &Fleet{Plan: p, Memory: &standin.Memory{}}
+	f = &Fleet{Plan: p, Memory: &standin.Memory{}, drained: map[string]time.Time{}}
 	defer func() {
 		if err != nil {
 			f.Close()
@@ -93,13 +98,12 @@
 		}
 		f.Engines = append(f.Engines, e)
 	}
-	list, stop, err := standin.List()
-	if err != nil {
+	if f.list, err = standin.NewChanges(); err != nil {
 		return nil, err
 	}
-	f.stops = append(f.stops, stop)
+	f.stops = append(f.stops, f.list.Stop)
 	for k := range p.Controllers {
-		if err = f.write(k, list); err != nil {
+		if err = f.write(k, f.list.Address); err != nil {
 			return nil, err
 		}
 	}
@@ -218,6 +222,25 @@
 	return os.WriteFile(filepath.Join(f.Controllers[k].Folder, "disk"), []byte(state), 0o600)
 }
 
+// Drain has the list tell that an engine is leaving. It goes on answering.
+func (f *Fleet) Drain(k int) error {
+	if err := f.list.Tell(f.Engines[k], "Terminating"); err != nil {
+		return err
+	}
+	f.drained[f.Engines[k].Name] = time.Now()
+	return nil
+}
+
+// Undrained gives the runs that began at an engine past the grace after it was told to be leaving.
+func Undrained(runs []standin.Run, drained map[string]time.Time) (wrong []string) {
+	for _, r := range runs {
+		if at, drains := drained[r.Engine]; drains && r.At.After(at.Add(drainGrace)) {
+			wrong = append(wrong, fmt.Sprintf("search %s ran at %s, %v after that was told to be leaving", r.ID, r.Engine, r.At.Sub(at)))
+		}
+	}
+	return wrong
+}
+
 // Term ends a controller as planned, and gives its exit code.
 func (f *Fleet) Term(k int) int {
 	c := f.Controllers[k]
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -216,6 +216,28 @@
 	}
 }
 
+// A voter is lost, and another while its place is being taken, with real processes: others take both places, and all goes on.
+func TestVotersLostWhileOneIsReplaced(t *testing.T) {
+	f := rehearsal(t, Plan{Controllers: 8, Engines: 1, Zones: 3, Founders: 5, Store: true, Fleet: quick + "replace = \"1500ms\"\nvoters = 5\n"})
+	settles(t, f, "all join")
+	holding(t, f)
+	leader := led(t, f, -1)
+	lost := []int{}
+	for k := 0; len(lost) < 2; k++ {
+		if k != leader {
+			lost = append(lost, k)
+		}
+	}
+	f.Kill(lost[0])
+	require.Eventually(t, func() bool { return len(voters(f, leader)) == 6 }, 20*time.Second, 5*time.Millisecond, "a newcomer learns")
+	f.Kill(lost[1])
+	require.Eventually(t, func() bool {
+		v := voters(f, led(t, f, -1))
+		return len(v) == 5 && !slices.Contains(v, f.Controllers[lost[0]].Name) && !slices.Contains(v, f.Controllers[lost[1]].Name)
+	}, 40*time.Second, 50*time.Millisecond, "both places are taken")
+	holding(t, f)
+}
+
 // A drill as an operator plays it, with its report; one that is broken is told as such.
 func TestDrill(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "drill.hcl")
@@ -226,7 +248,7 @@
 		return s
 	}
 	s := write("controllers = 3\nengines = 2\nclients = 3\nlength = \"4s\"\nseed = 5\nfleet = \"probe = \\\"200ms\\\"\\nanswer = \\\"80ms\\\"\\nsuspect = \\\"800ms\\\"\"\n" +
-		"step \"1s\" { kill = [\"c1\"] }\nstep \"2s\" {\n parts = [[\"c0\"], [\"c2\"]]\n}\nstep \"3s\" {\n heal = true\n start = [\"c1\"]\n disks = [\"c0\"]\n disk = \"slow 5ms\"\n}\n")
+		"step \"1s\" { kill = [\"c1\"] }\nstep \"2s\" {\n parts = [[\"c0\"], [\"c2\"]]\n}\nstep \"3s\" {\n heal = true\n start = [\"c1\"]\n drain = [\"s1\"]\n disks = [\"c0\"]\n disk = \"slow 5ms\"\n}\n")
 	f := rehearsal(t, Plan{Controllers: 1, Engines: 1}) // builds the program
 	var said bytes.Buffer
 	o, err := Play(s, f.Plan.Program, t.TempDir(), &said)
@@ -248,6 +270,9 @@
 	at := time.Now()
 	run := func(id, mark string) standin.Run { return standin.Run{ID: id, Mark: mark, At: at} }
 	assert.Empty(t, Check([]Asked{{ID: "1", Offering: "look", Outcome: "handled"}}, []standin.Run{run("1", "")}, 1))
+	leaving := map[string]time.Time{"s-1": at}
+	assert.Empty(t, Undrained([]standin.Run{{ID: "1", Engine: "s-1", At: at.Add(time.Millisecond)}, {ID: "2", Engine: "s-2", At: at.Add(time.Hour)}}, leaving))
+	assert.NotEmpty(t, Undrained([]standin.Run{{ID: "1", Engine: "s-1", At: at.Add(time.Second)}}, leaving), "a drain that is not kept")
 	for name, c := range map[string]struct {
 		asked []Asked
 		runs  []standin.Run
--- a/internal/rehearse/script.go
+++ b/internal/rehearse/script.go
@@ -47,6 +47,7 @@
 	Twice float64    `hcl:"twice,optional"`
 	Delay string     `hcl:"delay,optional"`
 	Heal  bool       `hcl:"heal,optional"`
+	Drain []string   `hcl:"drain,optional"` // engines: s0, s1, ...
 	Disks []string   `hcl:"disks,optional"` // those whose disks are as Disk says; with a program built with the tag faults
 	Disk  string     `hcl:"disk,optional"`
 
@@ -85,6 +86,13 @@
 			}
 		}
 	}
+	for _, p := range s.Steps {
+		for _, name := range p.Drain {
+			if n := number(strings.Replace(name, "s", "c", 1)); err == nil && (n < 0 || n >= max(1, s.Engines)) {
+				err = fmt.Errorf("%s: step %q: there is no engine %q", path, p.At, name)
+			}
+		}
+	}
 	switch {
 	case err != nil:
 	case s.Controllers < 1 || s.Controllers > 60:
@@ -195,6 +203,7 @@
 	end()
 	o.Asked = history.List()
 	o.Wrong = append(o.Wrong, Check(o.Asked, f.Memory.Runs(), s.Controllers)...)
+	o.Wrong = append(o.Wrong, Undrained(f.Memory.Runs(), f.drained)...)
 	for _, c := range f.Controllers {
 		for _, word := range []string{"does not hold", "panic:", "DATA RACE"} {
 			if at := strings.Index(c.Log(), word); at >= 0 {
@@ -227,7 +236,7 @@
 	for _, x := range []struct {
 		what  string
 		names []string
-	}{{"kill", p.Kill}, {"start", p.Start}, {"end as planned", p.Term}, {"stop", p.Stop}, {"go on", p.Go}, {"wipe", p.Wipe}, {"mute", p.From}, {"disk " + p.Disk + ":", p.Disks}} {
+	}{{"kill", p.Kill}, {"start", p.Start}, {"end as planned", p.Term}, {"stop", p.Stop}, {"go on", p.Go}, {"wipe", p.Wipe}, {"mute", p.From}, {"drain", p.Drain}, {"disk " + p.Disk + ":", p.Disks}} {
 		if len(x.names) > 0 {
 			parts = append(parts, x.what+" "+strings.Join(x.names, " "))
 		}
@@ -270,6 +279,11 @@
 	each(p.Start, f.Start)
 	each(p.Stop, func(k int) error { return f.Signal(k, syscall.SIGSTOP) })
 	each(p.Go, func(k int) error { return f.Signal(k, syscall.SIGCONT) })
+	for _, name := range p.Drain {
+		if e := f.Drain(number(strings.Replace(name, "s", "c", 1))); e != nil && err == nil {
+			err = e
+		}
+	}
 	part := map[int]int{}
 	for n, group := range p.Parts {
 		for _, name := range group {
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -158,18 +159,73 @@
 
 // List is a change log that never has news.
 func List() (address string, stop func(), err error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c, err := NewChanges()
 	if err != nil {
 		return "", nil, err
 	}
-	s := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ms, _ := strconv.Atoi(r.URL.Query().Get("timeout"))
+	return c.Address, c.Stop, nil
+}
+
+// Changes is a change log to which events can be added. The first is the one that Node has.
+type Changes struct {
+	Address string
+	server  *http.Server
+	mu      sync.Mutex
+	events  []json.RawMessage
+	news    chan struct{} // closed by the next event
+}
+
+// NewChanges starts one.
+func NewChanges() (*Changes, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	c := &Changes{Address: l.Addr().String(), news: make(chan struct{})}
+	c.server = &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(c.serve)}
+	go func() { _ = c.server.Serve(l) }()
+	return c, nil
+}
+
+// Stop ends it.
+func (c *Changes) Stop() { _ = c.server.Close() }
+
+// Tell adds what has become of an engine: Ready, Terminating or Gone.
+func (c *Changes) Tell(e *Engine, status string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	seq := len(c.events) + 2
+	text, err := json.Marshal(map[string]any{"seq": seq, "fleet": map[string]any{"index": seq, "snapshot": false, "endpoints": []any{map[string]any{
+		"name": e.Name, "address": e.Address(), "zone": e.Place, "type": "big", "group": 0, "status": status, "weight": 8}}}})
+	if err != nil {
+		return err
+	}
+	c.events = append(c.events, text)
+	close(c.news)
+	c.news = make(chan struct{})
+	return nil
+}
+
+func (c *Changes) serve(w http.ResponseWriter, r *http.Request) {
+	since, _ := strconv.Atoi(r.URL.Query().Get("since"))
+	ms, _ := strconv.Atoi(r.URL.Query().Get("timeout"))
+	late := time.After(min(5*time.Second, time.Duration(ms)*time.Millisecond))
+	for {
+		c.mu.Lock()
+		news, last, later := c.news, len(c.events)+1, c.events[min(len(c.events), max(0, since-1)):]
+		c.mu.Unlock()
+		if len(later) > 0 || since > last {
+			text, _ := json.Marshal(map[string]any{"seq": last, "results": later})
+			_, _ = w.Write(text)
+			return
+		}
 		select {
-		case <-time.After(min(5*time.Second, time.Duration(ms)*time.Millisecond)):
+		case <-news:
+		case <-late:
+			_, _ = fmt.Fprintf(w, `{"seq":%d,"results":[]}`, last)
+			return
 		case <-r.Context().Done():
+			return
 		}
-		_, _ = w.Write([]byte(`{"seq":1,"results":[]}`))
-	})}
-	go func() { _ = s.Serve(l) }()
-	return l.Addr().String(), func() { _ = s.Close() }, nil
+	}
 }
