One that starts while all its seeds are gone joins by those that found it

A search of 2,000 histories, which must now end with equal views, broke at seed 487: a member whose seeds were all gone stayed joining, though others had found it, as it asked missing seeds alone (news.go seekLost).

--- a/internal/members/news.go
+++ b/internal/members/news.go
@@ -505,10 +505,10 @@
 		}
 	}
 	if v.self.Phase == Joining {
-		if len(at) > 0 {
-			v.exchange(at[int(v.chance()*float64(len(at)))])
-		} else if m := v.anyone(nil); m != nil {
+		if m := v.anyone(nil); m != nil { // somebody found this one first: all seeds may be gone
 			v.exchange(m.Address)
+		} else if len(at) > 0 {
+			v.exchange(at[int(v.chance()*float64(len(at)))])
 		}
 		v.returnAt = v.now + v.probeMS
 		return
--- a/internal/simfleet/hall_test.go
+++ b/internal/simfleet/hall_test.go
@@ -101,3 +101,8 @@
 	}
 	assert.Empty(t, h.Broken)
 }
+
+// One that starts while all its seeds are gone joins by those that found it. The history is one that a search of 2,000 seeds broke.
+func TestJoinsByThoseThatFoundIt(t *testing.T) {
+	assert.Empty(t, Play(487, nil).Broken)
+}
