--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -103,8 +103,8 @@
 		{Here, 5, 3, Gone, 4, 99, Here},
 	} {
 		v, _ := pair()
-		v.merge(&Member{Name: "x", Address: "9", Life: c.life, Inc: c.inc, Phase: c.phase}, "b", false)
-		v.merge(&Member{Name: "x", Address: "9", Life: c.nlife, Inc: c.ninc, Phase: c.news}, "b", false)
+		v.merge(&Member{Name: "x", Address: "9", Life: c.life, Inc: c.inc, Phase: c.phase}, "b")
+		v.merge(&Member{Name: "x", Address: "9", Life: c.nlife, Inc: c.ninc, Phase: c.news}, "b")
 		m, _ := v.Find("x")
 		assert.Equal(t, c.want, m.Phase, "%+v", c)
 	}
--- a/internal/members/news.go
+++ b/internal/members/news.go
@@ -6,8 +6,8 @@
 	"slices"
 )
 
-// merge takes what somebody says of a member. By an exchange it comes with the whole view of who says it.
-func (v *View) merge(m *Member, by string, whole bool) (changed bool) {
+// merge takes what somebody says of a member.
+func (v *View) merge(m *Member, by string) (changed bool) {
 	if m.Name == v.self.Name {
 		v.ofMyself(m, by)
 		return false
@@ -436,9 +436,9 @@
 		reply(v.header(&message{kind: same}))
 		return
 	}
-	changes := count(v.merge(&m.own, m.own.Name, true))
+	changes := count(v.merge(&m.own, m.own.Name))
 	for k := range m.news {
-		changes += count(v.merge(&m.news[k], m.own.Name, true))
+		changes += count(v.merge(&m.news[k], m.own.Name))
 	}
 	if len(m.news) > 0 {
 		v.counts.Merged++
--- a/internal/members/view.go
+++ b/internal/members/view.go
@@ -456,10 +456,10 @@
 	}
 	knew := v.byName[m.own.Name]
 	wasGone := knew != nil && knew.Phase == Gone
-	v.merge(&m.own, m.own.Name, false)
+	v.merge(&m.own, m.own.Name)
 	var known []Member
 	for k := range m.news {
-		if v.merge(&m.news[k], m.own.Name, false); m.kind == ping {
+		if v.merge(&m.news[k], m.own.Name); m.kind == ping {
 			known = v.correct(known, &m.news[k])
 		}
 	}
