--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -12,6 +12,7 @@
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
+	"liftshift/internal/chairs"
 	"liftshift/rules"
 )
 
@@ -25,6 +26,7 @@
 	want     int // voters
 
 	leaseMS, declareMS, replaceMS float64
+	copies                        int // wanted of open work; 0: nobody keeps any
 
 	now      float64
 	node     *raft.RawNode
@@ -79,6 +81,7 @@
 func New(now float64, name string, life uint64, folder string, founders []string, kept Kept, given rules.Given, seed uint32) *Council {
 	c := &Council{name: name, life: life, folder: folder, founders: founders, now: now, seed: seed, want: int(given.Num("voters", 3)),
 		leaseMS: given.Num("lease_ms", leaseMS), declareMS: given.Num("declare_ms", declareMS), replaceMS: given.Num("replace_ms", replaceMS),
+		copies: int(given.Num("copies", 0)),
 		record: Record{Places: map[string]Place{}}, granted: map[string]float64{}, goneAt: map[string]float64{}, doomed: map[string]uint64{},
 		reads: map[uint64][]asking{}, hellos: map[string]Hello{}, sights: map[string]Sight{}, callers: map[uint64]string{}, wakeAt: now}
 	c.tokens = uint64(c.chance() * (1 << 32))
@@ -210,6 +213,8 @@
 		c.until, c.asked, c.askAt = 0, 0, math.Inf(1)
 	case Moved:
 		c.move = [2]string{ev.Name, ev.To}
+	case Proposed:
+		c.proposed(ev.Data)
 	}
 }
 
@@ -527,8 +532,19 @@
 			c.told(name, p)
 		}
 	}
+	if r.Chairs.Copies > 0 {
+		c.do(Effect{Kind: Reseated})
+	}
+}
+
+// Roll gives the places and a copy of the table of chairs, where anybody keeps copies.
+func (c *Council) Roll() ([]chairs.Place, chairs.Table) {
+	return c.record.places(), c.record.Chairs.Clone()
 }
 
+// Roll gives the same of a record that came from elsewhere.
+func (r *Record) Roll() ([]chairs.Place, chairs.Table) { return r.places(), r.Chairs.Clone() }
+
 // told says what has become of a name.
 func (c *Council) told(name string, p Place) {
 	kind := Admitted
--- a/internal/council/lead.go
+++ b/internal/council/lead.go
@@ -68,7 +68,7 @@
 		return Reply{Verdict: NotYet}
 	}
 	c.granted[a.name] = c.now + c.leaseMS*(1+drift)
-	return Reply{Verdict: Granted, Leader: c.name, Term: p.Term}
+	return Reply{Verdict: Granted, Leader: c.name, Term: p.Term, Step: c.record.Chairs.Step}
 }
 
 // ---- who is in, and who is lost
@@ -100,6 +100,9 @@
 			c.judge(name, p, s, seen)
 		}
 	}
+	if c.copies > 0 && c.copies != c.record.Chairs.Copies {
+		c.propose(entry{Kind: "copies", Copies: c.copies})
+	}
 	for name := range c.granted {
 		if c.granted[name] <= c.now && c.record.Places[name].Lost {
 			delete(c.granted, name)
--- a/internal/council/record.go
+++ b/internal/council/record.go
@@ -1,20 +1,85 @@
 package council
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
+
+	"liftshift/internal/chairs"
 )
 
 // entry is one thing that is agreed.
 type entry struct {
-	Kind    string // "in", "lost", "left"
+	Kind    string // "in", "lost", "left"; of the chairs: "copies", "ready", "claim", "settled", "anew"
 	Name    string
 	Life    uint64
 	Address string `json:",omitempty"`
 	Zone    string `json:",omitempty"`
+	// Of the chairs alone.
+	Heir     string `json:",omitempty"`
+	HeirLife uint64 `json:",omitempty"`
+	Mask     uint32 `json:",omitempty"`
+	Version  uint64 `json:",omitempty"`
+	Copies   int    `json:",omitempty"`
+}
+
+// Motion makes what a member may propose: that its chairs know all (ready), a claim, its end (settled), or that parts begin anew.
+func Motion(kind string, c chairs.Claim, version uint64) []byte {
+	data, _ := json.Marshal(&entry{Kind: kind, Name: c.Name, Life: c.Life, Heir: c.Heir, HeirLife: c.HeirLife, Mask: c.Mask, Version: version})
+	return data
+}
+
+// proposed takes what a member wants agreed. It is checked when it is applied.
+func (c *Council) proposed(data []byte) {
+	var e entry
+	if !c.leads || c.broken || json.Unmarshal(data, &e) != nil {
+		return
+	}
+	switch e.Kind {
+	case "ready", "claim", "settled", "anew":
+		c.propose(e)
+	}
+}
+
+// places gives the record as the table of chairs wants it, in order.
+func (r *Record) places() []chairs.Place {
+	list := make([]chairs.Place, 0, len(r.Places))
+	for name, p := range r.Places {
+		list = append(list, chairs.Place{Name: name, Life: p.Life, Lost: p.Lost, Zone: p.Zone})
+	}
+	slices.SortFunc(list, func(a, b chairs.Place) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
+// reseat has the table of chairs take in an entry, and tells whether that changed it.
+func (r *Record) reseat(e *entry) (changed bool) {
+	if e.Kind != "copies" && r.Chairs.Copies == 0 {
+		return false // nobody has asked for chairs
+	}
+	places, t := r.places(), &r.Chairs
+	claim := chairs.Claim{Name: e.Name, Life: e.Life, Heir: e.Heir, HeirLife: e.HeirLife, Mask: e.Mask}
+	switch e.Kind {
+	case "in", "lost", "left":
+		t.Reseat(places, 0)
+		changed = true // who is lost counts, whoever sits
+	case "copies":
+		changed = t.Reseat(places, e.Copies)
+	case "ready":
+		changed = t.Ready(places, e.Name, e.Life, e.Mask, e.Version)
+	case "claim":
+		changed = t.Claim(places, claim)
+	case "settled":
+		changed = t.Settled(claim)
+	case "anew":
+		changed = t.Anew(places, e.Mask)
+	}
+	if changed {
+		t.Step++
+	}
+	return changed
 }
 
 // entryTable has what an entry does to a name's place in the record. What is not in it does nothing: entries may come twice, or late.
@@ -50,10 +115,14 @@
 		if len(e.GetData()) == 0 || json.Unmarshal(e.GetData(), &n) != nil {
 			return
 		}
-		if p, changed := c.record.enter(&n); changed {
+		p, changed := c.record.enter(&n)
+		if changed {
 			c.told(n.Name, p)
 		}
-		if c.doomed[n.Name] == n.Life {
+		if (changed || n.ofChairs()) && c.record.reseat(&n) {
+			c.do(Effect{Kind: Reseated})
+		}
+		if !n.ofChairs() && c.doomed[n.Name] == n.Life {
 			delete(c.doomed, n.Name)
 		}
 	case raftpb.EntryConfChange:
@@ -67,6 +136,8 @@
 	}
 }
 
+func (e *entry) ofChairs() bool { return e.Kind != "in" && e.Kind != "lost" && e.Kind != "left" }
+
 // reform changes who votes.
 func (c *Council) reform(cc raftpb.ConfChangeI, context []byte) {
 	c.conf = c.node.ApplyConfChange(cc)
--- a/internal/council/types.go
+++ b/internal/council/types.go
@@ -13,6 +13,8 @@
 	"sort"
 
 	"go.etcd.io/raft/v3/raftpb"
+
+	"liftshift/internal/chairs"
 )
 
 const (
@@ -58,6 +60,7 @@
 	Voters   []Voter // and those about to be
 	Founding []Voter
 	Declared uint64 // lives declared lost so far
+	Chairs   chairs.Table
 }
 
 // Identity gives the number under which a member votes with a folder. Without that folder it votes under another, so that nobody
@@ -94,6 +97,7 @@
 	Relived             // this controller goes on under another Life
 	GivenBack           // this controller is about to give its lease back: it acts on it no more
 	Moved               // an operator wants a voter replaced: Name by To
+	Proposed            // a member wants Data agreed, as Motion makes it; what comes of it shows in the record
 )
 
 // Event is something that the council hears.
@@ -135,6 +139,7 @@
 	Verdict Verdict
 	Leader  string // who is asked next, where it is known
 	Term    uint64 // of the name
+	Step    uint64 // of the table of chairs
 }
 
 // EffectKind tells what an effect is.
@@ -153,6 +158,7 @@
 	Dethrone                   // this life has been declared lost: go on as another
 	Led                        // who leads is another now: Name, or nobody
 	Founded                    // the council is there
+	Reseated                   // the table of chairs, or who is lost, is another now
 	Doomed                     // the leader has proposed that Name's Life be lost
 	Broken                     // this voter can't go on: Why
 )
--- a/internal/desk/budgets_test.go
+++ b/internal/desk/budgets_test.go
@@ -165,7 +165,7 @@
 	}))
 	v := d.happen(Happening{Kind: Came, AfterMS: 9})
 	assert.Equal(t, []string{"first", "second"}, heard)
-	assert.Equal(t, verdict{barred: true, prior: rules.Prior{At: 7}, hold: true, afterMS: 3}, v)
+	assert.Equal(t, verdict{barred: true, prior: rules.Prior{At: 7}, holds: 1, afterMS: 3}, v)
 }
 
 type part func(h *Happening, out []Follow) []Follow
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -111,6 +111,8 @@
 	Ask    *Question
 	Call   func(now float64) // for the operators' tools: looks at what the desk's goroutine owns, and must not wait
 	at     float64
+
+	resumed bool // Taken: it has awaited what others say, or was adopted
 }
 
 const (
@@ -128,6 +130,7 @@
 	executor uint32
 	sent     float64
 	due      float64 // when it may leave, as far as the sockets go
+	holds    int     // parts that hold it
 	out      bool
 }
 
@@ -142,6 +145,7 @@
 	level    int
 	grant    float64
 	answered bool
+	ending   bool // a part keeps its answer back
 }
 
 // Desk is the owner of the module.
@@ -149,7 +153,8 @@
 	Executors Executors
 	Peers     Peers
 	List      List
-	ProbeMS   float64 // how long a probe is waited for
+	ProbeMS   float64     // how long a probe is waited for
+	Gate      func() bool // asked at the last step before a shot that was held leaves; nil: it may
 
 	clock    Clock
 	one      rules.Instance
@@ -158,6 +163,7 @@
 	stop     chan struct{}
 	done     chan struct{}
 	searches map[string]*search
+	awaiting map[string]*Search  // that wait for what others say
 	spent    map[string]struct{} // ids of searches that are over, until their hard limit: ids are always new
 	free     []*search
 	timers   timers
@@ -177,7 +183,7 @@
 // New returns a Desk for one instance of the module.
 func New(clock Clock, one rules.Instance, log logrus.FieldLogger) *Desk {
 	return &Desk{clock: clock, one: one, log: log, queue: make(chan Item, queueRoom), stop: make(chan struct{}),
-		done: make(chan struct{}), searches: map[string]*search{}, spent: map[string]struct{}{}, probes: map[uint32]uint64{}}
+		done: make(chan struct{}), searches: map[string]*search{}, awaiting: map[string]*Search{}, spent: map[string]struct{}{}, probes: map[uint32]uint64{}}
 }
 
 // Put lines up an item; it waits while the queue is full.
@@ -331,7 +337,7 @@
 	var s *search
 	switch ev.Kind {
 	case rules.Taken:
-		if s = d.take(it.Search, ev); s == nil {
+		if s = d.take(it.Search, ev, it.resumed); s == nil {
 			return
 		}
 		if d.happen(Happening{Kind: Entered, Search: &s.Search}).detain {
@@ -339,6 +345,13 @@
 			return
 		}
 	case rules.Left:
+		if in := d.awaiting[ev.Search]; in != nil && in.Client == it.Client && in.Tag == it.Token {
+			delete(d.awaiting, ev.Search)
+			d.open.Add(-1)
+			d.tally.Left++
+			d.happen(Happening{Kind: Departed, Search: in})
+			return
+		}
 		if s = d.searches[ev.Search]; s == nil || s.Client != it.Client || s.Tag != it.Token || s.answered {
 			return
 		}
@@ -350,8 +363,7 @@
 			return
 		}
 		if ev.Outcome == rules.Handled && !s.answered {
-			s.Client.Handled(s.Tag, it.Body)
-			d.answered(s, ledger.Handled, it.Body, ev.SpentMS)
+			d.conclude(s, ledger.Handled, it.Body, 0, ev.SpentMS)
 			d.tally.Handled++
 		}
 		ev.Over = s.answered
@@ -390,20 +402,36 @@
 
 // take enters a search. One whose id is still known gets a failure: the first of that id goes on. That holds for an
 // id given back or answered, too, up to its hard limit: run anew, each copy would count as a further shot.
-func (d *Desk) take(in *Search, ev *rules.Event) *search {
-	d.tally.Taken++
-	if d.searches[in.ID] == nil {
-		v := d.happen(Happening{Kind: Came, Search: in})
+func (d *Desk) take(in *Search, ev *rules.Event, resumed bool) *search {
+	_, spent := d.spent[in.ID]
+	if !resumed {
+		d.tally.Taken++
+		if d.searches[in.ID] == nil && d.awaiting[in.ID] == nil && !spent && d.happen(Happening{Kind: Arriving, Search: in}).await {
+			d.awaiting[in.ID] = in
+			return nil
+		}
+	}
+	if d.searches[in.ID] == nil && d.awaiting[in.ID] == nil {
+		v := d.happen(Happening{Kind: Came, Search: in, Prior: ev.Prior})
 		if v.answer != nil {
 			d.told(in, v.answer)
+			if resumed {
+				d.happen(Happening{Kind: Closed, Search: in, Outcome: v.answer.Outcome, Body: v.answer.Body})
+			}
 			return nil
 		}
-		ev.Prior, ev.Barred = v.prior, v.barred
+		ev.Barred = ev.Barred || v.barred
+		if v.prior.At != 0 && (ev.Prior.At == 0 || v.prior.At < ev.Prior.At) {
+			ev.Prior = v.prior
+		}
 	}
-	if _, spent := d.spent[in.ID]; spent || d.searches[in.ID] != nil {
+	if spent || d.searches[in.ID] != nil || d.awaiting[in.ID] != nil {
 		in.Client.WrittenOff(in.Tag)
 		d.open.Add(-1)
 		d.tally.Twice++
+		if resumed {
+			d.happen(Happening{Kind: Closed, Search: in, Outcome: ledger.WrittenOff})
+		}
 		return nil
 	}
 	var s *search
@@ -445,7 +473,7 @@
 
 // release forgets a search that is answered and has no shot out.
 func (d *Desk) release(s *search) {
-	if s.answered && s.out == 0 && d.searches[s.ID] == s {
+	if s.answered && !s.ending && s.out == 0 && d.searches[s.ID] == s {
 		delete(d.searches, s.ID)
 		if d.clock.Now() < s.Until { // its timer is still to come
 			d.spent[s.ID] = struct{}{}
@@ -517,13 +545,11 @@
 			return
 		}
 		if a.Kind == rules.Deny {
-			s.Client.Denied(s.Tag, d.happen(Happening{Kind: Denying, Search: &s.Search, AfterMS: a.AfterMS}).afterMS)
 			d.tally.Denied++
-			d.answered(s, ledger.Denied, nil, 0)
+			d.conclude(s, ledger.Denied, nil, d.happen(Happening{Kind: Denying, Search: &s.Search, AfterMS: a.AfterMS}).afterMS, 0)
 		} else {
-			s.Client.WrittenOff(s.Tag)
 			d.tally.WrittenOff++
-			d.answered(s, ledger.WrittenOff, nil, 0)
+			d.conclude(s, ledger.WrittenOff, nil, 0, 0)
 		}
 	}
 }
@@ -534,10 +560,10 @@
 	}
 	n := s.fired
 	v := d.happen(Happening{Kind: Firing, Search: &s.Search, Shot: n, Executor: a.Executor})
-	kept := v.hold
+	kept := v.holds > 0
 	run, held := d.Executors.Send(Shot{Search: &s.Search, N: n, Executor: a.Executor, GrantMB: s.grant,
 		Level: s.level, MaxMS: s.Until - now, Held: kept})
-	s.shots[n] = shot{run: run, executor: a.Executor, sent: now, due: now + held, out: true}
+	s.shots[n] = shot{run: run, executor: a.Executor, sent: now, due: now + held, holds: v.holds, out: true}
 	s.fired, s.out = n+1, s.out+1
 	d.happen(Happening{Kind: Fired, Search: &s.Search, Shot: n, Executor: a.Executor, GrantMB: s.grant})
 	if run == nil {
--- a/internal/desk/memory.go
+++ b/internal/desk/memory.go
@@ -33,7 +33,7 @@
 	var ev ledger.Event
 	switch s := h.Search; h.Kind {
 	case Came:
-		ev = ledger.Event{Kind: ledger.Taken, ID: s.ID, Mark: s.Mark, Offering: s.Offering, Until: s.Until}
+		ev = ledger.Event{Kind: ledger.Taken, ID: s.ID, Mark: s.Mark, Offering: s.Offering, Until: s.Until, Prior: h.Prior}
 	case Firing:
 		ev = ledger.Event{Kind: ledger.Fired, ID: s.ID, Shot: h.Shot, Executor: h.Executor}
 	case ShotOver:
@@ -100,14 +100,7 @@
 
 // told answers a search by what is on record.
 func (d *Desk) told(in *Search, f *Follow) {
-	switch {
-	case f.Outcome == ledger.Handled && f.Body != nil:
-		in.Client.Handled(in.Tag, f.Body)
-	case f.Outcome == ledger.Denied:
-		in.Client.Denied(in.Tag, f.AfterMS)
-	default:
-		in.Client.WrittenOff(in.Tag)
-	}
+	reply(in, f.Outcome, f.Body, f.AfterMS)
 	d.open.Add(-1)
 	d.tally.Told++
 }
--- a/internal/desk/seam.go
+++ b/internal/desk/seam.go
@@ -16,20 +16,23 @@
 
 // What happens to a search, in this order; then what happens besides.
 const (
-	Came      HappeningKind = iota // before it is entered: a part may Answer or Admit it
+	Arriving  HappeningKind = iota // first of all: a part may have it Await what others say; then it is on its own until Resume or Settle
+	Departed                       // the client of one that awaits has left
+	Came                           // before it is entered, with the Prior that is known: a part may Answer or Admit it
 	Entered                        // before the module has it: a part may Detain it
 	Firing                         // a shot is about to be made: a part may Hold or Forbid it
 	Fired                          // it has been made, and may be on its way
 	ShotOver                       // it has its outcome
 	GivenBack                      // the module does not have the search any more
 	Denying                        // it is being denied: a part may say when to ComeBack
+	Ending                         // it is about to be answered: a part may KeepBack the answer until LetGo
 	Closed                         // it has its final answer, or its client left
 	ListNews                       // of the list, once the module has heard it
 	Stopping                       // a planned stop has begun
 	Ticks                          // each 100 ms
 	Letter                         // Data from the controller numbered Peer: a part may say that it is Mine, or the module gets it
 	Told                           // Note, from a part's own goroutines
-	Inquiry                        // Ask: the part that replies says that it is Mine
+	Inquiry                        // Ask: the part that replies, now or later, says that it is Mine, and no other is asked
 )
 
 // Happening is one thing that happens. Only the fields of its kind are set.
@@ -40,8 +43,9 @@
 	Executor uint32 // Firing
 	GrantMB  float64
 	Unrun    bool           // ShotOver: the outcome proves that it never ran
-	Outcome  ledger.Outcome // Closed
-	Body     []byte         // Closed: the answer
+	Prior    rules.Prior    // Came
+	Outcome  ledger.Outcome // Ending, Closed
+	Body     []byte         // Ending, Closed: the answer
 	SpentMS  float64        // Closed
 	AfterMS  float64        // Denying: as the module has it
 	List     *rules.Event   // ListNews
@@ -58,7 +62,15 @@
 
 // What follows.
 const (
-	Answer   FollowKind = iota // Came: by what is on record: Outcome, Body, AfterMS
+	Await    FollowKind = iota // Arriving
+	Resume                     // ID, which awaits, goes on, with Prior
+	Settle                     // ID, which awaits, is answered: Outcome, Body, AfterMS
+	Adopt                      // New is taken on, with Prior
+	Dismiss                    // ID is somebody else's now, or over: it is dropped as if its client had left
+	KeepBack                   // Ending
+	LetGo                      // ID gets the answer that was kept back: Outcome, Body
+	AskOn                      // Ask goes to the parts behind the one that had it
+	Answer                     // Came: by what is on record: Outcome, Body, AfterMS
 	Admit                      // Came: with Prior; Barred: nothing may be sent for it
 	Detain                     // Entered: it stands in line until it is offered
 	Hold                       // Firing: it leaves only at Release
@@ -92,6 +104,8 @@
 	StartMS float64
 	EndMS   float64
 	Event   rules.Event
+	New     *Search
+	Ask     *Question
 }
 
 // Join puts a part beside the module. It is called before Run. Parts hear in the order in which they joined.
@@ -103,9 +117,11 @@
 	prior   rules.Prior
 	barred  bool
 	detain  bool
-	hold    bool
+	holds   int
 	forbid  bool
 	mine    bool
+	await   bool
+	keep    bool
 	afterMS float64
 }
 
@@ -123,6 +139,9 @@
 	d.follows = nil // what follows may make more happen
 	for _, p := range d.parts {
 		list = p.Hear(d.clock.Now(), &h, list)
+		if h.Kind == Inquiry && len(list) > 0 {
+			break
+		}
 	}
 	d.follow(list, &v)
 	d.follows = list
@@ -145,7 +164,32 @@
 		case Detain:
 			v.detain = true
 		case Hold:
-			v.hold = true
+			v.holds++
+		case Await:
+			v.await = true
+		case KeepBack:
+			v.keep = true
+		case Resume:
+			if in := d.awaiting[f.ID]; in != nil {
+				delete(d.awaiting, f.ID)
+				d.later = append(d.later, Item{Event: rules.Event{Kind: rules.Taken, Prior: f.Prior, Barred: f.Barred}, Search: in, resumed: true})
+			}
+		case Settle:
+			if in := d.awaiting[f.ID]; in != nil {
+				delete(d.awaiting, f.ID)
+				d.told(in, f)
+			}
+		case Adopt:
+			d.open.Add(1)
+			d.later = append(d.later, Item{Event: rules.Event{Kind: rules.Taken, Prior: f.Prior}, Search: f.New, resumed: true})
+		case Dismiss:
+			if s := d.searches[f.ID]; s != nil {
+				d.later = append(d.later, Item{Event: rules.Event{Kind: rules.Left, Search: f.ID}, Client: s.Client, Token: s.Tag})
+			}
+		case LetGo:
+			d.letGo(f)
+		case AskOn:
+			d.askOn(f.Ask)
 		case Forbid:
 			v.forbid = true
 		case ComeBack:
@@ -207,6 +251,9 @@
 		return // it was called off meanwhile
 	}
 	h := &s.shots[n]
+	if h.holds--; h.holds > 0 {
+		return // another part holds it still
+	}
 	if now := d.clock.Now(); now < h.due {
 		d.timers.push(timer{at: h.due, what: releases, run: h.run})
 	} else {
@@ -238,3 +285,50 @@
 		q.Reply(ledger.Effect{})
 	}
 }
+
+// askOn asks the parts behind the first one, which does not know.
+func (d *Desk) askOn(q *Question) {
+	for k := 1; k < len(d.parts); k++ {
+		if f := d.parts[k].Hear(d.clock.Now(), &Happening{Kind: Inquiry, Ask: q}, nil); len(f) > 0 {
+			return
+		}
+	}
+	q.Reply(ledger.Effect{})
+}
+
+// conclude gives a search its final answer, unless a part keeps that back: then it is given at LetGo.
+func (d *Desk) conclude(s *search, as ledger.Outcome, body []byte, afterMS, spentMS float64) {
+	if d.happen(Happening{Kind: Ending, Search: &s.Search, Outcome: as, Body: body}).keep {
+		s.ending = true
+		d.open.Add(1) // until it is let go
+	} else if as == ledger.Handled {
+		s.Client.Handled(s.Tag, body)
+	} else {
+		reply(&s.Search, as, body, afterMS)
+	}
+	d.answered(s, as, body, spentMS)
+}
+
+// letGo gives the answer that was kept back, or what has become of the search instead.
+func (d *Desk) letGo(f *Follow) {
+	s := d.searches[f.ID]
+	if s == nil || !s.ending {
+		return
+	}
+	s.ending = false
+	d.open.Add(-1)
+	reply(&s.Search, f.Outcome, f.Body, f.AfterMS)
+	d.release(s)
+}
+
+// reply tells a client how its search ended.
+func reply(s *Search, as ledger.Outcome, body []byte, afterMS float64) {
+	switch {
+	case as == ledger.Handled && body != nil:
+		s.Client.Handled(s.Tag, body)
+	case as == ledger.Denied:
+		s.Client.Denied(s.Tag, afterMS)
+	default:
+		s.Client.WrittenOff(s.Tag)
+	}
+}
--- /dev/null
+++ b/internal/estate/estate.go
@@ -0,0 +1,384 @@
+package estate
+
+import (
+	"cmp"
+	"fmt"
+	"hash/crc32"
+	"slices"
+	"strconv"
+
+	"liftshift/internal/chairs"
+	"liftshift/rules"
+)
+
+// offering is what the settings say of one offering.
+type offering struct {
+	name, effect string
+	window       float64
+	adopts       bool // what is open of it is gone on with
+}
+
+func (o *offering) recorded() bool { return o.effect != "redoable" }
+
+// Estate is one controller's part in keeping open work.
+type Estate struct {
+	self      Member
+	offerings []offering
+	longest   float64 // for which a mark may have to be known after its shot
+	remember  float64
+	answer    int
+	most      int
+	lag       float64 // 0: redoable searches are not copied
+	alone     bool    // where the others can't be reached, one goes on alone
+	atOnce    int
+	share     float64 // ration of redoable searches that are run again
+	floor     float64
+	spanMS    float64
+	seed      uint32
+	drawn     uint64
+
+	now     float64
+	held    bool
+	leaving bool
+	effects []Effect
+	out     map[string]*Batch // what goes out at the end of this step
+	local   []exchange        // words to this controller's own chair
+
+	// What is agreed.
+	places map[string]*chairs.Place
+	table  *chairs.Table
+
+	// As a chair.
+	copies map[Key]*kept
+	owners map[Member]map[Key]*kept // open ones
+	wheel  map[int64][]Key          // by the second in which they may be let go
+	swept  int64
+	learns map[int]*learning
+	noted  map[Member]float64 // lost owners, since when they are known to be
+	moves  map[string]float64 // motions, when they were made last
+	bereft map[int]float64
+
+	// As an owner.
+	mine    map[Key]*mine
+	byID    map[string]*mine
+	pending []*mine // words of theirs have not been answered by all
+	line    []*caller
+	young   []young
+	fresh   map[string]struct{} // those of them that are open
+	asked   []*question
+
+	// As an heir.
+	inherits []*inheritance
+	queue    []*orphan
+	lined    map[Key]struct{} // what is in it
+	inHand   int
+	again    []float64 // when redoable ones were run again
+	takes    []float64 // when searches of one's own clients came: whole spans
+
+	counts Counts
+}
+
+// exchange is a word to a chair and what it answered.
+type exchange struct {
+	word, back Item
+}
+
+// New gives the estate of a controller. Names that it heeds in the settings, besides those of offerings: remember_ms, keep_answer,
+// most_kept, lag_ms, alone, adopt_at_once, adopts.NAME, ration_span_ms, ration_floor, ration_share.
+func New(self Member, given rules.Given, seed uint32) *Estate {
+	e := &Estate{self: self, remember: given.Num("remember_ms", usualMemory), answer: int(given.Num("keep_answer", usualAnswer)),
+		most: int(given.Num("most_kept", usualKept)), lag: given.Num("lag_ms", lagMS), alone: given.Is("alone"),
+		atOnce: int(given.Num("adopt_at_once", adoptAtOnce)), share: given.Num("ration_share", 0.1), floor: given.Num("ration_floor", 3),
+		spanMS: given.Num("ration_span_ms", 10000), seed: seed, out: map[string]*Batch{}, places: map[string]*chairs.Place{},
+		copies: map[Key]*kept{}, owners: map[Member]map[Key]*kept{}, wheel: map[int64][]Key{}, learns: map[int]*learning{},
+		noted: map[Member]float64{}, moves: map[string]float64{}, bereft: map[int]float64{}, mine: map[Key]*mine{}, byID: map[string]*mine{},
+		fresh: map[string]struct{}{}, lined: map[Key]struct{}{}}
+	for i := 0; ; i++ {
+		at := "offering." + strconv.Itoa(i) + "."
+		name := given.Text(at + "name")
+		if name == "" {
+			return e
+		}
+		o := offering{name: name, effect: given.Text(at + "effect"), window: given.Num(at+"window_ms", 0)}
+		o.adopts = o.recorded() || given.Is("adopts."+name)
+		e.offerings = append(e.offerings, o)
+		if o.effect == "labelled" {
+			e.longest = max(e.longest, o.window, given.Num(at+"limit_ms", 0))
+		}
+	}
+}
+
+// chance draws from [0, 1), the same for the same seed.
+func (e *Estate) chance() float64 {
+	e.drawn++
+	return float64(crc32.ChecksumIEEE(fmt.Appendf(nil, "%d/%d", e.seed, e.drawn))) / (1 << 32)
+}
+
+func (e *Estate) offering(name string) *offering {
+	for k := range e.offerings {
+		if e.offerings[k].name == name {
+			return &e.offerings[k]
+		}
+	}
+	return nil
+}
+
+func (e *Estate) do(f Effect) { e.effects = append(e.effects, f) }
+
+// Step takes one event at the caller's clock in ms. The effects hold until the next call.
+func (e *Estate) Step(now float64, ev *Event) []Effect {
+	e.effects, e.now, e.held = e.effects[:0], max(e.now, now), ev.Held
+	switch ev.Kind {
+	case Seated:
+		e.seated(ev)
+	case Arrives:
+		e.arrives(ev)
+	case Gone:
+		e.gone(ev.ID)
+	case Firing:
+		e.firing(ev)
+	case ShotOver:
+		e.shotOver(ev)
+	case Ending:
+		e.ending(ev)
+	case Closed:
+		e.closed(ev)
+	case Words:
+		e.words(ev)
+	case Answers:
+		e.answers(ev)
+	case Asked:
+		e.ask(ev)
+	case Read:
+		e.read(ev.Copy)
+	case Ticked:
+		e.tick()
+	case Leaving:
+		e.leaving = true
+	case Relived:
+		e.self.Life = ev.Life
+	case Released:
+		e.release(ev.ID)
+	case Wanted:
+		e.claim(ev.ID)
+	}
+	e.flush()
+	return e.effects
+}
+
+// flush sends what is to go out, and plays what was said to this controller's own chair.
+func (e *Estate) flush() {
+	for len(e.local) > 0 {
+		x := e.local[0]
+		e.local = e.local[1:]
+		e.answered(e.self, &x.word, &x.back)
+	}
+	names := make([]string, 0, len(e.out))
+	for name := range e.out {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		e.do(Effect{Kind: Say, To: name, Batch: e.out[name]})
+		e.counts.Words += uint64(len(e.out[name].Items))
+		delete(e.out, name)
+	}
+}
+
+// tell says an item to a member; to itself, too.
+func (e *Estate) tell(name string, it Item) {
+	if name == e.self.Name {
+		e.local = append(e.local, exchange{it, e.word(e.self, &it)})
+		return
+	}
+	b := e.out[name]
+	if b == nil {
+		b = &Batch{From: e.self, Version: e.table.Version}
+		if it.Op == Take || it.Op == Pull { // who hears it must know who is lost, and who claimed what
+			b.Step = e.table.Step
+		}
+		e.out[name] = b
+	} else if it.Op == Take || it.Op == Pull {
+		b.Step = e.table.Step
+	}
+	b.Items = append(b.Items, it)
+}
+
+// spread says an item to all that sit in a part.
+func (e *Estate) spread(it Item) {
+	for _, name := range e.sitting(it.Key.Part()) {
+		e.tell(name, it)
+	}
+}
+
+// sitting gives who sits in a part now, and who sat before as long as that counts.
+func (e *Estate) sitting(part int) (names []string) {
+	p := &e.table.Parts[part]
+	for _, list := range [][]chairs.Chair{p.Now, p.Was} {
+		for _, c := range list {
+			if e.sits(c) && !slices.Contains(names, c.Name) {
+				names = append(names, c.Name)
+			}
+		}
+	}
+	return names
+}
+
+func (e *Estate) sits(c chairs.Chair) bool {
+	p := e.places[c.Name]
+	return p != nil && !p.Lost && p.Life == c.Life
+}
+
+// lost tells whether a life is over, as agreed.
+func (e *Estate) lost(m Member) bool {
+	p := e.places[m.Name]
+	return p != nil && (p.Life > m.Life || p.Life == m.Life && p.Lost)
+}
+
+// chaired tells whether there is anybody to keep copies at all.
+func (e *Estate) chaired() bool { return e.table != nil && len(e.table.Parts) == chairs.Parts }
+
+// quorum tells whether these make a word for a part.
+func (e *Estate) quorum(part int, who []Member) bool {
+	p := &e.table.Parts[part]
+	return most(p.Now, who) && (p.Was == nil || most(p.Was, who))
+}
+
+func most(list []chairs.Chair, who []Member) bool {
+	n := 0
+	for _, c := range list {
+		if slices.Contains(who, Member{c.Name, c.Life}) {
+			n++
+		}
+	}
+	return n >= chairs.Quorum(len(list))
+}
+
+// barredBy tells whether these who said no leave no quorum.
+func (e *Estate) barredBy(part int, nays []Member) bool {
+	p := &e.table.Parts[part]
+	return blocked(p.Now, nays) || p.Was != nil && blocked(p.Was, nays)
+}
+
+func blocked(list []chairs.Chair, nays []Member) bool {
+	n := 0
+	for _, c := range list {
+		if slices.Contains(nays, Member{c.Name, c.Life}) {
+			n++
+		}
+	}
+	return len(list)-n < chairs.Quorum(len(list))
+}
+
+// reachable tells whether enough sit in a part for any word.
+func (e *Estate) reachable(part int) bool {
+	p := &e.table.Parts[part]
+	enough := func(list []chairs.Chair) bool {
+		n := 0
+		for _, c := range list {
+			if e.sits(c) {
+				n++
+			}
+		}
+		return n >= chairs.Quorum(len(list))
+	}
+	return enough(p.Now) && (p.Was == nil || enough(p.Was))
+}
+
+// chair gives this controller's own in a part.
+func (e *Estate) chair(part int) *chairs.Chair {
+	for k := range e.table.Parts[part].Now {
+		if c := &e.table.Parts[part].Now[k]; c.Name == e.self.Name && c.Life == e.self.Life {
+			return c
+		}
+	}
+	return nil
+}
+
+// sat tells whether this controller sits in a part, or sat in it and counts still.
+func (e *Estate) sat(part int) bool {
+	p := &e.table.Parts[part]
+	is := func(c chairs.Chair) bool { return c.Name == e.self.Name && c.Life == e.self.Life }
+	return slices.ContainsFunc(p.Now, is) || slices.ContainsFunc(p.Was, is)
+}
+
+// seated takes what is agreed now.
+func (e *Estate) seated(ev *Event) {
+	if e.table != nil && ev.Table.Step <= e.table.Step {
+		return
+	}
+	moved := e.table == nil || ev.Table.Version != e.table.Version
+	e.table = ev.Table
+	clear(e.places)
+	for k := range ev.Places {
+		e.places[ev.Places[k].Name] = &ev.Places[k]
+	}
+	if !e.chaired() {
+		return
+	}
+	e.mourn()
+	if moved {
+		for _, m := range e.pending { // who counts is another: all is said again
+			m.nays, m.saidAt = m.nays[:0], 0
+		}
+		for _, i := range e.inherits {
+			i.pulls = nil
+		}
+		clear(e.learns)
+	}
+	e.keepUp()
+}
+
+// tick does what is due.
+func (e *Estate) tick() {
+	e.sweep()
+	if !e.chaired() {
+		e.endLine()
+		return
+	}
+	e.repeat()
+	e.age()
+	e.poll()
+	e.keepUp()
+	e.endQuestions()
+}
+
+// keepUp does what follows from who sits where: learning, claims, adoption.
+func (e *Estate) keepUp() {
+	e.learn()
+	e.claimAll()
+	e.inherit()
+	e.adopt()
+	e.renew()
+}
+
+// move has the council agree on something, and again while it has not.
+func (e *Estate) move(motion string, c chairs.Claim, version uint64) {
+	key := fmt.Sprint(motion, c.Name, c.Life, c.Mask)
+	if at, made := e.moves[key]; !e.held || made && e.now < at+claimMS {
+		return
+	}
+	if len(e.moves) > 4*chairs.Parts {
+		clear(e.moves)
+	}
+	e.moves[key] = e.now
+	e.do(Effect{Kind: Move, Motion: motion, Claim: c, Version: version})
+}
+
+// Counts gives the counters.
+func (e *Estate) Counts() Counts {
+	c := e.counts
+	c.Copies, c.Mine, c.Waiting = len(e.copies), len(e.mine), len(e.line)
+	for _, k := range e.copies {
+		if k.state.open() {
+			c.Open++
+		}
+	}
+	return c
+}
+
+// better tells whether a copy says more than another of the same key: one that may have run beats one that can't have; else the later
+// word counts.
+func better(a, b *Copy) bool {
+	return cmp.Or(cmp.Compare(min(a.Standing, Doubt), min(b.Standing, Doubt)), cmp.Compare(a.Number, b.Number)) > 0
+}
--- /dev/null
+++ b/internal/estate/heir.go
@@ -0,0 +1,427 @@
+package estate
+
+import (
+	"bytes"
+	"cmp"
+	"slices"
+
+	"liftshift/internal/chairs"
+)
+
+// learning is a part whose former copies this controller takes over as a chair.
+type learning struct {
+	pulls []*pulling
+	at    float64
+}
+
+// pulling is what one chair was asked for.
+type pulling struct {
+	name string
+	life uint64
+	next Key
+	done bool
+	at   float64
+}
+
+// inheritance is a lost one's work in a part that this controller has claimed.
+type inheritance struct {
+	owner Member
+	part  int
+	pulls []*pulling
+	whole bool    // all of it is known
+	lined float64 // when it was lined up last; 0: not yet
+}
+
+// orphan is a search to be adopted.
+type orphan struct {
+	key  Key
+	from Member
+	copy Copy
+}
+
+// mourn has copies know what became of their owners, and of their owners' heirs.
+func (e *Estate) mourn() {
+	for owner, set := range e.owners {
+		if !e.lost(owner) {
+			continue
+		}
+		if e.noted[owner] == 0 {
+			e.noted[owner] = e.now
+		}
+		for _, k := range set {
+			e.play(k, loses)
+			if _, _, claim := e.table.HeirOf(owner.Name, owner.Life, k.key.Part()); claim {
+				e.play(k, claims)
+			} else {
+				e.play(k, lapses)
+			}
+		}
+	}
+	for owner := range e.noted {
+		if e.owners[owner] == nil {
+			delete(e.noted, owner)
+		}
+	}
+	e.inherits = slices.DeleteFunc(e.inherits, func(i *inheritance) bool {
+		heir, life, claim := e.table.HeirOf(i.owner.Name, i.owner.Life, i.part)
+		return !claim || heir != e.self.Name || life != e.self.Life
+	})
+	for k := range e.table.Claims {
+		c := &e.table.Claims[k]
+		if c.Heir != e.self.Name || c.HeirLife != e.self.Life {
+			continue
+		}
+		owner := Member{c.Name, c.Life}
+		for part := range chairs.Parts {
+			has := func(i *inheritance) bool { return i.owner == owner && i.part == part }
+			if c.Mask&(1<<part) != 0 && !slices.ContainsFunc(e.inherits, has) {
+				e.inherits = append(e.inherits, &inheritance{owner: owner, part: part})
+				e.counts.Claims++
+			}
+		}
+	}
+	// Where this controller's own life is over, what it had is another's, or nobody's.
+	for _, m := range e.mine {
+		if m.phase == asking && m.Owner != e.self {
+			m.Owner = e.self // nobody had it under that life yet
+		}
+	}
+}
+
+// ---- as a chair
+
+// learn has a chair that is new to a part take over what those before it know.
+func (e *Estate) learn() {
+	var mask uint32
+	under := 0
+	for part := range chairs.Parts {
+		c := e.chair(part)
+		if c == nil || c.Ready || e.table.Parts[part].Was == nil {
+			delete(e.learns, part)
+			continue
+		}
+		l := e.learns[part]
+		if l == nil {
+			if under >= mostPulls {
+				continue
+			}
+			l = &learning{}
+			e.learns[part] = l
+		}
+		under++
+		l.pulls = e.pull(l.pulls, part, Member{})
+		var done []Member
+		for _, p := range l.pulls {
+			if p.done {
+				done = append(done, Member{p.name, p.life})
+			}
+		}
+		if most(e.table.Parts[part].Was, done) {
+			mask |= 1 << part
+			under--
+		}
+	}
+	if mask != 0 {
+		e.move("ready", chairs.Claim{Name: e.self.Name, Life: e.self.Life, Mask: mask}, e.table.Version)
+	}
+}
+
+// pull asks all that sit in a part for what they keep, a page at a time.
+func (e *Estate) pull(list []*pulling, part int, of Member) []*pulling {
+	for _, name := range e.sitting(part) {
+		i := slices.IndexFunc(list, func(p *pulling) bool { return p.name == name })
+		if i < 0 {
+			list = append(list, &pulling{name: name, life: e.places[name].Life, at: -1e9})
+			i = len(list) - 1
+		}
+		if p := list[i]; !p.done && e.now >= p.at+2*againMS {
+			p.at = e.now
+			e.tell(name, Item{Op: Pull, Part: part, After: p.next, From: of})
+		}
+	}
+	return list
+}
+
+// paged takes a page.
+func (e *Estate) paged(by Member, word, back *Item) {
+	if back.Op != Page {
+		return
+	}
+	var list []*pulling
+	if word.From.Name == "" {
+		if l := e.learns[word.Part]; l != nil {
+			list = l.pulls
+		}
+	} else if i := e.inheriting(word.From, word.Part); i != nil {
+		list = i.pulls
+	}
+	i := slices.IndexFunc(list, func(p *pulling) bool { return p.name == by.Name && p.life == by.Life })
+	if i < 0 || list[i].next != word.After || list[i].done {
+		return // it came twice
+	}
+	for k := range back.Copies {
+		e.absorb(&back.Copies[k])
+	}
+	p := list[i]
+	if p.done, p.at = !back.More, -1e9; back.More {
+		p.next = back.After
+	}
+	if word.From.Name == "" {
+		e.learn()
+	}
+}
+
+// renew has parts begin anew whose chairs were lost beyond a quorum, once no mark of theirs can be asked for any more.
+func (e *Estate) renew() {
+	var mask uint32
+	for part := range chairs.Parts {
+		if e.reachable(part) || e.chair(part) == nil {
+			delete(e.bereft, part)
+			continue
+		}
+		if at, known := e.bereft[part]; !known {
+			e.bereft[part] = e.now
+			e.do(Effect{Kind: Note, Text: "a part has lost its chairs beyond a quorum: its searches are denied until their marks are past", Count: part})
+		} else if e.now > at+e.longest {
+			mask |= 1 << part
+		}
+	}
+	if mask != 0 {
+		e.move("anew", chairs.Claim{Name: e.self.Name, Life: e.self.Life, Mask: mask}, e.table.Version)
+	}
+}
+
+// ---- as an heir
+
+func (e *Estate) inheriting(owner Member, part int) *inheritance {
+	for _, i := range e.inherits {
+		if i.owner == owner && i.part == part {
+			return i
+		}
+	}
+	return nil
+}
+
+// orphans gives the parts in which copies of a lost one's open work are kept here, by owner, in order.
+func (e *Estate) orphans() (owners []Member, masks map[Member]uint32) {
+	masks = map[Member]uint32{}
+	for owner, set := range e.owners {
+		if !e.lost(owner) {
+			continue
+		}
+		for key := range set {
+			masks[owner] |= 1 << key.Part()
+		}
+		owners = append(owners, owner)
+	}
+	slices.SortFunc(owners, func(a, b Member) int { return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Life, b.Life)) })
+	return owners, masks
+}
+
+// claimAll claims what lost ones left in parts in which this controller is the first to know all; the next ones do so later, should
+// that one not.
+func (e *Estate) claimAll() {
+	if !e.held || e.leaving {
+		return
+	}
+	owners, masks := e.orphans()
+	for _, owner := range owners {
+		var mask uint32
+		for part := range chairs.Parts {
+			if masks[owner]&(1<<part) == 0 {
+				continue
+			}
+			if _, _, claim := e.table.HeirOf(owner.Name, owner.Life, part); claim {
+				continue
+			}
+			if n := e.turn(part); n >= 0 && e.now >= e.noted[owner]+float64(n)*3*claimMS {
+				mask |= 1 << part
+			}
+		}
+		if mask != 0 {
+			e.move("claim", chairs.Claim{Name: owner.Name, Life: owner.Life, Heir: e.self.Name, HeirLife: e.self.Life, Mask: mask}, 0)
+		}
+	}
+}
+
+// claim claims all that a lost one left and nobody has claimed, as an operator wants it.
+func (e *Estate) claim(name string) {
+	owners, masks := e.orphans()
+	n := 0
+	for _, owner := range owners {
+		if owner.Name == name && e.chaired() {
+			n++
+			e.move("claim", chairs.Claim{Name: owner.Name, Life: owner.Life, Heir: e.self.Name, HeirLife: e.self.Life, Mask: masks[owner]}, 0)
+		}
+	}
+	e.do(Effect{Kind: Note, Text: "claimed as an operator wants it", ID: name, Count: n})
+}
+
+// turn is which of those that sit in a part and know all this controller is; below 0: none.
+func (e *Estate) turn(part int) int {
+	n := 0
+	for _, c := range e.table.Parts[part].Now {
+		if !c.Ready || !e.sits(c) {
+			continue
+		}
+		if c.Name == e.self.Name {
+			return n
+		}
+		n++
+	}
+	return -1
+}
+
+// inherit finds out all that a lost one left in claimed parts: what it sent under may stand with any quorum.
+func (e *Estate) inherit() {
+	under := 0
+	for _, i := range e.inherits {
+		if !i.whole {
+			if under++; under > mostPulls {
+				break
+			}
+			i.pulls = e.pull(i.pulls, i.part, i.owner)
+			var done []Member
+			for _, p := range i.pulls {
+				if p.done {
+					done = append(done, Member{p.name, p.life})
+				}
+			}
+			if i.whole = e.quorum(i.part, done); !i.whole {
+				continue
+			}
+		}
+		if i.lined == 0 || e.now > i.lined+adoptAgainMS {
+			i.lined = e.now
+			e.enqueue(i)
+		}
+	}
+	e.settleClaims()
+}
+
+// enqueue lines up all that a lost one left in a part, the nearest hard limit first.
+func (e *Estate) enqueue(i *inheritance) {
+	for key, k := range e.owners[i.owner] {
+		_, lined := e.lined[key]
+		if m := e.mine[key]; key.Part() == i.part && k.state.open() && !lined && (m == nil || m.phase == asking || m.phase == finishing) {
+			e.lined[key] = struct{}{}
+			e.queue = append(e.queue, &orphan{key, i.owner, k.Copy})
+		}
+	}
+	slices.SortFunc(e.queue, func(a, b *orphan) int {
+		return cmp.Or(cmp.Compare(a.copy.Until, b.copy.Until), bytes.Compare(a.key[:], b.key[:]))
+	})
+}
+
+// adopt goes on with what is lined up, as far as there is room.
+func (e *Estate) adopt() {
+	if !e.held || e.leaving {
+		return
+	}
+	for len(e.queue) > 0 && e.inHand < e.atOnce {
+		o := e.queue[0]
+		e.queue = e.queue[1:]
+		delete(e.lined, o.key)
+		k := e.copies[o.key]
+		if e.inheriting(o.from, o.key.Part()) == nil || k == nil || k.Owner != o.from || !k.state.open() {
+			continue
+		}
+		switch m := e.mine[o.key]; {
+		case m == nil:
+		case m.phase == asking:
+			e.conflict(m) // a client came again here: it waits for what becomes of this
+		case m.phase == finishing && m.back == nil && (m.Owner != e.self || m.Number < k.Number || e.quorum(o.key.Part(), m.acks)):
+			e.forget(m) // the end of an earlier one
+		default:
+			continue // it is looked at again
+		}
+		m := &mine{Copy: k.Copy, key: o.key, phase: taking, from: o.from, adopted: true, began: e.now}
+		m.Owner, m.Number, m.unsure = e.self, k.Number+1, 0
+		if m.Standing != Clear {
+			m.unsure = 1
+		}
+		e.mine[o.key] = m
+		e.inHand++
+		e.say(m)
+	}
+}
+
+// yield has it that a search is not to be adopted: it has ended, or another has it.
+func (e *Estate) yield(m *mine) {
+	e.finish(m)
+	k, c := e.copies[m.key], m.known
+	if k == nil || c == nil || k.Owner != m.from || !k.state.open() {
+		return
+	}
+	if c.Outcome != Open {
+		e.end(k, &Item{Number: c.Number, Outcome: c.Outcome, Answer: c.Answer, Standing: c.Standing, First: c.First, Place: c.Place, Cell: c.Cell})
+	}
+}
+
+// adoptedIs has it that the others know who goes on with a search. What can't be gone on with is ended.
+func (e *Estate) adoptedIs(m *mine) {
+	e.counts.Taken++
+	m.phase = having
+	o := e.offering(m.Offering)
+	out := Open
+	switch {
+	case o == nil || !m.Whole || !o.adopts || !o.recorded() && !e.mayRunAgain():
+		out = WrittenOff
+	case e.now >= m.Until-lastMS:
+		out = WrittenOff
+	}
+	if out == Open && o.recorded() && o.effect != "labelled" && !m.Sure {
+		out = WrittenOff
+	}
+	if out == WrittenOff && m.Standing == Clear && o != nil && o.recorded() {
+		out = Denied // no shot of it has left
+	}
+	if out != Open {
+		e.finishAs(m, out, nil)
+		return
+	}
+	e.byID[m.ID] = m
+	f := Effect{Kind: Adopt, Copy: &m.Copy}
+	if m.Standing != Clear && o.recorded() {
+		f.Prior = priorOf(&m.Copy)
+	}
+	e.do(f)
+}
+
+// mayRunAgain tells whether one more redoable search may be run again, and counts it.
+func (e *Estate) mayRunAgain() bool {
+	e.again = e.again[behind(e.again, e.now-e.spanMS):]
+	if float64(len(e.again)+1) > e.floor+e.share*float64(len(e.takes)) {
+		return false
+	}
+	e.again = append(e.again, e.now)
+	return true
+}
+
+// settleClaims gives claims back of which nothing is left.
+func (e *Estate) settleClaims() {
+	for _, c := range e.table.Claims {
+		if c.Heir != e.self.Name || c.HeirLife != e.self.Life {
+			continue
+		}
+		owner := Member{c.Name, c.Life}
+		mask := c.Mask
+		for _, i := range e.inherits {
+			if i.owner == owner && i.lined == 0 {
+				mask &^= 1 << i.part
+			}
+		}
+		for key := range e.owners[owner] {
+			mask &^= 1 << key.Part()
+		}
+		for _, m := range e.pending {
+			if m.phase == taking && m.from == owner {
+				mask &^= 1 << m.key.Part()
+			}
+		}
+		if mask != 0 {
+			c.Mask = mask
+			e.move("settled", c, 0)
+		}
+	}
+}
--- a/internal/fleetwire/fleetwire.go
+++ b/internal/fleetwire/fleetwire.go
@@ -50,6 +50,9 @@
 	// Said is told of each effect of the view that is none of the carrier's, by the owner's goroutine. It must not wait.
 	Said func(now float64, e members.Effect)
 
+	// Estate answers what others say of open work, if anything: by any goroutine, and no longer than the caller waits.
+	Estate func(ctx context.Context, data []byte) ([]byte, error)
+
 	view    *members.View
 	council Council
 	log     logrus.FieldLogger
@@ -258,6 +261,8 @@
 	exchangeMethod = "/" + service + "/Exchange"
 	// CouncilMethod carries what the council says.
 	CouncilMethod = "/" + service + "/Council"
+	// EstateMethod carries what is said of open work.
+	EstateMethod = "/" + service + "/Estate"
 )
 
 type fleetServer interface {
@@ -293,6 +298,12 @@
 			c.council.Heard(now, data, reply)
 		})
 	}),
+	handler("Estate", func(c *Carrier, ctx context.Context, data []byte) ([]byte, error) {
+		if c.Estate == nil {
+			return nil, errors.New("no copies are kept here")
+		}
+		return c.Estate(ctx, data)
+	}),
 }}
 
 type answer struct {
--- a/internal/installation/fleet.go
+++ b/internal/installation/fleet.go
@@ -73,7 +73,7 @@
 	self := members.Member{Name: name, Life: f.life(), Address: file.Address, Zone: file.Zone, Region: file.Region, Version: version}
 	seed := crc32.ChecksumIEEE([]byte(name + strconv.FormatUint(self.Life, 10)))
 	f.view = members.New(f.carrier.Now(), file.Name, self, file.Seeds, file.Given, seed)
-	if err := f.openSeat(seed); err != nil {
+	if err := f.openSeat(seed, given); err != nil {
 		return err
 	}
 	i.fleet = f
@@ -82,7 +82,7 @@
 }
 
 // openSeat begins to listen, with a seat in the council where the file names its founders.
-func (f *fleet) openSeat(seed uint32) error {
+func (f *fleet) openSeat(seed uint32, given rules.Given) error {
 	if len(f.file.Founders) == 0 {
 		return f.carrier.Start(f.view, nil)
 	}
@@ -94,6 +94,11 @@
 		return err
 	}
 	f.seat.Said = f.agreed
+	if f.inst.file.Estate != nil {
+		if err := f.inst.openHeirs(f, seed, given); err != nil {
+			return err
+		}
+	}
 	return f.carrier.Start(f.view, f.seat)
 }
 
@@ -320,7 +325,7 @@
 			to, _ := fields["to"].(string)
 			if f.seat == nil {
 				err = control.Wrongf("there is no council: the block fleet names no founders")
-			} else if err = f.seat.Move(now, from, to); err != nil {
+			} else if err = f.seat.Replace(now, from, to); err != nil {
 				err = control.Wrongf("%v", err)
 			}
 			out = map[string]any{"asked": true}
--- /dev/null
+++ b/internal/installation/heirs.go
@@ -0,0 +1,171 @@
+package installation
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"liftshift/internal/chairs"
+	"liftshift/internal/control"
+	"liftshift/internal/desk"
+	"liftshift/internal/estate"
+	"liftshift/internal/trustee"
+	"liftshift/internal/vfs"
+	"liftshift/rules"
+)
+
+// heirs joins a trustee to a controller: who uses it, what is logged, what is asked of it. It decides nothing.
+type heirs struct {
+	inst    *Installation
+	trustee *trustee.Trustee
+}
+
+// openHeirs makes the trustee, where the file has a block estate; the carriage does not listen yet.
+func (i *Installation) openHeirs(f *fleet, seed uint32, given rules.Given) error {
+	g := maps.Clone(given)
+	maps.Copy(g, i.file.Store.Given)
+	maps.Copy(g, i.file.Estate.Given)
+	for _, name := range i.file.Estate.Adopting {
+		if !offers(given, name) {
+			return fmt.Errorf("estate: adopt names %q, which is no offering", name)
+		}
+	}
+	self := f.view.Self()
+	t := trustee.New(estate.Member{Name: self.Name, Life: self.Life}, g, seed, i.desk, f.clock, f.carrier, i.log)
+	if i.file.Estate.OnDisks {
+		dir, err := vfs.OpenDir(filepath.Join(i.file.Store.Directory, "estate"), true)
+		if err != nil {
+			return fmt.Errorf("estate: %w", err)
+		}
+		if err := t.Keep(vfs.Beneath(dir), func(note any) { i.desk.Put(desk.Item{Note: note}) }); err != nil {
+			return err
+		}
+	}
+	t.Begin(f.seat)
+	i.heirs = &heirs{inst: i, trustee: t}
+	return nil
+}
+
+func offers(given rules.Given, name string) bool {
+	for k := 0; ; k++ {
+		switch given.Text(fmt.Sprint("offering.", k, ".name")) {
+		case name:
+			return true
+		case "":
+			return false
+		}
+	}
+}
+
+func (h *heirs) count() {
+	if h != nil {
+		h.inst.log.WithFields(h.trustee.Count()).Info("estate")
+	}
+}
+
+func (h *heirs) close() {
+	if h != nil {
+		h.trustee.Close()
+	}
+}
+
+// answer answers the questions of the operators' tools that are the estate's.
+func (h *heirs) answer(question string, fields map[string]any) (ours bool, out map[string]any, err error) {
+	if !strings.HasPrefix(question, "estate") {
+		return false, nil, nil
+	}
+	if h == nil {
+		return true, nil, control.Wrongf("there is no estate: the operators' file has no block estate")
+	}
+	name, _ := fields["name"].(string)
+	done := h.inst.desk.Do(func(now float64) {
+		switch e := h.trustee.Estate(); question {
+		case "estate":
+			out = h.show(e)
+		case "estate explain":
+			if out = explainCopy(now, e, name); out == nil {
+				err = control.Wrongf("nothing is known here of a search or mark %q; ask another controller, or the method outcome", name)
+			}
+		case "estate release":
+			h.inst.log.WithField("search", name).WithField("who", fields["who"]).Warn("estate: a search is given up by an operator")
+			h.trustee.Step(now, &estate.Event{Kind: estate.Released, ID: name})
+			out = map[string]any{"asked": true}
+		case "estate adopt":
+			h.inst.log.WithField("member", name).WithField("who", fields["who"]).Warn("estate: an operator wants this controller to take over")
+			h.trustee.Step(now, &estate.Event{Kind: estate.Wanted, ID: name})
+			out = map[string]any{"asked": true}
+		default:
+			err = control.Wrongf("no question %q", question)
+		}
+	})
+	if !done {
+		return true, nil, fmt.Errorf("this controller stops")
+	}
+	return true, out, err
+}
+
+// show gives what is kept here, who sits where and what is claimed.
+func (h *heirs) show(e *estate.Estate) map[string]any {
+	out := map[string]any{}
+	for name, v := range h.trustee.Count() {
+		switch n := v.(type) {
+		case uint64:
+			out[name] = float64(n)
+		case int:
+			out[name] = float64(n)
+		}
+	}
+	out["held"] = h.trustee.Held()
+	var orphans, claims, seats []any
+	for name, n := range e.Orphans() {
+		orphans = append(orphans, map[string]any{"member": name, "copies": float64(n)})
+	}
+	if t := e.Table(); t != nil {
+		out["copies_wanted"], out["version"], out["step"] = float64(t.Copies), float64(t.Version), float64(t.Step)
+		for _, c := range t.Claims {
+			claims = append(claims, map[string]any{"member": c.Name, "life": fmt.Sprint(c.Life), "heir": c.Heir, "parts": float64(popcount(c.Mask))})
+		}
+		settled := 0
+		by := map[string]int{}
+		for _, p := range t.Parts {
+			if p.Was == nil {
+				settled++
+			}
+			for _, c := range p.Now {
+				by[c.Name]++
+			}
+		}
+		out["parts"], out["parts_settled"] = float64(len(t.Parts)), float64(settled)
+		for _, name := range slices.Sorted(maps.Keys(by)) {
+			seats = append(seats, map[string]any{"member": name, "parts": float64(by[name])})
+		}
+	}
+	out["orphans"], out["claimed"], out["chairs"] = orphans, claims, seats
+	return out
+}
+
+func popcount(mask uint32) (n int) {
+	for k := range chairs.Parts {
+		n += int(mask >> k & 1)
+	}
+	return n
+}
+
+// explainCopy gives what is known here of a search or mark.
+func explainCopy(now float64, e *estate.Estate, name string) map[string]any {
+	var list []any
+	for _, s := range e.Explain(name) {
+		c := &s.Copy
+		ran := [...]string{"no shot of it can have run", "a shot of it may have run", "it ran"}[c.Standing]
+		list = append(list, map[string]any{"id": c.ID, "mark": c.Mark, "offering": c.Offering, "state": s.State, "owner": c.Owner.Name,
+			"life": fmt.Sprint(c.Owner.Life), "number": float64(c.Number), "outcome": c.Outcome.String(), "ran": ran, "place": c.Place,
+			"left_ms": math.Round(c.Until - now), "answer": c.Answer != nil, "in_hand_here": s.Mine})
+	}
+	if list == nil {
+		return nil
+	}
+	return map[string]any{"copies": list}
+}
--- a/internal/installation/installation.go
+++ b/internal/installation/installation.go
@@ -27,6 +27,7 @@
 	team  *teams         // nil: no budgets
 	door  *control.Server
 	fleet *fleet // nil: none
+	heirs *heirs // nil: nobody keeps copies
 	log   logrus.FieldLogger
 }
 
@@ -42,7 +43,8 @@
 	return &Installation{file: file}, nil
 }
 
-// Open opens the store, if there is to be one, and gives the desk its memory.
+// Open opens the store, if there is to be one, and gives the desk its parts: first the one that asks others, then the budgets, then the
+// memory.
 func (i *Installation) Open(name string, d *desk.Desk, given rules.Given, clock desk.Clock, log logrus.FieldLogger) error {
 	i.desk, i.log = d, log
 	if i.file.Budgets != nil {
@@ -51,7 +53,6 @@
 			return fmt.Errorf("budgets: %w", err)
 		}
 		i.team = t
-		d.Join(desk.Budgeting(t))
 	}
 	if err := i.openStore(d, given, clock); err != nil {
 		return err
@@ -59,6 +60,17 @@
 	if err := i.openFleet(name, given, clock); err != nil {
 		return err
 	}
+	if i.heirs != nil {
+		d.Join(i.heirs.trustee)
+		d.Gate = i.heirs.trustee.Held
+	}
+	if i.team != nil {
+		d.Join(desk.Budgeting(i.team))
+	}
+	if i.keep != nil {
+		d.Join(desk.Remembering(i.keep))
+		i.recallLimits()
+	}
 	return i.openDoor()
 }
 
@@ -71,7 +83,7 @@
 	if err != nil {
 		return fmt.Errorf("store: %w", err)
 	}
-	k, found, err := keeper.Open(vfs.Beneath(dir), store.Bounds{Segment: s.Segment, Lag: s.Lag}, ledgerGiven(given, s), clock.Now,
+	k, found, err := keeper.Open(vfs.Beneath(dir), store.Bounds{Segment: s.Segment, Lag: s.Lag}, ledgerGiven(given, s, i.file.Estate), clock.Now,
 		func(ev ledger.Event) { d.Put(desk.Item{Note: &ev}) }, log)
 	if err != nil {
 		return fmt.Errorf("%w (folder %s; see: liftshift store verify %s)", err, s.Directory, s.Directory)
@@ -80,15 +92,16 @@
 		log.WithField("why", found.Why).Warn("store: the last records may be missing")
 	}
 	i.keep = k
-	d.Join(desk.Remembering(k))
-	i.recallLimits()
 	return nil
 }
 
 // ledgerGiven is what the ledger goes by: the platform's settings, and the operators' own.
-func ledgerGiven(given rules.Given, s *operator.Store) rules.Given {
+func ledgerGiven(given rules.Given, s *operator.Store, e *operator.Estate) rules.Given {
 	g := maps.Clone(given)
 	maps.Copy(g, s.Given)
+	if e != nil { // what was open at a crash is its heirs' to end
+		g["inherited"], g["leaves_at_once"] = true, !e.OwnDisk
+	}
 	return g
 }
 
@@ -110,7 +123,7 @@
 	}
 	return func() []string {
 		if i.keep != nil && next.Store != nil {
-			i.desk.Put(desk.Item{Note: &ledger.Event{Kind: ledger.Heeded, Given: ledgerGiven(given, next.Store)}})
+			i.desk.Put(desk.Item{Note: &ledger.Event{Kind: ledger.Heeded, Given: ledgerGiven(given, next.Store, i.file.Estate)}})
 		}
 		if i.team != nil && next.Budgets != nil && i.file.Budgets.SameTree(next.Budgets) {
 			i.desk.Put(desk.Item{Call: func(now float64) { i.team.reset(i.desk, now, next.Budgets) }})
@@ -125,6 +138,7 @@
 		i.log.WithFields(i.keep.Fields()).Info("store")
 	}
 	i.fleet.count()
+	i.heirs.count()
 }
 
 // Stopping tells the fleet that this controller is on its way out.
@@ -136,6 +150,7 @@
 		i.door.Close()
 	}
 	i.fleet.close()
+	i.heirs.close()
 	if i.keep == nil {
 		return
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -60,6 +60,7 @@
 	ID, Mark string // Taken, Fired, ShotEnded, Closed, Asked
 	Offering string // Taken
 	Until    float64
+	Prior    rules.Prior // Taken: what may have run elsewhere under the mark
 	Shot     int
 	Executor uint32 // Fired
 	Unrun    bool   // ShotEnded: it is known not to have run
@@ -164,7 +165,9 @@
 	remember   float64
 	keepAnswer int
 	mostKept   int
-	bodies     int // bytes of answers kept
+	inherited  bool // what is open at a crash is others' to end
+	atOnce     bool // shots do not wait for this disk: others keep them
+	bodies     int  // bytes of answers kept
 
 	now    float64 // log time: goes on from life to life and never back
 	desk   float64 // clock of the caller, as of this step
@@ -209,7 +212,7 @@
 }
 
 // New gives an empty ledger. Names that it heeds in the settings, besides those of offerings: remember_ms, keep_answer
-// (bytes), most_kept, ration_span_ms, ration_floor, ration_share, tells_come_back, longest_come_back_ms.
+// (bytes), most_kept, ration_span_ms, ration_floor, ration_share, tells_come_back, longest_come_back_ms, inherited, leaves_at_once.
 func New(given rules.Given) *Ledger {
 	l := &Ledger{given: given, trusts: map[uint32]*trust{}}
 	l.heed(given)
@@ -233,6 +236,7 @@
 	l.remember = given.Num("remember_ms", usualMemory)
 	l.keepAnswer = int(given.Num("keep_answer", usualAnswer))
 	l.mostKept = int(given.Num("most_kept", usualKept))
+	l.inherited, l.atOnce = given.Is("inherited"), given.Is("leaves_at_once")
 }
 
 // Step takes one event at the caller's clock in ms. The effects hold until the next call.
--- a/internal/ledger/searches.go
+++ b/internal/ledger/searches.go
@@ -64,6 +64,7 @@
 	}
 	verdict, m := fresh, (*mark)(nil)
 	if ev.Mark != "" && o.recorded() {
+		l.inherit(ev, n, o)
 		if m = l.marks.Get(markKey(ev.Mark)); m != nil {
 			verdict = judge(m.standing(), l.inside(m))
 		}
@@ -107,11 +108,27 @@
 	l.keepSearch(k, s) // nobody waits for it: until a shot leaves, nothing of it can be lost
 }
 
+// inherit books what may have run elsewhere under a mark: it is as old here as there.
+func (l *Ledger) inherit(ev *Event, n int, o *offering) {
+	p := &ev.Prior
+	if p.At == 0 {
+		return
+	}
+	k := markKey(ev.Mark)
+	if old := l.marks.Get(k); old != nil && old.standing() != clear && old.first <= p.At+l.offset {
+		return
+	}
+	m, _ := l.marks.Put(k, clampMS(l.now+o.window+l.remember))
+	l.bodies -= len(m.body)
+	*m = mark{label: ev.Mark, offering: n, first: p.At + l.offset, last: l.now, place: p.Place, cell: p.Cell, unsure: 1}
+	l.keepMark(k, m)
+}
+
 // barred tells whether nothing may be sent for a search now: its record would not last or has no room, or records are
 // missing that may have told of its mark. A mark known to be in doubt is told to its group as a repeat in any case.
 func (l *Ledger) barred(o *offering, label string, v verdict) bool {
 	full := max(l.searches.Len(), l.marks.Len()) >= l.mostKept
-	return o.recorded() && (l.health == sick || full || label != "" && v == fresh && l.now < l.doubtUntil)
+	return o.recorded() && (l.health == sick && !l.atOnce || full || label != "" && v == fresh && l.now < l.doubtUntil)
 }
 
 // tell answers a search whose id is on record.
@@ -171,6 +188,9 @@
 		l.keepMark(s.mark, m)
 	}
 	l.keepSearch(k, s)
+	if l.atOnce {
+		return
+	}
 	h := held{token: l.sync(), id: s.id, shot: ev.Shot, since: l.now}
 	l.do(Effect{Kind: Hold, ID: s.id, Shot: ev.Shot, Token: h.token})
 	l.held = append(l.held, h)
@@ -257,8 +277,12 @@
 			in = crashes
 		}
 		n++
+		if s.out = 0; l.inherited { // its mark stays in doubt; what became of it, its heirs say
+			l.searches.Delete(k)
+			l.do(Effect{Kind: Forget, Key: k})
+			continue
+		}
 		l.play(k, s, in)
-		s.out = 0
 	}
 	l.counts.Closed += uint64(n)
 	return n
--- /dev/null
+++ b/internal/operator/estate.go
@@ -0,0 +1,61 @@
+package operator
+
+import (
+	"reflect"
+
+	"github.com/hashicorp/hcl/v2"
+
+	"liftshift/rules"
+)
+
+// Estate is the block estate.
+type Estate struct {
+	Given    rules.Given // for the estate: copies, lag_ms, adopt_at_once, most_kept, keep_answer, alone, adopts.NAME
+	OwnDisk  bool        // a shot waits for this controller's own disk, too
+	OnDisks  bool        // holders answer once their copies last
+	Copies   int
+	Adopting []string
+}
+
+// estateBlock is what may stand in the block estate.
+var estateBlock = &block{fields: []field{
+	{name: "copies", kind: whole, least: 1, most: 3, usual: 2, help: "copies of open work that others keep; 1 needs 3 controllers, 2 need 5, 3 need 7"},
+	{name: "condition", kind: text, help: "what must stand before a labelled or irreversible shot leaves: \"disk and holders\", \"holders\" or \"disk and holders' disks\", \"holders' disks\""},
+	{name: "unreachable", kind: text, help: "where too few holders can be reached: \"deny\", or \"alone\": go on with what this controller has"},
+	{name: "lag", kind: span, least: 0, most: 10e3, usual: 50, help: "redoable searches that take longer are copied; 0: none is"},
+	{name: "adopt", kind: names, help: "redoable offerings that an heir runs again, within the ration"},
+	{name: "adopt_at_once", kind: whole, least: 1, most: 10e3, usual: 64, help: "adopted searches in hand at a time"},
+	{name: "keep_answers", kind: size, least: 0, most: 48 * kiB, usual: 4 * kiB, help: "longest answer that is copied"},
+	{name: "most_kept", kind: whole, least: 1000, most: 10e6, usual: 200e3, help: "copies that are kept for others at most"},
+}}
+
+var conditions = map[string][2]bool{"": {true, false}, "disk and holders": {true, false}, "holders": {false, false},
+	"disk and holders' disks": {true, true}, "holders' disks": {false, true}}
+
+// estateOf reads the block estate and checks that its parts fit together.
+func estateOf(v values, founders, store bool) (*Estate, hcl.Diagnostics) {
+	var diags hcl.Diagnostics
+	e := &Estate{Copies: int(v.nums["copies"]), Adopting: v.lists["adopt"], Given: rules.Given{"lag_ms": v.nums["lag"],
+		"adopt_at_once": v.nums["adopt_at_once"], "keep_answer": v.nums["keep_answers"], "most_kept": v.nums["most_kept"],
+		"alone": v.texts["unreachable"] == "alone"}}
+	how, known := conditions[v.texts["condition"]]
+	if e.OwnDisk, e.OnDisks = how[0], how[1]; !known {
+		diags = append(diags, wrong(v.set["condition"], "condition must be \"disk and holders\", \"holders\", \"disk and holders' disks\" or \"holders' disks\""))
+	}
+	if u := v.texts["unreachable"]; u != "" && u != "deny" && u != "alone" {
+		diags = append(diags, wrong(v.set["unreachable"], "unreachable must be \"deny\" or \"alone\""))
+	}
+	for _, name := range e.Adopting {
+		e.Given["adopts."+name] = true
+	}
+	if !founders {
+		diags = append(diags, wrong(v.at, "an estate needs a council: there is no block fleet with founders"))
+	}
+	if !store {
+		diags = append(diags, wrong(v.at, "an estate needs a block store"))
+	}
+	return e, diags
+}
+
+// Same tells whether two say the same.
+func (e *Estate) Same(o *Estate) bool { return reflect.DeepEqual(e, o) }
--- a/internal/operator/file.go
+++ b/internal/operator/file.go
@@ -19,6 +19,7 @@
 	Store   *Store
 	Budgets *Budgets
 	Fleet   *Fleet
+	Estate  *Estate
 	Control string // path of the control socket; empty: none
 }
 
@@ -49,7 +50,7 @@
 }
 
 // file is what may stand in the file.
-var file = &block{blocks: map[string]*block{"store": {fields: storeFields}, "budgets": budgetsBlock, "fleet": fleetBlock,
+var file = &block{blocks: map[string]*block{"store": {fields: storeFields}, "budgets": budgetsBlock, "fleet": fleetBlock, "estate": estateBlock,
 	"control": {fields: []field{{name: "socket", kind: text, required: true, help: "path of a Unix socket, for its owner alone"}}}}}
 
 // Read reads the file at a path. The error has a line for each complaint.
@@ -90,6 +91,12 @@
 			return nil, complaint(diags)
 		}
 	}
+	for _, b := range body.kids["estate"] {
+		if f.Estate, diags = estateOf(b, f.Fleet != nil && len(f.Fleet.Founders) > 0, f.Store != nil); diags.HasErrors() {
+			return nil, complaint(diags)
+		}
+		f.Fleet.Given["copies"] = float64(f.Estate.Copies)
+	}
 	return f, nil
 }
 
@@ -110,5 +117,8 @@
 	if (f.Fleet == nil) != (next.Fleet == nil) || f.Fleet != nil && !f.Fleet.Same(next.Fleet) {
 		names = append(names, "fleet")
 	}
+	if (f.Estate == nil) != (next.Estate == nil) || f.Estate != nil && !f.Estate.Same(next.Estate) {
+		names = append(names, "estate")
+	}
 	return names
 }
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -35,6 +35,9 @@
 	NoFleet     bool   // without the block fleet
 	Fleet       string // further lines of the block fleet
 	WorkMS      float64
+	Estate      string        // lines of a block estate; empty: none
+	Drops       time.Duration // for which engines drop repeats of a mark, as the settings say, too; 0: the usual, short one, below 0: none
+	Works       map[string]time.Duration
 }
 
 // Controller is one process.
@@ -92,7 +95,10 @@
 	}
 	for k := range max(1, p.Engines) {
 		e := &standin.Engine{Name: fmt.Sprint("s-", k), Place: fmt.Sprint("z", k%max(1, p.Zones)), Drops: 100 * time.Millisecond,
-			Work: time.Duration(p.WorkMS * float64(time.Millisecond)), Memory: f.Memory}
+			Work: time.Duration(p.WorkMS * float64(time.Millisecond)), Works: p.Works, Memory: f.Memory}
+		if p.Drops != 0 {
+			e.Drops = max(0, p.Drops)
+		}
 		if err = e.Start(); err != nil {
 			return nil, err
 		}
@@ -129,7 +135,7 @@
 		seeds = append(seeds, f.Relay.Known(s))
 	}
 	node := map[string]any{}
-	if err := json.Unmarshal(standin.Node(c.Client, list, 20*time.Second, f.Engines...), &node); err != nil {
+	if err := json.Unmarshal(standin.Node(c.Client, list, f.window(), f.Engines...), &node); err != nil {
 		return err
 	}
 	node["name"] = c.Name
@@ -144,6 +150,9 @@
 	if !f.Plan.NoFleet {
 		f.block(&hcl, k, seeds)
 	}
+	if f.Plan.Estate != "" {
+		fmt.Fprintf(&hcl, "estate {\n%s\n}\n", f.Plan.Estate)
+	}
 	if f.Plan.Store {
 		fmt.Fprintf(&hcl, "store {\n  directory = %q\n  segment = \"256KiB\"\n}\n", filepath.Join(c.Folder, "store"))
 	}
@@ -152,6 +161,17 @@
 	return errors.Join(os.WriteFile(filepath.Join(c.Folder, "node.json"), text, 0o600), os.WriteFile(file, []byte(hcl.String()), 0o600))
 }
 
+// window is for how long the settings say that repeats are dropped.
+func (f *Fleet) window() time.Duration {
+	switch {
+	case f.Plan.Drops > 0:
+		return f.Plan.Drops
+	case f.Plan.Drops < 0:
+		return 0
+	}
+	return 20 * time.Second
+}
+
 // block writes the block fleet.
 func (f *Fleet) block(hcl *strings.Builder, k int, seeds []string) {
 	quoted, _ := json.Marshal(seeds)
--- /dev/null
+++ b/internal/rehearse/takeover_test.go
@@ -0,0 +1,119 @@
+package rehearse
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"liftshift/internal/standin"
+)
+
+// chaired waits until all that run know who sits where, and hold their leases.
+func chaired(t *testing.T, f *Fleet) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		for k, c := range f.Controllers {
+			if c.Up() {
+				a, err := f.Ask(k, "estate", nil)
+				if err != nil || a["held"] != true || a["parts"] != 32.0 || a["parts_settled"] != 32.0 {
+					return false
+				}
+			}
+		}
+		return true
+	}, 20*time.Second, 20*time.Millisecond, "all know who keeps copies")
+}
+
+// came is how a search of a client ended there.
+type came struct {
+	id, mark, outcome string
+	took              time.Duration
+}
+
+// asks has so many clients make a search each at a controller, at once, and gives a call that waits for them.
+func asks(f *Fleet, k, n int, offering, tag string, marks bool) func() []came {
+	out := make([]came, n)
+	var all sync.WaitGroup
+	for w := range n {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			o := came{id: fmt.Sprintf("%s-%d", tag, w), outcome: "cut off"}
+			if marks {
+				o.mark = fmt.Sprintf("m%d", w)
+			}
+			began := time.Now()
+			if c, err := standin.Dial(f.Controllers[k].Client, time.Second); err == nil {
+				defer c.Close()
+				if a, err := c.Search(offering, o.id, o.mark, 5*time.Second); err == nil {
+					o.outcome = map[int]string{0: "handled", standin.Denied: "denied"}[a.Code]
+					if o.outcome == "" {
+						o.outcome = "written off"
+					}
+				}
+			}
+			o.took = time.Since(began)
+			out[w] = o
+		}()
+	}
+	return func() []came { all.Wait(); return out }
+}
+
+func count(list []came) map[string]int {
+	n := map[string]int{}
+	for _, o := range list {
+		n[o.outcome]++
+	}
+	return n
+}
+
+// ranTwice gives the marks that ran more than once.
+func ranTwice(f *Fleet) (marks []string) {
+	n := map[string]int{}
+	for _, r := range f.Memory.Runs() {
+		key := r.Mark
+		if key == "" {
+			key = r.ID
+		}
+		if n[key]++; n[key] == 2 {
+			marks = append(marks, key)
+		}
+	}
+	return marks
+}
+
+func inherited(t *testing.T, copies string, drops time.Duration) *Fleet {
+	f := rehearsal(t, Plan{Controllers: 5, Engines: 3, Founders: 3, Store: true, Fleet: quick, Estate: copies, Drops: drops, WorkMS: 10,
+		Works: map[string]time.Duration{"mark": 1200 * time.Millisecond, "once": 1200 * time.Millisecond}})
+	settles(t, f, "all join")
+	chaired(t, f)
+	return f
+}
+
+// A controller with thirty labelled searches in hand is killed, and its clients come again elsewhere at once, with their marks, thrice.
+// Engines that drop repeats: all are handled. Engines that drop none: what was sent is written off. Nothing runs twice.
+func TestKilledWithSearchesInHand(t *testing.T) {
+	for _, drops := range []time.Duration{20 * time.Second, -1} {
+		f := inherited(t, "copies = 2", drops)
+		first := asks(f, 4, 30, "mark", "a", true)
+		time.Sleep(300 * time.Millisecond)
+		f.Kill(4)
+		assert.Equal(t, 30, count(first())["cut off"])
+		second, third := asks(f, 0, 30, "mark", "b", true), asks(f, 1, 30, "mark", "c", true)
+		counts := count(append(second(), third()...))
+		t.Logf("drops %v: %v", drops, counts)
+		assert.Empty(t, ranTwice(f))
+		if drops < 0 { // what had not been sent yet was sent by heirs
+			assert.Equal(t, 60, counts["handled"]+counts["written off"], "%v", counts)
+			assert.NotZero(t, counts["written off"])
+			assert.NotZero(t, counts["handled"])
+		} else {
+			assert.Equal(t, 60, counts["handled"], "%v", counts)
+		}
+		f.Close()
+	}
+}
--- /dev/null
+++ b/internal/seat/roll.go
@@ -0,0 +1,74 @@
+package seat
+
+import (
+	"encoding/binary"
+	"encoding/json"
+
+	"liftshift/internal/chairs"
+	"liftshift/internal/council"
+)
+
+// Roll is who is in and who sits where, as agreed, and where all are, as heard.
+type Roll struct {
+	Places    []chairs.Place
+	Table     chairs.Table
+	Addresses map[string]string `json:"-"`
+}
+
+// roll tells of a change.
+func (s *Seat) roll(r Roll) {
+	s.rolled, s.viewed = r.Table.Step, s.view.Hash()
+	if s.Rolled == nil {
+		return
+	}
+	r.Addresses = map[string]string{}
+	for _, m := range s.view.Members() {
+		r.Addresses[m.Name] = m.Address
+	}
+	s.Rolled(r)
+}
+
+// look finds out whether what is agreed has changed: a voter hears of it by itself, but may have been replaced without having heard.
+func (s *Seat) look(now float64) {
+	if s.Rolled == nil || now < s.rollAt {
+		return
+	}
+	s.rollAt = now + rollMS
+	if s.view.Hash() != s.viewed && s.rolled > 0 { // somebody may be elsewhere
+		if places, table := s.council.Roll(); table.Step >= s.rolled {
+			s.roll(Roll{Places: places, Table: table})
+		} else {
+			s.rolled = 0
+		}
+	}
+	s.askRoll(now)
+}
+
+// Refresh has the roll asked for at once. It may be called from any goroutine.
+func (s *Seat) Refresh() { go s.carrier.Post(func(now float64) { s.askRoll(now) }) }
+
+func (s *Seat) askRoll(now float64) {
+	to := s.council.Status(now).Leader
+	if to == "" || to == s.name {
+		return
+	}
+	s.ask(now, to, binary.AppendUvarint([]byte{asksRoll}, s.rolled), func(_ float64, reply []byte, err error) {
+		var r Roll
+		if err == nil && len(reply) > 0 && json.Unmarshal(reply, &r) == nil && r.Table.Step > s.rolled {
+			s.roll(r)
+		}
+	})
+}
+
+// Move has the member that leads propose something. What comes of it shows in the roll. It may be called from any goroutine.
+func (s *Seat) Move(motion []byte) {
+	go s.carrier.Post(func(now float64) {
+		switch to := s.council.Status(now).Leader; to {
+		case "":
+		case s.name:
+			s.step(now, council.Event{Kind: council.Proposed, Data: motion})
+		default:
+			s.ask(now, to, append([]byte{moves}, motion...), func(float64, []byte, error) {})
+		}
+	})
+}
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -3,6 +3,7 @@
 package seat
 
 import (
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -32,6 +33,9 @@
 	asksLease   = 'a'
 	saysHello   = 'h'
 	asksRecord  = 'r'
+	asksRoll    = 'l' // behind it the step that is known
+	moves       = 'p'
+	rollMS      = 250 // between two looks at whether what is agreed has changed
 	mostNameLen = 64
 )
 
@@ -47,6 +51,10 @@
 	// Said is told of what the council says besides what is carried here. It must not wait.
 	Said func(now float64, e council.Effect)
 
+	// Rolled, if set, is told who is in and who sits where whenever that changes, and where all are; Relived of this controller's life.
+	Rolled  func(Roll)
+	Relived func(life uint64)
+
 	council *council.Council
 	carrier *fleetwire.Carrier
 	view    *members.View
@@ -59,6 +67,9 @@
 	lines   map[string]chan []byte
 	stop    chan struct{}
 	seeAt   float64
+	rollAt  float64
+	rolled  uint64 // step of the table that was told last
+	viewed  uint64 // hash of the view, then
 	wakeAt  float64
 	until   atomic.Uint64 // of the lease, by the carrier's clock
 
@@ -91,8 +102,8 @@
 // Status tells how things stand.
 func (s *Seat) Status(now float64) council.Status { return s.council.Status(now) }
 
-// Move has a voter replaced by another, where this member leads.
-func (s *Seat) Move(now float64, from, to string) error {
+// Replace has a voter replaced by another, where this member leads.
+func (s *Seat) Replace(now float64, from, to string) error {
 	if st := s.council.Status(now); st.Leader != s.name {
 		return fmt.Errorf("this member does not lead the council; %s does", st.Leader)
 	}
@@ -110,6 +121,9 @@
 		if l := s.view.Self().Life; l != s.life {
 			s.life = l
 			s.step(now, council.Event{Kind: council.Relived, Life: l})
+			if s.Relived != nil {
+				s.Relived(l)
+			}
 		}
 		var list []council.Sight
 		for _, m := range s.view.Members() {
@@ -117,6 +131,7 @@
 				Zone: m.Zone, Elector: m.Marks&members.Elector != 0, Doubled: m.Marks&members.Doubled != 0})
 		}
 		s.council.See(list)
+		s.look(now)
 	}
 	s.step(now, council.Event{Kind: council.Ticked})
 }
@@ -143,6 +158,17 @@
 		s.tokens++
 		s.answers[s.tokens] = reply
 		s.step(now, council.Event{Kind: council.Asked, Token: s.tokens, Name: w.Name, Life: w.Life, Release: w.Release})
+	case asksRoll:
+		known, _ := binary.Uvarint(rest)
+		places, table := s.council.Roll()
+		if s.council.Status(now).Leader != s.name || table.Step <= known {
+			reply(nil, nil)
+			return
+		}
+		reply(json.Marshal(Roll{Places: places, Table: table}))
+	case moves:
+		s.step(now, council.Event{Kind: council.Proposed, Data: rest})
+		reply(nil, nil)
 	case saysHello:
 		data, err := json.Marshal(s.council.Hello())
 		reply(data, err)
@@ -257,6 +283,10 @@
 					s.step(now, council.Event{Kind: council.Met, Hello: h})
 				}
 			})
+		case council.Reseated:
+			if places, table := s.council.Roll(); table.Step > s.rolled {
+				s.roll(Roll{Places: places, Table: table})
+			}
 		default:
 			s.Said(now, e)
 		}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -61,6 +61,7 @@
 	fleet := wire.NewFleet(d, clock, out, wire.Reach{ConnectMS: connect, IdleMS: g.Num("idle_close_ms", 15000),
 		PerLink: int(g.Num("shots_per_connection", 100)), Links: share(n.Limits.Sockets, linksShare),
 		Reports: g.Names("report")}, log)
+	fleet.Gate = d.Gate
 	peers, err := wire.NewPeers(n.PeerListen, n.Peers, n.PeersAll, d, log)
 	if err != nil {
 		return fmt.Errorf("peers: %w", err)
--- /dev/null
+++ b/internal/trustee/copies.go
@@ -0,0 +1,91 @@
+package trustee
+
+import (
+	"fmt"
+
+	"github.com/sirupsen/logrus"
+
+	"liftshift/internal/estate"
+	"liftshift/internal/store"
+	"liftshift/internal/vfs"
+)
+
+// copies keeps copies on this holder's disk, so that they are there when it starts again.
+type copies struct {
+	store *store.Store
+	batch store.Batch
+	room  []byte
+	token uint64
+	wait  map[uint64]func(error)
+	back  func(stored)
+}
+
+// Keep has copies kept in a folder, and gives the estate those that are there. It is called before the desk runs.
+func (t *Trustee) Keep(folder vfs.FS, put func(note any)) error {
+	c := &copies{wait: map[uint64]func(error){}, back: func(s stored) { put(s) }}
+	now := t.clock.Now()
+	found := map[store.Key][]byte{}
+	s, at, err := store.Open(folder, store.Bounds{}, func(k store.Key, _ int64, value []byte) {
+		if delete(found, k); value != nil {
+			found[k] = append([]byte(nil), value...)
+		}
+	})
+	if err != nil {
+		return fmt.Errorf("estate: %w", err)
+	}
+	for k, value := range found {
+		if one, err := estate.ReadCopy(value, now); err == nil && estate.KeyOf(one.Mark, one.ID) == estate.Key(k) {
+			t.estate.Step(now, &estate.Event{Kind: estate.Read, Copy: &one})
+		}
+	}
+	c.store = s
+	t.copies = c
+	t.log.WithFields(logrus.Fields{"records": at.Records, "copies": len(found), "doubt": at.Why}).Info("estate: copies opened")
+	return nil
+}
+
+// keep writes what a step wants kept; the token is told once it lasts. 0: nobody waits for it.
+func (c *copies) keep(now float64, effects []estate.Effect, lasts bool) uint64 {
+	c.batch.Reset()
+	for i := range effects {
+		e := &effects[i]
+		if e.Kind != estate.Keep {
+			continue
+		}
+		if e.Copy == nil {
+			c.batch.Delete(store.Key(e.Key))
+			continue
+		}
+		c.room = estate.AppendCopy(c.room[:0], e.Copy, now)
+		c.batch.Put(store.Key(e.Key), int64(e.Version), c.room)
+	}
+	if c.batch.Len() == 0 {
+		return 0
+	}
+	teller, token := store.Teller(nil), uint64(0)
+	if lasts {
+		c.token++
+		teller, token = c, c.token
+	}
+	if err := c.store.Append(int64(now), &c.batch, teller, token); err != nil && lasts {
+		go c.Stored(token, err) // whoever waits for it is told
+	}
+	return token
+}
+
+// Stored hears from the store what became of a batch.
+func (c *copies) Stored(token uint64, err error) { c.back(stored{token, err}) }
+
+// stored lets answers go that waited.
+func (c *copies) stored(s stored, _ *Trustee) {
+	if tell := c.wait[s.token]; tell != nil {
+		delete(c.wait, s.token)
+		tell(s.err)
+	}
+}
+
+func (c *copies) close(log logrus.FieldLogger) {
+	if err := c.store.Close(); err != nil {
+		log.WithField("why", err).Warn("estate: copies were not closed well")
+	}
+}
--- /dev/null
+++ b/internal/trustee/trustee.go
@@ -0,0 +1,434 @@
+// Package trustee carries what a controller's estate says to other controllers, and brings it what they say, what its own desk does and
+// what the council agrees on. It decides nothing. The estate belongs to the desk's goroutine; words to others line up for a goroutine
+// a member, which has one call under way at a time, so that what waits meanwhile goes together.
+package trustee
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"liftshift/internal/council"
+	"liftshift/internal/desk"
+	"liftshift/internal/estate"
+	"liftshift/internal/fleetwire"
+	"liftshift/internal/ledger"
+	"liftshift/internal/seat"
+	"liftshift/rules"
+)
+
+const (
+	lineRoom  = 4096                   // batches that wait for one member; past it they are dropped, and said again later
+	mostBatch = 1 << 20                // bytes of one call
+	mostLines = 512                    // members that there is a line to
+	staleMS   = 200                    // a batch that has waited for so long is dropped: its times would not be true
+	patience  = 900 * time.Millisecond // of one who waits for an answer here: less than a caller's
+)
+
+// Trustee joins an estate to a desk, to the fleet's carriage and to the council.
+type Trustee struct {
+	estate  *estate.Estate
+	desk    *desk.Desk
+	clock   desk.Clock
+	carrier *fleetwire.Carrier
+	seat    *seat.Seat
+	log     logrus.FieldLogger
+	name    string
+
+	// Of the desk's goroutine.
+	where     map[uint32]rules.Entry
+	tokens    uint64
+	replies   map[uint64]func([]byte, error)
+	questions map[uint64]*desk.Question
+	copies    *copies // nil: copies are kept in memory alone
+
+	addresses atomic.Pointer[map[string]string]
+	mu        sync.Mutex
+	lines     map[string]chan said
+	stop      chan struct{}
+
+	Dropped, Calls, Failed atomic.Uint64
+	counts                 atomic.Pointer[estate.Counts]
+}
+
+// said is a batch that waits for its call.
+type said struct {
+	batch *estate.Batch
+	data  []byte
+	at    float64
+}
+
+// What reaches the estate by the desk's queue.
+type (
+	words struct {
+		batch *estate.Batch
+		reply func([]byte, error)
+	}
+	answers struct {
+		to         string
+		sent, back *estate.Batch
+	}
+	rolled  struct{ roll seat.Roll }
+	relived struct{ life uint64 }
+	stored  struct {
+		token uint64
+		err   error
+	}
+)
+
+// New joins one. Folder, if any, is where copies are kept so that they last; it must be this trustee's alone.
+func New(self estate.Member, given rules.Given, seed uint32, d *desk.Desk, clock desk.Clock, carrier *fleetwire.Carrier, log logrus.FieldLogger) *Trustee {
+	return &Trustee{estate: estate.New(self, given, seed), desk: d, clock: clock, carrier: carrier, log: log, name: self.Name,
+		where: map[uint32]rules.Entry{}, replies: map[uint64]func([]byte, error){}, questions: map[uint64]*desk.Question{},
+		lines: map[string]chan said{}, stop: make(chan struct{})}
+}
+
+// Begin has the trustee hear of the council and of others, once they are there.
+func (t *Trustee) Begin(s *seat.Seat) {
+	t.seat = s
+	s.Rolled = func(r seat.Roll) {
+		t.addresses.Store(&r.Addresses)
+		go t.desk.Put(desk.Item{Note: rolled{r}})
+	}
+	s.Relived = func(life uint64) { go t.desk.Put(desk.Item{Note: relived{life}}) }
+	t.carrier.Estate = t.heard
+}
+
+// Held tells whether this controller may act on its lease at this moment. It may be called from any goroutine.
+func (t *Trustee) Held() bool { return t.seat != nil && t.seat.Held() }
+
+// heard takes what another member says; any goroutine calls it.
+func (t *Trustee) heard(ctx context.Context, data []byte) ([]byte, error) {
+	b, err := estate.ReadBatch(data, t.clock.Now())
+	if err != nil {
+		return nil, err
+	}
+	type got struct {
+		data []byte
+		err  error
+	}
+	back := make(chan got, 1)
+	go t.desk.Put(desk.Item{Note: words{b, func(data []byte, err error) { back <- got{data, err} }}})
+	late := time.NewTimer(patience)
+	defer late.Stop()
+	select {
+	case g := <-back:
+		return g.data, g.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-late.C:
+		return nil, errors.New("no answer in time")
+	case <-t.stop:
+		return nil, errors.New("this member stops")
+	}
+}
+
+// Close ends the lines. The desk has ended.
+func (t *Trustee) Close() {
+	close(t.stop)
+	if t.copies != nil {
+		t.copies.close(t.log)
+	}
+}
+
+// Count gives the counters for the log.
+func (t *Trustee) Count() logrus.Fields {
+	c := estate.Counts{}
+	if p := t.counts.Load(); p != nil {
+		c = *p
+	}
+	return logrus.Fields{"copies": c.Copies, "open": c.Open, "held": c.Held, "settled": c.Settled, "adopted": c.Adopted,
+		"written_off": c.WrittenOff, "dropped": c.Dropped, "mine": c.Mine, "waiting": c.Waiting, "registered": c.Registered, "waited": c.Waited,
+		"told": c.Told, "refused": c.Refused, "withheld": c.Withheld, "alone": c.Alone, "claims": c.Claims, "taken": c.Taken,
+		"taken_done": c.TakenDone, "late": c.Late, "words": c.Words, "lost": c.Lost, "pulled": c.Pulled, "calls": t.Calls.Load(),
+		"calls_failed": t.Failed.Load(), "lined_up_too_long": t.Dropped.Load()}
+}
+
+// ---- as a part of the desk
+
+var outcomes = map[ledger.Outcome]estate.Outcome{ledger.Handled: estate.Handled, ledger.Denied: estate.Denied,
+	ledger.WrittenOff: estate.WrittenOff, ledger.Left: estate.Left}
+
+var ledgers = map[estate.Outcome]ledger.Outcome{estate.Open: ledger.Open, estate.Handled: ledger.Handled, estate.Denied: ledger.Denied,
+	estate.WrittenOff: ledger.WrittenOff, estate.Left: ledger.Left, estate.Unknown: ledger.Unknown}
+
+// Hear tells the estate, in its own words.
+func (t *Trustee) Hear(now float64, h *desk.Happening, out []desk.Follow) []desk.Follow {
+	var ev estate.Event
+	switch s := h.Search; h.Kind {
+	case desk.Arriving:
+		ev = estate.Event{Kind: estate.Arrives, ID: s.ID, Copy: &estate.Copy{Until: s.Until, Work: estate.Work{ID: s.ID, Mark: s.Mark,
+			Offering: s.Offering, Order: s.Key, Team: s.Team, Schema: s.Schema, Group: s.Group, NeedMB: s.NeedMB, WorkMS: s.WorkMS, Body: s.Body}}}
+	case desk.Departed:
+		ev = estate.Event{Kind: estate.Gone, ID: s.ID}
+	case desk.Firing:
+		at := t.where[h.Executor]
+		ev = estate.Event{Kind: estate.Firing, ID: s.ID, Shot: h.Shot, Place: at.Place, Cell: at.Cell}
+	case desk.ShotOver:
+		ev = estate.Event{Kind: estate.ShotOver, ID: s.ID, Shot: h.Shot, Unrun: h.Unrun}
+	case desk.Ending:
+		ev = estate.Event{Kind: estate.Ending, ID: s.ID, Outcome: outcomes[h.Outcome], Answer: h.Body}
+	case desk.Closed:
+		ev = estate.Event{Kind: estate.Closed, ID: s.ID, Outcome: outcomes[h.Outcome], Answer: h.Body}
+	case desk.ListNews:
+		t.list(h.List)
+		return out
+	case desk.Stopping:
+		ev = estate.Event{Kind: estate.Leaving}
+	case desk.Ticks:
+		ev = estate.Event{Kind: estate.Ticked}
+	case desk.Inquiry:
+		t.tokens++
+		t.questions[t.tokens] = h.Ask
+		out = append(out, desk.Follow{Kind: desk.Mine})
+		ev = estate.Event{Kind: estate.Asked, ID: h.Ask.ID, Mark: h.Ask.Mark, Token: t.tokens}
+	case desk.Told:
+		switch n := h.Note.(type) {
+		case words:
+			t.tokens++
+			t.replies[t.tokens] = n.reply
+			ev = estate.Event{Kind: estate.Words, Batch: n.batch, Token: t.tokens}
+		case answers:
+			ev = estate.Event{Kind: estate.Answers, To: n.to, Sent: n.sent, Batch: n.back}
+		case rolled:
+			ev = estate.Event{Kind: estate.Seated, Places: n.roll.Places, Table: &n.roll.Table}
+		case relived:
+			ev = estate.Event{Kind: estate.Relived, Life: n.life}
+		case stored:
+			t.copies.stored(n, t)
+			return out
+		default:
+			return out
+		}
+	default:
+		return out
+	}
+	out = t.step(now, &ev, out)
+	if h.Kind == desk.Ticks {
+		c := t.estate.Counts()
+		t.counts.Store(&c)
+		if t.copies != nil {
+			t.copies.store.Advance(int64(now))
+		}
+	}
+	return out
+}
+
+// list keeps where executors are.
+func (t *Trustee) list(l *rules.Event) {
+	if l.List != rules.Changes {
+		clear(t.where)
+	}
+	for _, e := range l.Entries {
+		if delete(t.where, e.Executor); e.Standing != rules.Gone {
+			t.where[e.Executor] = e
+		}
+	}
+}
+
+// Step plays an event from outside of a happening; it is for a call on the desk's goroutine.
+func (t *Trustee) Step(now float64, ev *estate.Event) { t.desk.Follow(t.step(now, ev, nil)) }
+
+// Estate is for a call on the desk's goroutine.
+func (t *Trustee) Estate() *estate.Estate { return t.estate }
+
+func (t *Trustee) step(now float64, ev *estate.Event, out []desk.Follow) []desk.Follow {
+	ev.Held = t.Held()
+	lasts := t.copies != nil && (ev.Kind == estate.Words)
+	effects := t.estate.Step(now, ev)
+	token := uint64(0)
+	if t.copies != nil {
+		token = t.copies.keep(now, effects, lasts)
+	}
+	for i := range effects {
+		switch e := &effects[i]; e.Kind {
+		case estate.Await:
+			out = append(out, desk.Follow{Kind: desk.Await})
+		case estate.Resume:
+			out = append(out, desk.Follow{Kind: desk.Resume, ID: e.ID, Prior: e.Prior, Barred: e.Barred})
+		case estate.Settle:
+			out = append(out, desk.Follow{Kind: desk.Settle, ID: e.ID, Outcome: ledgers[e.Outcome], Body: e.Answer, AfterMS: e.AfterMS})
+		case estate.Hold:
+			out = append(out, desk.Follow{Kind: desk.Hold})
+		case estate.Forbid:
+			out = append(out, desk.Follow{Kind: desk.Hold}, desk.Follow{Kind: desk.Forbid})
+		case estate.Release:
+			out = append(out, desk.Follow{Kind: desk.Release, ID: e.ID, Shot: e.Shot})
+		case estate.Withhold:
+			out = append(out, desk.Follow{Kind: desk.Withhold, ID: e.ID, Shot: e.Shot})
+		case estate.KeepBack:
+			out = append(out, desk.Follow{Kind: desk.KeepBack})
+		case estate.LetGo:
+			out = append(out, desk.Follow{Kind: desk.LetGo, ID: e.ID, Outcome: ledgers[e.Outcome], Body: e.Answer})
+		case estate.Recall:
+			out = append(out, desk.Follow{Kind: desk.Dismiss, ID: e.ID})
+		case estate.Adopt:
+			c := e.Copy
+			out = append(out, desk.Follow{Kind: desk.Adopt, Prior: e.Prior, New: &desk.Search{ID: c.ID, Offering: c.Offering, Key: c.Order,
+				Mark: c.Mark, Group: c.Group, NeedMB: c.NeedMB, WorkMS: c.WorkMS, Until: c.Until, Team: c.Team, Schema: c.Schema,
+				Repeat: true, Body: c.Body, Client: nobody{}}})
+		case estate.Say:
+			t.say(e.To, e.Batch, now)
+		case estate.Answer:
+			t.answer(e, now, token)
+		case estate.Reply:
+			out = t.reply(e, out)
+		case estate.Move:
+			t.log.WithFields(logrus.Fields{"motion": e.Motion, "member": e.Claim.Name, "life": e.Claim.Life, "parts": e.Claim.Mask}).Info("estate: proposed")
+			t.seat.Move(council.Motion(e.Motion, e.Claim, e.Version))
+		case estate.Refresh:
+			t.seat.Refresh()
+		case estate.Note:
+			t.log.WithFields(logrus.Fields{"of": e.ID, "count": e.Count}).Warn("estate: " + e.Text)
+		}
+	}
+	return out
+}
+
+// answer answers another member, once what it asked to be kept lasts, where that is wanted.
+func (t *Trustee) answer(e *estate.Effect, now float64, token uint64) {
+	reply := t.replies[e.Token]
+	delete(t.replies, e.Token)
+	if reply == nil {
+		return
+	}
+	data := e.Batch.Append(nil, now)
+	if token != 0 {
+		t.copies.wait[token] = func(err error) { reply(data, err) }
+		return
+	}
+	reply(data, nil)
+}
+
+// reply tells what became of a search; where the others know nothing, the parts behind are asked.
+func (t *Trustee) reply(e *estate.Effect, out []desk.Follow) []desk.Follow {
+	q := t.questions[e.Token]
+	delete(t.questions, e.Token)
+	switch {
+	case q == nil:
+	case e.Outcome == estate.Unknown:
+		out = append(out, desk.Follow{Kind: desk.AskOn, Ask: q})
+	default:
+		q.Reply(ledger.Effect{Kind: ledger.Tell, Outcome: ledgers[e.Outcome], Body: e.Answer, AgeMS: e.AfterMS})
+	}
+	return out
+}
+
+// nobody is the client of a search whose own client went with its controller.
+type nobody struct{}
+
+func (nobody) Handled(uint64, []byte) {}
+func (nobody) Denied(uint64, float64) {}
+func (nobody) WrittenOff(uint64)      {}
+
+// ---- lines
+
+// say lines up a batch for a member; it never waits.
+func (t *Trustee) say(to string, b *estate.Batch, now float64) {
+	line := t.line(to)
+	s := said{b, b.Append(nil, now), now}
+	select {
+	case line <- s:
+	default:
+		t.Dropped.Add(1)
+	}
+}
+
+func (t *Trustee) line(to string) chan said {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	line := t.lines[to]
+	if line == nil {
+		if len(t.lines) >= mostLines { // members that were
+			for name, old := range t.lines {
+				close(old)
+				delete(t.lines, name)
+				break
+			}
+		}
+		line = make(chan said, lineRoom)
+		t.lines[to] = line
+		go t.run(to, line)
+	}
+	return line
+}
+
+// run carries a line: one call at a time, with all that waits for it.
+func (t *Trustee) run(to string, line chan said) {
+	var next *said
+	for {
+		var first said
+		if next != nil {
+			first, next = *next, nil
+		} else {
+			select {
+			case s, open := <-line:
+				if !open {
+					return
+				}
+				first = s
+			case <-t.stop:
+				return
+			}
+		}
+		if t.clock.Now() > first.at+staleMS {
+			t.Dropped.Add(1)
+			continue
+		}
+		sent := *first.batch
+		sent.Items = append([]estate.Item(nil), sent.Items...)
+		data := first.data
+	more:
+		for len(data) < mostBatch {
+			select {
+			case s, open := <-line:
+				if !open {
+					break more
+				}
+				if s.batch.Version != sent.Version || s.batch.From != sent.From || t.clock.Now() > s.at+staleMS {
+					next = &s
+					break more
+				}
+				data = append(data, s.data...) // read as one: what repeats adds up, of the rest the last counts
+				sent.Items = append(sent.Items, s.batch.Items...)
+			default:
+				break more
+			}
+		}
+		t.Calls.Add(1)
+		back := t.call(to, data)
+		select {
+		case <-t.stop:
+			return
+		default:
+			t.desk.Put(desk.Item{Note: answers{to, &sent, back}})
+		}
+	}
+}
+
+func (t *Trustee) call(to string, data []byte) *estate.Batch {
+	at := ""
+	if all := t.addresses.Load(); all != nil {
+		at = (*all)[to]
+	}
+	if at == "" {
+		t.Failed.Add(1)
+		time.Sleep(20 * time.Millisecond)
+		return nil
+	}
+	reply, err := t.carrier.CallNow(at, fleetwire.EstateMethod, data)
+	if err != nil {
+		t.Failed.Add(1)
+		return nil
+	}
+	b, err := estate.ReadBatch(reply, t.clock.Now())
+	if err != nil {
+		t.Failed.Add(1)
+		return nil
+	}
+	return b
+}
--- a/internal/wire/executors.go
+++ b/internal/wire/executors.go
@@ -42,6 +42,8 @@
 
 // Fleet is the executors' side: connections to each of them, and the shots and probes under way.
 type Fleet struct {
+	Gate func() bool // whether a shot that was held may leave at this moment; nil: it may. Set before the first one
+
 	queue   Queue
 	clock   desk.Clock
 	log     logrus.FieldLogger
@@ -59,7 +61,7 @@
 	seq      uint64
 	fates    [2]fate // of shots on new connections, and on used ones
 
-	Strays, Malformed, Dials, Failed, Moved atomic.Uint64
+	Strays, Malformed, Dials, Failed, Moved, Barred atomic.Uint64
 }
 
 // machine is one executor as listed. Its connections belong to it, not to its address.
@@ -340,9 +342,18 @@
 	return true
 }
 
-// fetch writes a shot; called under the fleet's lock.
+// fetch writes a shot; called under the fleet's lock. One that was held is looked at once more, now that nothing stands between it and
+// the socket: a process that slept since it was let go must not send it.
 func (l *link) fetch(r *run) bool {
 	s := r.shot.Search
+	if r.shot.Held && l.fleet.Gate != nil && !l.fleet.Gate() {
+		l.fleet.Barred.Add(1)
+		delete(l.open, s.ID)
+		ev := r.event
+		ev.Outcome, ev.Barred = rules.Superseded, true
+		go l.fleet.queue.Put(desk.Item{Event: ev}) // not under the lock
+		return true
+	}
 	l.used, r.signs = time.Now(), l.signs
 	list := make([]byte, 0, 128)
 	list = append(append(list, "profile="...), s.Offering...)
