Estate: chairs that are new answer nothing, late answers correct what was written off; tests

Need: tests of the estate by itself found an heir whose claim was given back before all chairs knew of it, an answer of a chair that was still copying counted later as if it had known, and a client told handled by a controller cut off, while its heir wrote the same search off.

Change: a chair says where it does not know all yet, and such answers count for nothing; a claim stays until those that sit have heard; what was handled under a lease corrects what an heir had to write off.

--- a/internal/estate/estate.go
+++ b/internal/estate/estate.go
@@ -40,6 +40,8 @@
 	now     float64
 	held    bool
 	leaving bool
+	leftAt  float64
+	away    float64 // the longest time to stay away that a denial may tell
 	effects []Effect
 	out     map[string]*Batch // what goes out at the end of this step
 	local   []exchange        // words to this controller's own chair
@@ -84,7 +86,8 @@
 }
 
 // New gives the estate of a controller. Names that it heeds in the settings, besides those of offerings: remember_ms, keep_answer,
-// most_kept, lag_ms, alone, adopt_at_once, adopts.NAME, ration_span_ms, ration_floor, ration_share.
+// most_kept, lag_ms, alone, adopt_at_once, adopts.NAME, ration_span_ms, ration_floor, ration_share, tells_come_back,
+// longest_come_back_ms.
 func New(self Member, given rules.Given, seed uint32) *Estate {
 	e := &Estate{self: self, remember: given.Num("remember_ms", usualMemory), answer: int(given.Num("keep_answer", usualAnswer)),
 		most: int(given.Num("most_kept", usualKept)), lag: given.Num("lag_ms", lagMS), alone: given.Is("alone"),
@@ -93,6 +96,9 @@
 		copies: map[Key]*kept{}, owners: map[Member]map[Key]*kept{}, wheel: map[int64][]Key{}, learns: map[int]*learning{},
 		noted: map[Member]float64{}, moves: map[string]float64{}, bereft: map[int]float64{}, mine: map[Key]*mine{}, byID: map[string]*mine{},
 		fresh: map[string]struct{}{}, lined: map[Key]struct{}{}}
+	if given.Is("tells_come_back") {
+		e.away = given.Num("longest_come_back_ms", 0)
+	}
 	for i := 0; ; i++ {
 		at := "offering." + strconv.Itoa(i) + "."
 		name := given.Text(at + "name")
@@ -154,7 +160,7 @@
 	case Ticked:
 		e.tick()
 	case Leaving:
-		e.leaving = true
+		e.leaving, e.leftAt = true, e.now
 	case Relived:
 		e.self.Life = ev.Life
 	case Released:
--- /dev/null
+++ b/internal/estate/estate_test.go
@@ -0,0 +1,448 @@
+package estate
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"liftshift/rules"
+)
+
+// A mark that another has in hand is not begun a second time, wherever it comes, and its answer is told to all who wait.
+func TestThreeAreAskedForOneMark(t *testing.T) {
+	w := newWorld(t, 5, 2, nil)
+	w.arrive(0, "mark", "a", "m")
+	require.Len(t, w.said(0, Resume, "a"), 1)
+	w.arrive(1, "mark", "b", "m")
+	w.arrive(2, "mark", "c", "m")
+	w.arrive(0, "mark", "d", "m")
+	w.tick(1000)
+	for k, id := range map[int]string{1: "b", 2: "c", 0: "d"} {
+		assert.Empty(t, append(w.said(k, Resume, id), w.said(k, Settle, id)...), id)
+	}
+	assert.True(t, w.shoot(0, "a"))
+	assert.False(t, w.end(0, "a", Handled, "rows"), "it is told at once")
+	w.tick(1000)
+	for k, id := range map[int]string{1: "b", 2: "c", 0: "d"} {
+		require.Len(t, w.said(k, Settle, id), 1, id)
+		assert.Equal(t, []any{Handled, "rows"}, []any{w.said(k, Settle, id)[0].Outcome, string(w.said(k, Settle, id)[0].Answer)})
+	}
+	w.balance()
+}
+
+// A shot leaves once a quorum knows of it, not before, and not at all where there is none.
+func TestShotsWaitForAQuorum(t *testing.T) {
+	w := newWorld(t, 5, 2, nil)
+	w.arrive(0, "mark", "a", "m")
+	heard := map[int]bool{}
+	w.mute = func(_, to int, it *Item) bool { return it.Op == Shoot && !heard[to] }
+	assert.False(t, w.shoot(0, "a"), "one of five is none")
+	heard[1] = true
+	w.tick(200)
+	assert.Empty(t, w.said(0, Release, "a"), "two are none")
+	heard[2] = true
+	w.tick(100)
+	assert.Len(t, w.said(0, Release, "a"), 1)
+	w.arrive(0, "mark", "b", "m2")
+	w.mute = func(_, _ int, it *Item) bool { return it.Op == Shoot }
+	assert.False(t, w.shoot(0, "b"))
+	w.tick(500)
+	assert.Len(t, w.said(0, Withhold, "b"), 1)
+	w.step(0, &Event{Kind: ShotOver, ID: "b", Unrun: true})
+	w.mute = nil
+	w.end(0, "b", Denied, "")
+	w.tick(1000)
+	w.arrive(3, "mark", "c", "m2")
+	require.Len(t, w.said(3, Resume, "c"), 1)
+	assert.Zero(t, w.said(3, Resume, "c")[0].Prior, "no shot of it ever left")
+}
+
+// What a lost one had in hand goes to one heir, with what may have run of it.
+func TestAnHeirGoesOn(t *testing.T) {
+	for _, c := range []struct {
+		offering, mark string
+		sent           bool
+		out            Outcome // of what is ended at once; Open: it is adopted
+		doubt          bool
+	}{
+		{"mark", "m", false, Open, false},
+		{"mark", "m", true, Open, true},
+		{"once", "", false, Open, false},
+		{"once", "", true, Open, true},
+	} {
+		w := newWorld(t, 6, 2, nil)
+		w.arrive(0, c.offering, "a", c.mark)
+		require.Len(t, w.said(0, Resume, "a"), 1)
+		if c.sent {
+			require.True(t, w.shoot(0, "a"))
+		}
+		w.lose(0)
+		w.tick(1500)
+		heirs := w.adopter("a")
+		require.Len(t, heirs, 1, "%+v", c)
+		f := w.said(heirs[0], Adopt, "a")
+		require.Len(t, f, 1)
+		assert.Equal(t, c.doubt, f[0].Prior.At != 0)
+		assert.Equal(t, "select", string(f[0].Copy.Body))
+		if c.doubt {
+			assert.Equal(t, "here", f[0].Prior.Place)
+		}
+		w.end(heirs[0], "a", Handled, "rows")
+		w.tick(1000)
+		if c.mark != "" {
+			w.arrive(5, c.offering, "b", c.mark)
+			w.tick(500)
+			require.Len(t, w.said(5, Settle, "b"), 1)
+			assert.Equal(t, Handled, w.said(5, Settle, "b")[0].Outcome)
+		}
+		w.balance()
+		for k := 1; k < 6; k++ {
+			assert.Empty(t, w.ends[k].Orphans())
+		}
+		assert.Empty(t, w.table.Claims, "the claim is given back")
+	}
+}
+
+// The heir is lost, too, before or after it has begun: the next one goes on, and only that one.
+func TestTheHeirIsLostToo(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		w := newWorld(t, 7, 2, nil)
+		w.arrive(0, "mark", "a", "m")
+		w.lose(0)
+		first := -1
+		if begun {
+			w.tick(1500)
+			require.Len(t, w.adopter("a"), 1)
+			first = w.adopter("a")[0]
+			require.True(t, w.shoot(first, "a"))
+		} else { // it claims, and is lost before it hears that it may
+			require.NotEmpty(t, w.moves)
+			for k := range w.ends {
+				if w.places[k].Name == w.moves[0].Claim.Heir {
+					first = k
+				}
+			}
+			w.down[first] = true
+			w.agree()
+			require.NotEmpty(t, w.table.Claims)
+		}
+		w.got[first] = map[EffectKind][]Effect{}
+		w.lose(first)
+		w.tick(3000)
+		heirs := w.adopter("a")
+		require.Len(t, heirs, 1)
+		f := w.said(heirs[0], Adopt, "a")
+		require.Len(t, f, 1)
+		assert.Equal(t, begun, f[0].Prior.At != 0, "what the first heir sent is known to the second")
+		w.balance()
+	}
+}
+
+// One that is held for lost wakes up: it sends nothing, and what it heard meanwhile goes to its client only if nobody ended it.
+func TestALostOneWakesUp(t *testing.T) {
+	for _, adopted := range []bool{false, true} {
+		w := newWorld(t, 6, 2, rules.Given{"adopt_at_once": 1000.0})
+		w.arrive(0, "mark", "a", "m")
+		w.arrive(0, "mark", "unsent", "m2")
+		require.True(t, w.shoot(0, "a"))
+		w.lose(0)
+		if adopted {
+			w.tick(1500)
+			require.Len(t, w.adopter("a"), 1)
+		}
+		w.down[0] = false
+		w.step(0, &Event{Kind: Relived, Life: 2})
+		table := w.table.Clone()
+		w.step(0, &Event{Kind: Seated, Places: w.places, Table: &table})
+		assert.False(t, w.shoot(0, "unsent"))
+		assert.Len(t, w.said(0, Forbid, "unsent"), 1)
+		assert.True(t, w.end(0, "a", Handled, "rows"), "it must be asked for first")
+		if !adopted {
+			require.Len(t, w.said(0, LetGo, "a"), 1)
+			assert.Equal(t, Handled, w.said(0, LetGo, "a")[0].Outcome)
+			w.tick(2000)
+			assert.Empty(t, w.adopter("a"), "it has ended")
+			continue
+		}
+		assert.Empty(t, w.said(0, LetGo, "a"))
+		w.end(w.adopter("a")[0], "a", Handled, "other")
+		w.tick(1500)
+		require.Len(t, w.said(0, LetGo, "a"), 1)
+		assert.Equal(t, "other", string(w.said(0, LetGo, "a")[0].Answer), "what was said first is said by all")
+	}
+}
+
+// A denial of what may not run twice waits until no heir can go on with it; what was only asked for is never sent by one.
+func TestDenialsOfIrreversibleSearches(t *testing.T) {
+	w := newWorld(t, 6, 2, nil)
+	w.arrive(0, "once", "a", "")
+	deaf := true
+	w.mute = func(_, _ int, it *Item) bool { return deaf && it.Op == Close }
+	assert.True(t, w.end(0, "a", Denied, ""))
+	assert.Empty(t, w.said(0, LetGo, "a"))
+	deaf = false
+	w.tick(200)
+	require.Len(t, w.said(0, LetGo, "a"), 1)
+	assert.Equal(t, Denied, w.said(0, LetGo, "a")[0].Outcome)
+	// One is registered by a quorum, and its owner never hears of that: it denies, and is lost.
+	w.mute = func(_, _ int, it *Item) bool { return it.Op == Shoot || it.Op == Withdraw }
+	w.arrive(0, "once", "b", "")
+	w.ends[0].mine[KeyOf("", "b")].phase = finished
+	w.mute = nil
+	w.lose(0)
+	w.tick(2000)
+	assert.Empty(t, w.adopter("b"))
+}
+
+// Twenty thousand orphans at once: never more in hand than there is room for, the nearest hard limit first.
+func TestManyOrphansArePaced(t *testing.T) {
+	const n = 20_000
+	w := newWorld(t, 5, 2, rules.Given{"adopt_at_once": 50.0})
+	for k := range n {
+		w.step(0, &Event{Kind: Arrives, ID: fmt.Sprint(k), Copy: &Copy{Work: Work{ID: fmt.Sprint(k), Mark: fmt.Sprint("m", k), Offering: "mark"},
+			Until: w.now + 60e3 + float64(k%1000)}})
+	}
+	w.lose(0)
+	done, last := 0, make([]float64, 5)
+	for range 3000 {
+		w.tick(100)
+		for k := 1; k < 5; k++ {
+			list := w.got[k][Adopt]
+			w.got[k] = map[EffectKind][]Effect{}
+			require.LessOrEqual(t, w.ends[k].inHand, 50)
+			for _, f := range list {
+				assert.GreaterOrEqual(t, f.Copy.Until+1, last[k], "the nearest hard limit first")
+				last[k] = max(last[k], f.Copy.Until)
+				w.end(k, f.Copy.ID, Handled, "r")
+				done++
+			}
+		}
+		if done == n {
+			break
+		}
+	}
+	assert.Equal(t, n, done)
+	w.balance()
+}
+
+// A redoable search is copied only if it takes long, and run again only within the ration.
+func TestRedoableSearches(t *testing.T) {
+	w := newWorld(t, 5, 2, rules.Given{"ration_floor": 2.0, "ration_share": 0.0})
+	for k := range 6 {
+		w.arrive(0, "look", fmt.Sprint("s", k), "")
+	}
+	w.step(0, &Event{Kind: Closed, ID: "s0", Outcome: Handled})
+	for k := 1; k < 5; k++ {
+		assert.Zero(t, w.ends[k].Counts().Copies, "nothing yet")
+	}
+	w.tick(200)
+	w.lose(0)
+	w.tick(2000)
+	assert.Empty(t, w.adopter("s0"))
+	again := 0
+	for k := 1; k < 6; k++ {
+		again += len(w.adopter(fmt.Sprint("s", k)))
+	}
+	assert.Positive(t, again)
+	for k := 1; k < 5; k++ {
+		assert.LessOrEqual(t, len(w.got[k][Adopt]), 2)
+	}
+	w.balance()
+}
+
+// A holder that is full takes nothing more; the others are enough. A holder that missed a word is told the whole.
+func TestHoldersFullAndBehind(t *testing.T) {
+	w := newWorld(t, 5, 2, nil)
+	w.ends[3].most = 1
+	w.mute = func(_, to int, it *Item) bool { return to == 4 && it.Op == Register }
+	for k := range 5 {
+		id := fmt.Sprint(k)
+		w.arrive(0, "mark", id, "m"+id)
+		require.Len(t, w.said(0, Resume, id), 1, id)
+	}
+	assert.LessOrEqual(t, w.ends[3].Counts().Copies, 3, "its own pointers besides")
+	w.mute = nil
+	require.True(t, w.shoot(0, "1"))
+	w.tick(300)
+	assert.Equal(t, Doubt, w.ends[4].copies[KeyOf("m1", "1")].Standing)
+	assert.True(t, w.ends[4].copies[KeyOf("m1", "1")].Whole)
+}
+
+// What is asked for by id or mark is told wherever it is asked; what nobody knows is said to be unknown.
+func TestQuestions(t *testing.T) {
+	w := newWorld(t, 6, 2, nil)
+	w.arrive(0, "mark", "a", "m")
+	asked := func(k int, id, mark string) Effect {
+		w.got[k][Reply] = nil
+		w.step(k, &Event{Kind: Asked, ID: id, Mark: mark, Token: 7})
+		w.tick(1000)
+		require.Len(t, w.got[k][Reply], 1)
+		return w.got[k][Reply][0]
+	}
+	assert.Equal(t, Open, asked(5, "", "m").Outcome)
+	assert.Equal(t, "n0", asked(5, "a", "").Owner, "by its id, too")
+	require.True(t, w.shoot(0, "a"))
+	w.end(0, "a", Handled, "rows")
+	for k := range 6 {
+		f := asked(k, "a", "")
+		assert.Equal(t, []any{Handled, "rows"}, []any{f.Outcome, string(f.Answer)})
+		assert.Equal(t, Unknown, asked(k, "b", "").Outcome)
+	}
+}
+
+// A mark that comes back after it ended in doubt goes on where it may be known as a repeat, and no longer than that.
+func TestAMarkComesBack(t *testing.T) {
+	w := newWorld(t, 5, 2, nil)
+	w.arrive(0, "mark", "a", "m")
+	require.True(t, w.shoot(0, "a"))
+	w.end(0, "a", WrittenOff, "")
+	w.tick(500)
+	w.arrive(2, "mark", "b", "m")
+	require.Len(t, w.said(2, Resume, "b"), 1)
+	assert.NotZero(t, w.said(2, Resume, "b")[0].Prior.At)
+	w.end(2, "b", WrittenOff, "")
+	w.tick(19_000)
+	w.arrive(3, "mark", "c", "m")
+	require.Len(t, w.said(3, Settle, "c"), 1)
+	assert.Equal(t, WrittenOff, w.said(3, Settle, "c")[0].Outcome)
+}
+
+// Copies move to whoever takes the place of a lost one, and a mark is known there.
+func TestCopiesMove(t *testing.T) {
+	w := newWorld(t, 9, 2, nil)
+	for k := range 300 {
+		id := fmt.Sprint(k)
+		w.arrive(0, "mark", id, "m"+id)
+		require.True(t, w.shoot(0, id))
+		w.end(0, id, WrittenOff, "")
+	}
+	for _, k := range []int{3, 5, 7} {
+		w.lose(k)
+		w.tick(3000)
+	}
+	for _, p := range w.table.Parts {
+		assert.Nil(t, p.Was, "all parts are settled")
+	}
+	for k := range 300 {
+		id := fmt.Sprint("x", k)
+		w.arrive(1, "mark", id, fmt.Sprint("m", k))
+		f := w.said(1, Resume, id)
+		require.Len(t, f, 1)
+		require.NotZero(t, f[0].Prior.At)
+	}
+	w.balance()
+}
+
+// A part that has lost its chairs beyond a quorum denies until its marks are past, then begins anew.
+func TestBeyondAQuorum(t *testing.T) {
+	w := newWorld(t, 5, 2, nil)
+	for k := range 3 {
+		w.lose(k)
+	}
+	w.arrive(4, "mark", "a", "m")
+	require.Len(t, w.said(4, Settle, "a"), 1)
+	assert.Equal(t, Denied, w.said(4, Settle, "a")[0].Outcome)
+	for k := range 3 { // they come back, and know nothing
+		w.down[k] = false
+		w.places[k].Lost, w.places[k].Life = false, 2
+		w.ends[k] = New(Member{w.places[k].Name, 2}, rules.Given{"offering.0.name": "mark", "offering.0.effect": "labelled", "offering.0.window_ms": 20e3}, 9)
+	}
+	w.table.Reseat(w.places, 0)
+	w.seat()
+	w.tick(15_000)
+	w.arrive(4, "mark", "b", "m")
+	assert.Len(t, w.said(4, Settle, "b"), 1)
+	w.tick(10_000)
+	w.arrive(4, "mark", "c", "m")
+	assert.Len(t, w.said(4, Resume, "c"), 1)
+}
+
+// What a holder reads from its disk proves what ran, and is no reason to send anything.
+func TestCopiesFromADisk(t *testing.T) {
+	w := newWorld(t, 5, 2, nil)
+	c := Copy{Work: Work{ID: "a", Mark: "m", Offering: "mark"}, Owner: Member{"n9", 1}, Number: 3, Standing: Doubt, First: w.now, Until: w.now + 5000, Whole: true}
+	data := AppendCopy(nil, &c, w.now)
+	for k := range w.ends {
+		one, err := ReadCopy(data, w.now)
+		require.NoError(t, err)
+		w.step(k, &Event{Kind: Read, Copy: &one})
+	}
+	w.places = append(w.places, w.places[0])
+	w.places[5].Name, w.places[5].Lost = "n9", true
+	w.table.Reseat(w.places, 0)
+	w.seat()
+	w.tick(2000)
+	assert.Empty(t, w.adopter("a"))
+	w.arrive(1, "mark", "b", "m")
+	w.tick(500)
+	require.Len(t, w.said(1, Settle, "b"), 1)
+	assert.Equal(t, WrittenOff, w.said(1, Settle, "b")[0].Outcome)
+}
+
+// An operator gives a search up: it is written off, and whoever asks is told so.
+func TestGivenUp(t *testing.T) {
+	w := newWorld(t, 5, 2, rules.Given{"adopt_at_once": 0.0})
+	w.arrive(0, "mark", "a", "m")
+	w.lose(0)
+	w.tick(1000)
+	for k := 1; k < 5; k++ {
+		w.step(k, &Event{Kind: Released, ID: "a"})
+	}
+	w.got[2][Reply] = nil
+	w.step(2, &Event{Kind: Asked, Mark: "m", Token: 1})
+	w.tick(900)
+	assert.Equal(t, WrittenOff, w.got[2][Reply][0].Outcome)
+	w.balance()
+}
+
+func TestTable(t *testing.T) {
+	for s := held; s < stateEnd; s++ {
+		for in := loses; in <= returns; in++ {
+			n := 0
+			for _, r := range table {
+				if r.state == s && r.input == in {
+					n++
+				}
+			}
+			assert.LessOrEqual(t, n, 1, "%s, input %d", stateNames[s], in)
+		}
+	}
+}
+
+// Batches that are cut or spoilt are refused, or read as something; none ends the process.
+func TestBatchesCutAndSpoilt(t *testing.T) {
+	b := &Batch{From: Member{"n1", 7}, Version: 3, Step: 9, Items: []Item{{Op: Register, Key: KeyOf("m", ""), Number: 2, Copy: &Copy{
+		Work: Work{ID: "a", Mark: "m", Offering: "mark", Group: 5, NeedMB: 1.5, Body: []byte("select")}, First: 900, Until: 4000, Cell: -3, Whole: true, Sure: true}},
+		{Op: Close, Outcome: Handled, Answer: []byte{}, From: Member{"n2", 1}}, {Op: Page, Part: 4, More: true, Copies: []Copy{{Light: true, Until: 1}}}}}
+	data := b.Append(nil, 1000)
+	whole, err := ReadBatch(data, 1000)
+	require.NoError(t, err)
+	got := whole.Items[0].Copy
+	assert.Equal(t, []any{"a", 5.0 - 5, int64(-3), 4000.0, true}, []any{got.ID, float64(got.Group) - 5, got.Cell, got.Until, got.Sure})
+	assert.LessOrEqual(t, got.First, 900.0, "never younger than it is")
+	assert.NotNil(t, whole.Items[1].Answer)
+	assert.Nil(t, whole.Items[0].Answer)
+	for n := range data {
+		_, _ = ReadBatch(data[:n], 1000)
+		spoilt := append([]byte(nil), data...)
+		spoilt[n] ^= 0x41
+		if read, err := ReadBatch(spoilt, 1000); err == nil {
+			w := New(Member{"n0", 1}, nil, 1)
+			w.Step(1000, &Event{Kind: Words, Batch: read})
+		}
+	}
+}
+
+func FuzzBatch(f *testing.F) {
+	f.Add((&Batch{From: Member{"n1", 7}, Items: []Item{{Op: Pull, Part: 3}}}).Append(nil, 0))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if b, err := ReadBatch(data, 1000); err == nil {
+			w := newWorld(t, 5, 1, nil)
+			b.Version, b.Step, b.From = w.table.Version, 0, Member{"n1", 1}
+			w.step(0, &Event{Kind: Words, Batch: b})
+			w.tick(300)
+		}
+	})
+}
--- a/internal/estate/heir.go
+++ b/internal/estate/heir.go
@@ -28,6 +28,7 @@
 	owner Member
 	part  int
 	pulls []*pulling
+	since float64
 	whole bool    // all of it is known
 	lined float64 // when it was lined up last; 0: not yet
 }
@@ -75,7 +76,7 @@
 		for part := range chairs.Parts {
 			has := func(i *inheritance) bool { return i.owner == owner && i.part == part }
 			if c.Mask&(1<<part) != 0 && !slices.ContainsFunc(e.inherits, has) {
-				e.inherits = append(e.inherits, &inheritance{owner: owner, part: part})
+				e.inherits = append(e.inherits, &inheritance{owner: owner, part: part, since: e.now})
 				e.counts.Claims++
 			}
 		}
@@ -163,11 +164,17 @@
 		e.absorb(&back.Copies[k])
 	}
 	p := list[i]
+	if back.Why == newHere {
+		return // it is asked again once it knows all
+	}
 	if p.done, p.at = !back.More, -1e9; back.More {
 		p.next = back.After
 	}
 	if word.From.Name == "" {
 		e.learn()
+	} else {
+		e.inherit()
+		e.adopt()
 	}
 }
 
@@ -315,8 +322,9 @@
 
 // adopt goes on with what is lined up, as far as there is room.
 func (e *Estate) adopt() {
-	if !e.held || e.leaving {
-		return
+	unknown := func(i *inheritance) bool { return !i.whole && e.now < i.since+gatherMS }
+	if !e.held || e.leaving || slices.ContainsFunc(e.inherits, unknown) {
+		return // what is most urgent may be among what is not known yet
 	}
 	for len(e.queue) > 0 && e.inHand < e.atOnce {
 		o := e.queue[0]
@@ -355,6 +363,8 @@
 	}
 	if c.Outcome != Open {
 		e.end(k, &Item{Number: c.Number, Outcome: c.Outcome, Answer: c.Answer, Standing: c.Standing, First: c.First, Place: c.Place, Cell: c.Cell})
+	} else if c.Owner != m.from {
+		e.play(k, retires) // what is kept here is out of date; its owner tells the whole again
 	}
 }
 
@@ -414,8 +424,9 @@
 		for key := range e.owners[owner] {
 			mask &^= 1 << key.Part()
 		}
-		for _, m := range e.pending {
-			if m.phase == taking && m.from == owner {
+		for _, m := range e.pending { // all that sit are to know who has taken what, as long as they answer
+			if m.adopted && m.from == owner && m.phase != finished && len(m.acks) < len(e.sitting(m.key.Part())) &&
+				(m.phase == taking || e.now < m.began+tellsMS) {
 				mask &^= 1 << m.key.Part()
 			}
 		}
--- /dev/null
+++ b/internal/estate/helpers_test.go
@@ -0,0 +1,189 @@
+package estate
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"liftshift/internal/chairs"
+	"liftshift/rules"
+)
+
+// world is some estates that hear one another at once.
+type world struct {
+	t      *testing.T
+	now    float64
+	ends   []*Estate
+	places []chairs.Place
+	table  chairs.Table
+	down   map[int]bool
+	mute   func(from, to int, it *Item) bool // whether an item is lost on its way
+	got    []map[EffectKind][]Effect         // by member, what is not carried here
+	moves  []Effect
+}
+
+func newWorld(t *testing.T, n, copies int, more rules.Given) *world {
+	w := &world{t: t, now: 1000, down: map[int]bool{}}
+	given := rules.Given{"offering.0.name": "mark", "offering.0.effect": "labelled", "offering.0.window_ms": 20e3, "offering.0.limit_ms": 5e3,
+		"offering.1.name": "once", "offering.1.effect": "irreversible", "offering.1.limit_ms": 5e3,
+		"offering.2.name": "look", "offering.2.effect": "redoable", "offering.2.limit_ms": 5e3, "adopts.look": true}
+	for k, v := range more {
+		given[k] = v
+	}
+	for k := range n {
+		name := fmt.Sprint("n", k)
+		w.places = append(w.places, chairs.Place{Name: name, Life: 1})
+		w.ends = append(w.ends, New(Member{name, 1}, given, uint32(k)))
+		w.got = append(w.got, map[EffectKind][]Effect{})
+	}
+	w.table.Reseat(w.places, copies)
+	require.NotEmpty(t, w.table.Parts)
+	w.seat()
+	return w
+}
+
+// seat tells all what is agreed.
+func (w *world) seat() {
+	w.table.Step++
+	for k := range w.ends {
+		table := w.table.Clone()
+		places := append([]chairs.Place(nil), w.places...)
+		w.step(k, &Event{Kind: Seated, Places: places, Table: &table})
+	}
+}
+
+// lose has it agreed that a member is lost.
+func (w *world) lose(k int) {
+	w.down[k] = true
+	w.places[k].Lost = true
+	w.table.Reseat(w.places, 0)
+	w.seat()
+}
+
+// tick lets time go by, and agrees to what is proposed.
+func (w *world) tick(ms float64) {
+	for until := w.now + ms; w.now < until; {
+		w.now += 100
+		for k := range w.ends {
+			w.step(k, &Event{Kind: Ticked})
+		}
+		w.agree()
+	}
+}
+
+func (w *world) agree() {
+	for len(w.moves) > 0 {
+		m := w.moves[0]
+		w.moves = w.moves[1:]
+		changed := false
+		switch m.Motion {
+		case "ready":
+			changed = w.table.Ready(w.places, m.Claim.Name, m.Claim.Life, m.Claim.Mask, m.Version)
+		case "claim":
+			changed = w.table.Claim(w.places, m.Claim)
+		case "settled":
+			changed = w.table.Settled(m.Claim)
+		case "anew":
+			changed = w.table.Anew(w.places, m.Claim.Mask)
+		}
+		if changed {
+			w.seat()
+		}
+	}
+}
+
+func (w *world) step(k int, ev *Event) []Effect {
+	if w.down[k] {
+		return nil
+	}
+	ev.Held = true
+	effects := append([]Effect(nil), w.ends[k].Step(w.now, ev)...)
+	for _, e := range effects {
+		switch e.Kind {
+		case Say:
+			w.carry(k, e)
+		case Move:
+			w.moves = append(w.moves, e)
+		default:
+			w.got[k][e.Kind] = append(w.got[k][e.Kind], e)
+		}
+	}
+	return effects
+}
+
+// carry brings a batch to its member and the answer back, both as they go over the wire.
+func (w *world) carry(k int, e Effect) {
+	sent := e.Batch
+	back := func(b *Batch) { w.step(k, &Event{Kind: Answers, To: e.To, Sent: sent, Batch: b}) }
+	to := -1
+	for n := range w.ends {
+		if w.places[n].Name == e.To {
+			to = n
+		}
+	}
+	lost := to < 0 || w.down[to]
+	for n := range sent.Items {
+		lost = lost || w.mute != nil && w.mute(k, to, &sent.Items[n])
+	}
+	if lost {
+		back(nil)
+		return
+	}
+	b, err := ReadBatch(sent.Append(nil, w.now), w.now)
+	require.NoError(w.t, err)
+	for _, f := range w.step(to, &Event{Kind: Words, Batch: b, Token: 1}) {
+		if f.Kind == Answer {
+			answer, err := ReadBatch(f.Batch.Append(nil, w.now), w.now)
+			require.NoError(w.t, err)
+			back(answer)
+		}
+	}
+}
+
+// arrive has a search come in at a member.
+func (w *world) arrive(k int, offering, id, mark string) []Effect {
+	return w.step(k, &Event{Kind: Arrives, ID: id, Copy: &Copy{Work: Work{ID: id, Mark: mark, Offering: offering, Body: []byte("select")}, Until: w.now + 5000}})
+}
+
+// said gives what a member was told to do of a kind with a search, so far.
+func (w *world) said(k int, kind EffectKind, id string) (list []Effect) {
+	for _, e := range w.got[k][kind] {
+		if e.ID == id || e.Copy != nil && e.Copy.ID == id && kind == Adopt {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// shoot has a shot of a search made, and tells whether it leaves.
+func (w *world) shoot(k int, id string) bool {
+	w.step(k, &Event{Kind: Firing, ID: id, Place: "here"})
+	return len(w.said(k, Release, id)) > 0
+}
+
+func (w *world) end(k int, id string, out Outcome, answer string) (keptBack bool) {
+	for _, e := range w.step(k, &Event{Kind: Ending, ID: id, Outcome: out, Answer: []byte(answer)}) {
+		keptBack = keptBack || e.Kind == KeepBack
+	}
+	w.step(k, &Event{Kind: Closed, ID: id, Outcome: out, Answer: []byte(answer)})
+	return keptBack
+}
+
+// balance checks that copies add up everywhere.
+func (w *world) balance() {
+	for k, e := range w.ends {
+		c := e.Counts()
+		require.Equal(w.t, c.Held, c.Settled+c.Adopted+c.WrittenOff+c.Dropped+c.Open, "n%d: %+v", k, c)
+	}
+}
+
+// adopter gives who was told to adopt a search.
+func (w *world) adopter(id string) (who []int) {
+	for k := range w.ends {
+		if len(w.said(k, Adopt, id)) > 0 {
+			who = append(who, k)
+		}
+	}
+	return who
+}
--- a/internal/estate/holder.go
+++ b/internal/estate/holder.go
@@ -50,9 +50,36 @@
 
 func refused(why string) Item { return Item{Op: Refused, Why: why} }
 
-// word takes one item and gives the answer. What is refused here counts for nothing: a chair whose lease is over may be one that is
-// lost, whose place another has taken already.
+// newHere is why an answer counts for nothing yet: this chair does not know all that those before it knew.
+const newHere = "new here"
+
+// word takes one item and gives the answer, and says so where it may be wrong for want of what is still being copied.
 func (e *Estate) word(from Member, it *Item) Item {
+	back := e.take(from, it)
+	part := it.Key.Part()
+	if it.Op == Pull {
+		part = it.Part
+	}
+	if back.Op != Refused && !e.knowing(part) {
+		back.Why = newHere
+	}
+	return back
+}
+
+// knowing tells whether this controller's chair in a part knows all that was said there.
+func (e *Estate) knowing(part int) bool {
+	p := &e.table.Parts[part]
+	is := func(c chairs.Chair) bool { return c.Name == e.self.Name && c.Life == e.self.Life }
+	if slices.ContainsFunc(p.Was, is) {
+		return true
+	}
+	c := e.chair(part)
+	return c != nil && c.Ready
+}
+
+// take takes one item. What is refused here counts for nothing: a chair whose lease is over may be one that is lost, whose place another
+// has taken already.
+func (e *Estate) take(from Member, it *Item) Item {
 	owner, part := from, it.Key.Part()
 	if it.From.Name == from.Name && it.Op != Take && it.Op != Pull {
 		owner = it.From // a life that this sender had before
@@ -78,6 +105,12 @@
 			e.counts.Late++ // it did run, and nobody has gone on with it
 			return e.end(k, it)
 		}
+		if it.Op == Close && it.Outcome == Handled && it.Copy != nil && k != nil && k.ID == it.Copy.ID && k.state == settled && k.Outcome == WrittenOff {
+			e.counts.Late++ // what was written off, as nobody knew, was handled while its owner held its lease
+			k.Number, k.Outcome, k.Answer, k.Standing = max(k.Number, it.Number), Handled, it.Answer, Ran
+			e.save(k)
+			return Item{Op: Kept}
+		}
 		if k != nil {
 			return e.knows(k)
 		}
@@ -317,7 +350,7 @@
 func (e *Estate) mind(k *kept, it *Item) Item {
 	if k == nil && it.Copy != nil && len(e.copies) < e.most {
 		k = e.enter(it.Key, it.Copy)
-		k.pointer, k.state, k.Light = true, settled, true
+		k.pointer, k.state, k.Light = true, settled, false
 		e.extend(k)
 	}
 	return Item{Op: Kept}
@@ -396,7 +429,7 @@
 func (e *Estate) read(c *Copy) {
 	c.Until = e.now
 	if c.Standing != Clear {
-		c.First = 1 // long ago
+		c.First = longAgo
 	}
 	e.absorb(c)
 }
--- a/internal/estate/owner.go
+++ b/internal/estate/owner.go
@@ -122,7 +122,7 @@
 		return
 	}
 	e.counts.Refused++
-	e.do(Effect{Kind: Settle, ID: w.ID, Outcome: Denied, AfterMS: registerMS})
+	e.do(Effect{Kind: Settle, ID: w.ID, Outcome: Denied, AfterMS: min(registerMS, e.away)})
 }
 
 func (e *Estate) wait(w *caller) {
@@ -147,6 +147,9 @@
 		}
 	default:
 		it.Op, it.Outcome, it.Answer = Close, m.Outcome, m.Answer
+		if m.Owner != e.self {
+			it.Copy = &m.Copy // another may have ended it meanwhile as what it had to hold it for
+		}
 	}
 	return it
 }
@@ -210,6 +213,9 @@
 	}
 	switch back.Op {
 	case Kept:
+		if back.Why == newHere {
+			return
+		}
 		if back.Standing > m.prior.Standing || back.Standing == m.prior.Standing && back.Standing != Clear && back.First < m.prior.First {
 			m.prior = *back
 		}
@@ -236,6 +242,12 @@
 		if c := back.Copy; c != nil && (m.known == nil || better(c, m.known)) {
 			m.known = c
 		}
+		if c := back.Copy; c != nil && c.Outcome == Open && m.adopted && c.Owner == m.from && m.phase != taking { // it missed who has taken it
+			over := m.Copy
+			over.Number, over.Outcome, over.Whole = m.Number-1, Open, m.phase == having
+			e.tell(by.Name, Item{Op: Take, Key: m.key, Number: over.Number, Copy: &over, From: m.from})
+			return // the last word is said again after it
+		}
 		m.nays = append(m.nays, by)
 	default:
 		if back.Why != "no lease" { // it may have one in a moment
@@ -517,11 +529,12 @@
 			e.do(Effect{Kind: LetGo, ID: m.ID, Outcome: WrittenOff})
 		}
 	}
-	if m.back == nil && e.barredBy(part, m.nays) && (m.Owner != e.self || m.known != nil && m.known.Number > m.Number) {
+	stale := m.Owner != e.self && (m.Outcome != Handled || m.known != nil && m.known.Outcome == Handled || m.tries > 2*closeTries)
+	if m.back == nil && e.barredBy(part, m.nays) && (stale || m.known != nil && m.known.Number > m.Number) {
 		e.forget(m) // it is another's by now, or a later search of its mark is known
 		return
 	}
-	if all := len(e.sitting(part)); len(m.acks) >= all || m.light || m.tries >= closeTries && enough || m.tries >= 4*closeTries {
+	if all := len(e.sitting(part)); len(m.acks) >= all || m.Owner != e.self && enough || m.light || m.tries >= closeTries && enough || m.tries >= 4*closeTries {
 		e.forget(m)
 	}
 }
@@ -637,12 +650,12 @@
 	var rest []*caller
 	for _, w := range line {
 		switch {
-		case e.now >= w.Until-lastMS:
+		case e.now >= w.Until-lastMS, e.leaving && e.now >= e.leftAt+stopMS:
 			out := Denied
 			if w.known != nil && w.known.Standing != Clear {
 				out = WrittenOff // it may have run
 			}
-			e.do(Effect{Kind: Settle, ID: w.ID, Outcome: out, AfterMS: askMS})
+			e.do(Effect{Kind: Settle, ID: w.ID, Outcome: out, AfterMS: min(askMS, e.away)})
 			continue
 		case e.now >= w.askAt:
 			if m := e.mine[w.key]; m == nil || m.phase == finishing {
@@ -682,6 +695,7 @@
 			continue
 		case back.Op == Known && back.Copy != nil && back.Copy.Outcome == Open:
 			w.open = true
+		case back.Why == newHere:
 		case back.Op == Known || back.Op == None:
 			if !slices.Contains(w.nones, by) {
 				w.nones = append(w.nones, by)
--- a/internal/estate/question.go
+++ b/internal/estate/question.go
@@ -32,7 +32,7 @@
 func (e *Estate) told(by Member, word, back *Item) {
 	rest := e.asked[:0]
 	for _, q := range e.asked {
-		if q.key != word.Key || slices.Contains(q.by, by) || back.Op != Known && back.Op != None {
+		if q.key != word.Key || slices.Contains(q.by, by) || back.Op != Known && back.Op != None || back.Op == None && back.Why == newHere {
 			rest = append(rest, q)
 			continue
 		}
@@ -48,7 +48,8 @@
 				q.best = c
 			}
 		}
-		if !e.quorum(q.key.Part(), q.by) {
+		// An id's mark is known to two of them alone: who says that there is nothing has heard all.
+		if !e.quorum(q.key.Part(), q.by) || q.best == nil && len(q.by) < len(e.sitting(q.key.Part())) {
 			rest = append(rest, q)
 			continue
 		}
--- a/internal/estate/types.go
+++ b/internal/estate/types.go
@@ -15,15 +15,19 @@
 )
 
 const (
-	registerMS   = 1000 // until a search that could not be registered is denied: two elections do not fit in, a stalled chair does
-	holdMS       = 300  // a shot is held for the others at most: less than any grace after a drain is told
-	leavesMS     = 600  // in which a shot that is made now has left: it is held, and its connection comes up
-	againMS      = 120  // until a word that was not answered is said again
-	askMS        = 150  // between two looks at a search that another has
-	closeTries   = 40   // words of an end that is not answered
-	sureMS       = 1000 // by which what is told as so many ms ago may be older: the longest way of a word
-	lastMS       = 60   // before its hard limit a search that still waits is answered
-	claimMS      = 400  // until a motion that has not come into force is made again
+	registerMS   = 1000  // until a search that could not be registered is denied: two elections do not fit in, a stalled chair does
+	holdMS       = 300   // a shot is held for the others at most: less than any grace after a drain is told
+	leavesMS     = 600   // in which a shot that is made now has left: it is held, and its connection comes up
+	againMS      = 120   // until a word that was not answered is said again
+	askMS        = 150   // between two looks at a search that another has
+	closeTries   = 40    // words of an end that is not answered
+	sureMS       = 1000  // by which what is told as so many ms ago may be older: the longest way of a word
+	stopMS       = 2000  // after which a controller that stops answers what still waits
+	lastMS       = 60    // before its hard limit a search that still waits is answered
+	gatherMS     = 1000  // for which an heir puts off adoption until it knows all of what it has claimed
+	tellsMS      = 3000  // for which an heir's claim stays for those that have not heard yet what it took
+	longAgo      = -1e12 // when what was read from a disk may have run
+	claimMS      = 400   // until a motion that has not come into force is made again
 	pageBytes    = 256 << 10
 	pageItems    = 256
 	mostPulls    = 8      // parts that are copied at a time
--- /dev/null
+++ b/internal/rehearse/takeover.go
@@ -0,0 +1,323 @@
+package rehearse
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"liftshift/internal/standin"
+)
+
+// Takeovers are the faults that a round of taking over knows, each of them while searches are in hand.
+var Takeovers = []string{"kill", "restart", "owner and heir", "heir at work", "asleep", "cut off", "clients cut", "holder wiped", "planned", "two of a zone", "council gone"}
+
+const (
+	roundPatience = 5 * time.Second // of a client
+	wholeWithin   = 40 * time.Second
+	settledWithin = 5 * time.Second // after the fleet is whole
+)
+
+// Round is what came of one.
+type Round struct {
+	Kind              string
+	Searches          int
+	Twice             []string // marks and ids that ran twice
+	Two               []string // searches with two final answers that don't go together
+	Without           []string // searches that ran, or were in hand, and have no outcome
+	Cut               int      // searches whose connection broke
+	Returned, Handled int      // of those with a mark, once each elsewhere; and what came of it
+	Outcomes          map[string]int
+	FirstShot         time.Duration // from the fault to the first run of what was in hand and not yet sent; 0: there was none
+	Unsent, Sent      int           // labelled searches that had not been sent at a kill, and of those what ran by now
+}
+
+// inHand is a search of a round, as its client has it.
+type inHand struct {
+	id, mark, offering, first, second string
+}
+
+// Ready waits until all that run know who sits where, and hold their leases.
+func (f *Fleet) Ready(most time.Duration) error {
+	for began := time.Now(); ; time.Sleep(50 * time.Millisecond) {
+		why := ""
+		for k, c := range f.Controllers {
+			if !c.Up() {
+				continue
+			}
+			switch a, err := f.Ask(k, "estate", nil); {
+			case err != nil:
+				why = c.Name + ": " + err.Error()
+			case a["held"] != true:
+				why = c.Name + " holds no lease"
+			case a["parts"] != 32.0 || a["parts_settled"] != 32.0:
+				why = fmt.Sprintf("%s: %v of %v parts are settled", c.Name, a["parts_settled"], a["parts"])
+			}
+		}
+		if why == "" {
+			return nil
+		}
+		if time.Since(began) > most {
+			return fmt.Errorf("not ready within %v: %s (seed %d)", most, why, f.Plan.Seed)
+		}
+	}
+}
+
+// one makes a search and tells how it ended.
+func (f *Fleet) one(k int, offering, id, mark string, patience time.Duration) string {
+	c, err := standin.Dial(f.Controllers[k].Client, 200*time.Millisecond)
+	if err != nil {
+		return "cut off"
+	}
+	defer c.Close()
+	a, err := c.Search(offering, id, mark, patience)
+	switch {
+	case err != nil:
+		return "cut off"
+	case a.Code == 0:
+		return "handled"
+	case a.Code == standin.Denied:
+		return "denied"
+	}
+	return "written off"
+}
+
+// Outcome asks a controller what became of a search.
+func (f *Fleet) Outcome(k int, req, mark string) string {
+	c, err := standin.Dial(f.Controllers[k].Client, 200*time.Millisecond)
+	if err != nil {
+		return "cut off"
+	}
+	defer c.Close()
+	params := map[string]any{"req": req}
+	if mark != "" {
+		params = map[string]any{"opkey": mark}
+	}
+	a, err := c.Call("outcome", params, 3*time.Second)
+	if err != nil || a.Code != 0 {
+		return fmt.Sprint("no outcome: ", a.Message, err)
+	}
+	return a.Outcome
+}
+
+// Takeover plays one round: searches of all offerings at one controller, a fault, clients that come again elsewhere once, and all made
+// whole. Tag must be another each time.
+func (f *Fleet) Takeover(kind, tag string, searches int, chance *rand.Rand) (r Round, err error) {
+	r = Round{Kind: kind, Searches: searches, Outcomes: map[string]int{}}
+	owner := len(f.Controllers) - 1 - chance.IntN(2) // no founder: the council's own losses are faults of their own
+	ran := len(f.Memory.Runs())
+	list := make([]inHand, searches)
+	var all sync.WaitGroup
+	back := make(chan int, searches)
+	for n := range list {
+		s := &list[n]
+		s.offering = []string{"mark", "mark", "once", "look"}[n%4]
+		if s.id = fmt.Sprintf("%s-%d", tag, n); s.offering == "mark" {
+			s.mark = "m-" + s.id
+		}
+		all.Add(1)
+		wait := time.Duration(chance.IntN(400)) * time.Millisecond
+		at := (owner + 1 + chance.IntN(len(f.Controllers)-1)) % len(f.Controllers)
+		go func() {
+			defer all.Done()
+			time.Sleep(wait)
+			if s.first = f.one(owner, s.offering, s.id, s.mark, roundPatience); s.first != "cut off" || s.mark == "" {
+				return
+			}
+			for began := time.Now(); time.Since(began) < 2*time.Second; time.Sleep(20 * time.Millisecond) { // whoever takes connections
+				if s.second = f.one(at, s.offering, s.id+"b", s.mark, roundPatience); s.second != "cut off" {
+					break
+				}
+				at = (at + 1) % len(f.Controllers)
+			}
+			back <- n
+		}()
+	}
+	time.Sleep(time.Duration(chance.IntN(700)) * time.Millisecond)
+	at, before := time.Now(), f.Memory.Runs()[ran:]
+	down, err := f.fault(kind, owner, chance)
+	if err != nil {
+		return r, err
+	}
+	all.Wait()
+	f.Relay.Set(func(int, int) Link { return Link{} })
+	for _, k := range down {
+		if err := f.Start(k); err != nil {
+			return r, err
+		}
+	}
+	if _, err := f.WhenSettled(wholeWithin); err != nil {
+		return r, err
+	}
+	if err := f.Ready(wholeWithin); err != nil {
+		return r, err
+	}
+	f.judge(&r, list, ran, at, before)
+	return r, nil
+}
+
+// fault does it, and gives the controllers that are to be started again.
+func (f *Fleet) fault(kind string, owner int, chance *rand.Rand) (down []int, err error) {
+	kill := func(k int) {
+		f.Kill(k)
+		down = append(down, k)
+	}
+	n := len(f.Controllers)
+	other := (owner + 1 + chance.IntN(n-1)) % n
+	switch kind {
+	case "kill":
+		kill(owner)
+	case "restart":
+		f.Kill(owner)
+		err = f.Start(owner)
+	case "owner and heir", "two of a zone":
+		kill(owner)
+		kill(other)
+	case "heir at work":
+		kill(owner)
+		if heir := f.heirOf(owner, 6*time.Second); heir >= 0 {
+			time.Sleep(time.Duration(chance.IntN(60)) * time.Millisecond)
+			kill(heir)
+		}
+	case "asleep":
+		err = f.Signal(owner, syscall.SIGSTOP)
+		time.Sleep(4500 * time.Millisecond)
+		err = errors.Join(err, f.Signal(owner, syscall.SIGCONT))
+	case "cut off":
+		f.Relay.Set(func(a, b int) Link { return Link{Cut: a == owner || b == owner} })
+		time.Sleep(5 * time.Second)
+	case "clients cut": // their connections break, and nothing else does
+		time.Sleep(time.Second)
+	case "holder wiped":
+		f.Kill(other)
+		err = errors.Join(os.RemoveAll(f.Controllers[other].Folder+"/store"), f.Start(other))
+		kill(owner)
+	case "planned":
+		if code := f.Term(owner); code != 0 {
+			err = fmt.Errorf("c%d ended with %d at a planned stop", owner, code)
+		}
+		down = append(down, owner)
+	case "council gone":
+		kill(owner)
+		for k := range 2 {
+			kill(k)
+		}
+	default:
+		err = fmt.Errorf("no fault %q", kind)
+	}
+	return down, err
+}
+
+// heirOf waits until somebody has claimed what a controller left, and gives who; below 0: nobody.
+func (f *Fleet) heirOf(owner int, most time.Duration) int {
+	for began := time.Now(); time.Since(began) < most; time.Sleep(10 * time.Millisecond) {
+		for k, c := range f.Controllers {
+			if k == owner || !c.Up() {
+				continue
+			}
+			a, err := f.Ask(k, "estate", nil)
+			if err != nil {
+				continue
+			}
+			claims, _ := a["claimed"].([]any)
+			for _, x := range claims {
+				if m, _ := x.(map[string]any); m["member"] == f.Controllers[owner].Name {
+					for heir, o := range f.Controllers {
+						if o.Name == m["heir"] && o.Up() {
+							return heir
+						}
+					}
+				}
+			}
+		}
+	}
+	return -1
+}
+
+// judge holds what clients heard and what is told now against what ran.
+func (f *Fleet) judge(r *Round, list []inHand, ran int, at time.Time, before []standin.Run) {
+	times := map[string]int{}
+	for _, x := range f.Memory.Runs()[ran:] {
+		times[key(x.ID, x.Mark)]++
+	}
+	early := map[string]bool{}
+	for _, x := range before {
+		early[key(x.ID, x.Mark)] = true
+	}
+	for _, x := range f.Memory.Runs()[ran:] {
+		if x.At.After(at) && x.Mark != "" && !early[x.Mark] && (r.FirstShot == 0 || x.At.Sub(at) < r.FirstShot) {
+			r.FirstShot = x.At.Sub(at)
+		}
+	}
+	began := time.Now()
+	for k := range list {
+		s := &list[k]
+		name := key(s.id, s.mark)
+		if s.offering != "look" && times[name] > 1 {
+			r.Twice = append(r.Twice, fmt.Sprintf("%s ran %d times", name, times[name]))
+		}
+		if s.first == "cut off" {
+			r.Cut++
+		}
+		if s.second != "" {
+			if r.Returned++; s.second == "handled" {
+				r.Handled++
+			}
+		}
+		r.Outcomes[s.offering+" "+s.first]++
+		if s.second != "" {
+			r.Outcomes[s.offering+" then "+s.second]++
+		}
+		if s.offering == "look" {
+			continue
+		}
+		told := f.settledOutcome(s, began.Add(settledWithin))
+		r.Outcomes[s.offering+" is "+told]++
+		switch {
+		case told == "open":
+			r.Without = append(r.Without, fmt.Sprintf("%s (%s, %s, %s) is open still", name, s.offering, s.first, s.second))
+		case told == "unknown" && times[name] > 0:
+			r.Without = append(r.Without, fmt.Sprintf("%s (%s, %s, %s) ran, and nobody knows of it", name, s.offering, s.first, s.second))
+		case (s.first == "handled" || s.second == "handled") && told != "handled",
+			s.offering == "once" && s.first == "denied" && told == "handled", told == "denied" && times[name] > 0:
+			r.Two = append(r.Two, fmt.Sprintf("%s (%s): a client heard %s and %s, told is %s, it ran %d times", name, s.offering, s.first, s.second, told, times[name]))
+		}
+		if s.mark != "" && s.first == "cut off" && !early[s.mark] {
+			if r.Unsent++; times[s.mark] > 0 {
+				r.Sent++
+			}
+		}
+	}
+}
+
+func key(id, mark string) string {
+	if mark != "" {
+		return mark
+	}
+	return id
+}
+
+// settledOutcome asks each controller what became of a search until they say the same, and that it is over.
+func (f *Fleet) settledOutcome(s *inHand, until time.Time) string {
+	for {
+		var told []string
+		for k, c := range f.Controllers {
+			if c.Up() {
+				told = append(told, f.Outcome(k, s.id, s.mark))
+			}
+		}
+		slices.Sort(told)
+		one := slices.Compact(told)
+		if len(one) == 1 && one[0] != "open" || time.Now().After(until) {
+			if len(one) > 1 {
+				return fmt.Sprint(one)
+			}
+			return one[0]
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
--- a/internal/rehearse/takeover_test.go
+++ b/internal/rehearse/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -117,3 +118,30 @@
 		f.Close()
 	}
 }
+
+// A round of each fault while searches are in hand, of all with engines that drop no repeats or with such as do. The whole
+// measurement (make measure-takeover) plays each many times.
+func TestTakeovers(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		drops time.Duration
+		kinds []string
+	}{
+		{"engines drop none", -1, []string{"kill", "heir at work", "cut off", "holder wiped", "planned", "clients cut"}},
+		{"engines drop repeats", 20 * time.Second, []string{"owner and heir", "asleep", "restart", "cut off", "council gone"}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			f := inherited(t, "copies = 2", x.drops)
+			chance := rand.New(rand.NewPCG(f.Plan.Seed, 5))
+			for n, kind := range x.kinds {
+				r, err := f.Takeover(kind, fmt.Sprint(n), 24, chance)
+				require.NoError(t, err, kind)
+				assert.Empty(t, r.Twice, kind)
+				assert.Empty(t, r.Two, kind)
+				assert.Empty(t, r.Without, kind)
+				t.Logf("%s: cut %d, returned %d, handled %d, unsent %d of which ran %d; %v", kind, r.Cut, r.Returned, r.Handled, r.Unsent, r.Sent, r.Outcomes)
+			}
+		})
+	}
+}
--- a/internal/trustee/trustee.go
+++ b/internal/trustee/trustee.go
@@ -141,7 +141,7 @@
 	if p := t.counts.Load(); p != nil {
 		c = *p
 	}
-	return logrus.Fields{"copies": c.Copies, "open": c.Open, "held": c.Held, "settled": c.Settled, "adopted": c.Adopted,
+	return logrus.Fields{"copies": c.Copies, "open": c.Open, "held_copies": c.Held, "settled": c.Settled, "adopted": c.Adopted,
 		"written_off": c.WrittenOff, "dropped": c.Dropped, "mine": c.Mine, "waiting": c.Waiting, "registered": c.Registered, "waited": c.Waited,
 		"told": c.Told, "refused": c.Refused, "withheld": c.Withheld, "alone": c.Alone, "claims": c.Claims, "taken": c.Taken,
 		"taken_done": c.TakenDone, "late": c.Late, "words": c.Words, "lost": c.Lost, "pulled": c.Pulled, "calls": t.Calls.Load(),
