A voter that was replaced finds the leader; doubt of lost parts can be set longer

Seen: in a simulated history a founder that had been replaced as voter without hearing of it asked its library's last leader for leases for ever: NotLeader named the right one, and the library's word went first. council.go, leaderName and renew.

Change: a member named by the library that says that it does not lead is passed over until the library names another.

--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -67,6 +67,8 @@
 	held                  bool
 	leader                string // who is thought to lead, by name
 	tries                 int
+	askedOf               string
+	astray                string // held for the leader by the library, and is not
 }
 
 // asking is somebody's wish for a lease.
@@ -162,11 +164,8 @@
 
 // Status tells how things stand.
 func (c *Council) Status(now float64) Status {
-	s := Status{Founded: c.conf != nil || len(c.record.Founding) > 0, Broken: c.broken, Leader: c.leaderName(), Applied: c.applied, Held: c.Held(now), LeftMS: max(0, c.until-now),
+	s := Status{Founded: c.conf != nil || len(c.record.Founding) > 0, Broken: c.broken, Leader: c.thought(), Applied: c.applied, Held: c.Held(now), LeftMS: max(0, c.until-now),
 		Record: c.record}
-	if s.Leader == "" {
-		s.Leader = c.leader
-	}
 	if c.node != nil {
 		b := c.node.BasicStatus()
 		s.Term, s.Commit = b.GetTerm(), b.GetCommit()
@@ -392,7 +391,7 @@
 		c.electAt = c.now + electMS*(1+c.chance())
 	}
 	if c.leads = leads; s.Lead != c.lead {
-		c.lead = s.Lead
+		c.lead, c.astray = s.Lead, ""
 		c.do(Effect{Kind: Led, Name: c.leaderName()})
 	}
 }
--- a/internal/council/lead.go
+++ b/internal/council/lead.go
@@ -283,7 +283,7 @@
 	if c.asked != 0 || c.now < c.askAt || len(c.founders) == 0 {
 		return
 	}
-	to := cmp.Or(c.leaderName(), c.leader)
+	to := c.thought()
 	if to == "" || c.tries%4 == 3 { // anyone who may know who leads
 		names := c.founders
 		if len(c.record.Voters) > 0 {
@@ -296,11 +296,19 @@
 		c.tries++
 	}
 	c.tokens++
-	c.asked, c.askedAt = c.tokens, c.now
+	c.asked, c.askedAt, c.askedOf = c.tokens, c.now, to
 	c.askAt = c.now + c.leaseMS/renewals*(0.9+0.1*c.chance())
 	c.do(Effect{Kind: Ask, To: to, Token: c.asked, Name: c.name, Life: c.life})
 }
 
+// thought is who is thought to lead: as the library has it, unless that one has said that it does not.
+func (c *Council) thought() string {
+	if to := c.leaderName(); to != "" && to != c.astray {
+		return to
+	}
+	return c.leader
+}
+
 // replied takes the answer to our asking. The lease counts from when it was asked for.
 func (c *Council) replied(ev *Event) {
 	if ev.Token != c.asked {
@@ -316,6 +324,10 @@
 		c.until = max(c.until, c.askedAt+c.leaseMS*(1-drift))
 	case ev.Reply.Verdict == NotLeader:
 		c.leader, c.askAt = ev.Reply.Leader, soon
+		c.tries++
+		if c.askedOf == c.leaderName() { // one that votes no more hears of no later leader from the library
+			c.astray = c.askedOf
+		}
 	case ev.Reply.Verdict == LifeIsLost:
 		c.until, c.askAt = 0, math.Inf(1)
 		c.do(Effect{Kind: Dethrone})
--- a/internal/estate/estate.go
+++ b/internal/estate/estate.go
@@ -87,7 +87,7 @@
 
 // New gives the estate of a controller. Names that it heeds in the settings, besides those of offerings: remember_ms, keep_answer,
 // most_kept, lag_ms, alone, adopt_at_once, adopts.NAME, ration_span_ms, ration_floor, ration_share, tells_come_back,
-// longest_come_back_ms.
+// longest_come_back_ms, doubt_ms.
 func New(self Member, given rules.Given, seed uint32) *Estate {
 	e := &Estate{self: self, remember: given.Num("remember_ms", usualMemory), answer: int(given.Num("keep_answer", usualAnswer)),
 		most: int(given.Num("most_kept", usualKept)), lag: given.Num("lag_ms", lagMS), alone: given.Is("alone"),
@@ -96,6 +96,7 @@
 		copies: map[Key]*kept{}, owners: map[Member]map[Key]*kept{}, wheel: map[int64][]Key{}, learns: map[int]*learning{},
 		noted: map[Member]float64{}, moves: map[string]float64{}, bereft: map[int]float64{}, mine: map[Key]*mine{}, byID: map[string]*mine{},
 		fresh: map[string]struct{}{}, lined: map[Key]struct{}{}}
+	e.longest = given.Num("doubt_ms", 0)
 	if given.Is("tells_come_back") {
 		e.away = given.Num("longest_come_back_ms", 0)
 	}
--- a/internal/operator/estate.go
+++ b/internal/operator/estate.go
@@ -24,6 +24,7 @@
 	{name: "unreachable", kind: text, help: "where too few holders can be reached: \"deny\", or \"alone\": go on with what this controller has"},
 	{name: "lag", kind: span, least: 0, most: 10e3, usual: 50, help: "redoable searches that take longer are copied; 0: none is"},
 	{name: "adopt", kind: names, help: "redoable offerings that an heir runs again, within the ration"},
+	{name: "doubt", kind: span, least: 0, most: 24 * 3600e3, help: "how long marks of a part that lost its holders beyond a quorum are denied, if longer than the longest window and hard limit"},
 	{name: "adopt_at_once", kind: whole, least: 1, most: 10e3, usual: 64, help: "adopted searches in hand at a time"},
 	{name: "keep_answers", kind: size, least: 0, most: 48 * kiB, usual: 4 * kiB, help: "longest answer that is copied"},
 	{name: "most_kept", kind: whole, least: 1000, most: 10e6, usual: 200e3, help: "copies that are kept for others at most"},
@@ -37,7 +38,7 @@
 	var diags hcl.Diagnostics
 	e := &Estate{Copies: int(v.nums["copies"]), Adopting: v.lists["adopt"], Given: rules.Given{"lag_ms": v.nums["lag"],
 		"adopt_at_once": v.nums["adopt_at_once"], "keep_answer": v.nums["keep_answers"], "most_kept": v.nums["most_kept"],
-		"alone": v.texts["unreachable"] == "alone"}}
+		"doubt_ms": v.nums["doubt"], "alone": v.texts["unreachable"] == "alone"}}
 	how, known := conditions[v.texts["condition"]]
 	if e.OwnDisk, e.OnDisks = how[0], how[1]; !known {
 		diags = append(diags, wrong(v.set["condition"], "condition must be \"disk and holders\", \"holders\", \"disk and holders' disks\" or \"holders' disks\""))
