--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets for a developer's machine; .ci/run is what a submission has to pass.
-.PHONY: build test lint fuzz run clean measure-store measure-budgets measure-fleet
+.PHONY: build test lint fuzz run clean measure-store measure-budgets measure-fleet measure-takeover
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -30,6 +30,9 @@
 	go run ./internal/lab/measure council $(SCRATCH) bin
 	go run ./internal/lab/measure fleet $(SCRATCH) bin
 
+measure-takeover: build
+	go run ./internal/lab/measure takeover $(SCRATCH) bin
+
 # One controller with the example configuration; it serves on 127.0.0.1:9090 until Ctrl-C.
 run: build
 	RELAY_CONFIG=$${RELAY_CONFIG:-deploy/example.json} bin/liftshift $(if $(FILE),--file $(FILE))
--- a/internal/desk/seam.go
+++ b/internal/desk/seam.go
@@ -254,6 +254,8 @@
 	if h.holds--; h.holds > 0 {
 		return // another part holds it still
 	}
+	d.tally.holds++
+	d.tally.holdSum += d.clock.Now() - h.sent
 	if now := d.clock.Now(); now < h.due {
 		d.timers.push(timer{at: h.due, what: releases, run: h.run})
 	} else {
--- a/internal/desk/tally.go
+++ b/internal/desk/tally.go
@@ -25,6 +25,8 @@
 	waitSum, waitMost   float64
 	stepSum, stepMost   float64
 	waitsLong, stepLong uint64
+	holds               uint64 // shots that were held until what must last did
+	holdSum             float64
 }
 
 // longMS is what counts as a long wait in the queue or a long step: a quarter of the module's beat.
@@ -58,6 +60,9 @@
 		"wait_ms": t.waitSum / float64(max(1, t.items)), "wait_most_ms": t.waitMost, "waits_long": t.waitsLong,
 		"step_ms": t.stepSum / float64(max(1, t.steps)), "step_most_ms": t.stepMost, "steps_long": t.stepLong,
 		"steps": t.steps}
+	if t.holds > 0 {
+		f["holds"], f["hold_ms"] = t.holds, t.holdSum/float64(t.holds)
+	}
 	for k, n := range t.Ends {
 		if n > 0 {
 			f["shots_"+endNames[k]] = n
--- a/internal/estate/estate.go
+++ b/internal/estate/estate.go
@@ -52,6 +52,7 @@
 
 	// As a chair.
 	copies map[Key]*kept
+	bytes  int                      // of their works and answers
 	owners map[Member]map[Key]*kept // open ones
 	wheel  map[int64][]Key          // by the second in which they may be let go
 	swept  int64
--- a/internal/estate/estate_test.go
+++ b/internal/estate/estate_test.go
@@ -225,6 +225,9 @@
 	}
 	assert.Equal(t, n, done)
 	w.balance()
+	for k := 1; k < 5; k++ {
+		assert.Equal(t, len("r")*n, w.ends[k].bytes, "works go with the end, short answers stay")
+	}
 }
 
 // A redoable search is copied only if it takes long, and run again only within the ration.
--- a/internal/estate/holder.go
+++ b/internal/estate/holder.go
@@ -15,6 +15,7 @@
 	expires float64
 	before  *Copy // what ended, and would count again if this one is withdrawn
 	pointer bool  // its ID stands for its Mark, nothing more
+	bytes   int   // of its work and answer, as counted
 }
 
 // words takes what another member says, and answers it.
@@ -180,7 +181,7 @@
 	case it.Copy == nil || !it.Copy.Whole:
 		return refused("nothing in it")
 	case k == nil:
-		if len(e.copies) >= e.most {
+		if len(e.copies) >= e.most || e.bytes+len(it.Copy.Body) > mostBytes {
 			return refused("full")
 		}
 		k = e.enter(it.Key, it.Copy)
@@ -295,6 +296,7 @@
 	e.unlist(k)
 	e.counts.Dropped++
 	k.Copy, k.before, k.state = *k.before, nil, settled
+	e.extend(k)
 	e.save(k)
 }
 
@@ -305,6 +307,7 @@
 		e.counts.Dropped++
 	}
 	delete(e.copies, k.key)
+	e.bytes -= k.bytes
 	if !k.Light {
 		e.do(Effect{Kind: Keep, Key: k.key})
 	}
@@ -436,6 +439,9 @@
 
 // extend says how long a copy is kept: one with a mark, for as long as that may come again.
 func (e *Estate) extend(k *kept) {
+	e.bytes -= k.bytes
+	k.bytes = len(k.Body) + len(k.Answer)
+	e.bytes += k.bytes
 	o := e.offering(k.Offering)
 	at := k.Until
 	switch {
--- a/internal/estate/types.go
+++ b/internal/estate/types.go
@@ -30,14 +30,15 @@
 	claimMS      = 400   // until a motion that has not come into force is made again
 	pageBytes    = 256 << 10
 	pageItems    = 256
-	mostPulls    = 8      // parts that are copied at a time
-	adoptAgainMS = 1000   // between two looks at what of a claim is still to be adopted
-	adoptAtOnce  = 64     // adopted searches in hand
-	usualKept    = 200000 // copies, where nothing else is given
-	usualAnswer  = 4096   // bytes of an answer that are kept
-	usualMemory  = 600000 // ms that a mark is kept past its window
-	lagMS        = 50     // a redoable search that takes longer is copied
-	spreadMS     = 100    // by chance added to waits, so that two that want one mark do not go on in step
+	mostPulls    = 8        // parts that are copied at a time
+	adoptAgainMS = 1000     // between two looks at what of a claim is still to be adopted
+	adoptAtOnce  = 64       // adopted searches in hand
+	usualKept    = 200000   // copies, where nothing else is given
+	mostBytes    = 64 << 20 // of works and answers that are kept: a part of a controller's memory
+	usualAnswer  = 4096     // bytes of an answer that are kept
+	usualMemory  = 600000   // ms that a mark is kept past its window
+	lagMS        = 50       // a redoable search that takes longer is copied
+	spreadMS     = 100      // by chance added to waits, so that two that want one mark do not go on in step
 )
 
 // Key names a search among all controllers: by its mark, else by its id.
--- /dev/null
+++ b/internal/lab/takeover.go
@@ -0,0 +1,327 @@
+package lab
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"liftshift/internal/chairs"
+	"liftshift/internal/estate"
+	"liftshift/internal/rehearse"
+	"liftshift/internal/simfleet"
+	"liftshift/internal/standin"
+	"liftshift/rules"
+)
+
+const (
+	stories      = 10_000
+	sleepers     = 60
+	roundsUsual  = 300
+	atOnce       = 3 // fleets that play rounds side by side
+	killRounds   = 12
+	killSearches = 40
+	millSearches = 1500
+	millClients  = 4
+	keptCopies   = 100_000
+
+	fastFleet = "probe = \"200ms\"\n answer = \"80ms\"\n suspect = \"800ms\"\n lease = \"2s\"\n declare = \"500ms\"\n"
+	// What is promised with these times: the lease, or else the suspicion, until one may be declared lost; the council's two looks; a
+	// claim; and what an heir waits for until it knows all.
+	promisedMS = 2000*1.004 + 500 + 2*200 + 400 + 1000
+)
+
+// tales plays histories in simulated time and counts what is wrong, by kind.
+func tales(n int) (twice, two, without, other, adopted int) {
+	var mu sync.Mutex
+	parallel(n, func(k int) {
+		o := simfleet.PlayEstates(uint64(k), []float64{0, 6000, 20_000}[k%3], nil, false)
+		mu.Lock()
+		defer mu.Unlock()
+		adopted += o.Adopted
+		for _, b := range o.Broken {
+			fmt.Println("# broken:", o.Seed, b)
+			switch {
+			case strings.Contains(b, "times"):
+				twice++
+			case strings.Contains(b, "two answers"):
+				two++
+			case strings.Contains(b, "gone on with"), strings.Contains(b, "no answer"):
+				without++
+			default:
+				other++
+			}
+		}
+	})
+	return twice, two, without, other, adopted
+}
+
+// lawless counts marks that run twice where leases are not looked at.
+func lawless(n int) (twice int) {
+	var mu sync.Mutex
+	parallel(n, func(k int) {
+		faults := []simfleet.Fault{{At: 12_000 + 40*float64(k), Kind: "stall", Node: 4, MS: 24_000}, {At: 14_000, Kind: "stall", Node: 3, MS: 24_000}}
+		for _, b := range simfleet.PlayEstates(uint64(k), 10_000, faults, true).Broken {
+			if strings.Contains(b, "times") {
+				mu.Lock()
+				twice++
+				mu.Unlock()
+			}
+		}
+	})
+	return twice
+}
+
+func heirsPlan(dir, program, name string, drops time.Duration, seed uint64) rehearse.Plan {
+	return rehearse.Plan{Program: program, Folder: filepath.Join(dir, name), Controllers: 5, Engines: 3, Founders: 3, Store: true, Fleet: fastFleet,
+		Estate: "copies = 2", Drops: drops, WorkMS: 10, Seed: seed,
+		Works: map[string]time.Duration{"mark": 1200 * time.Millisecond, "once": 1200 * time.Millisecond}}
+}
+
+// opened starts a fleet and waits until it is ready.
+func opened(p rehearse.Plan) (*rehearse.Fleet, error) {
+	f, err := rehearse.New(p)
+	if err != nil {
+		return nil, err
+	}
+	if err = f.StartAll(); err == nil {
+		_, err = f.WhenSettled(30 * time.Second)
+	}
+	if err == nil && p.Estate != "" {
+		err = f.Ready(30 * time.Second)
+	}
+	if err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// rounds plays rounds of all faults with real processes, and gives them.
+func rounds(dir, program string, n int) (all []rehearse.Round, err error) {
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	for w := range atOnce {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			drops := []time.Duration{-1, 20 * time.Second}[w%2]
+			seed := uint64(100 + w)
+			f, wrong := opened(heirsPlan(dir, program, fmt.Sprint("rounds", w), drops, seed))
+			chance := rand.New(rand.NewPCG(seed, 3))
+			for k := w; k < n && wrong == nil; k += atOnce {
+				var r rehearse.Round
+				if r, wrong = f.Takeover(rehearse.Takeovers[k%len(rehearse.Takeovers)], fmt.Sprint("r", k), 24, chance); wrong != nil {
+					break
+				}
+				mu.Lock()
+				all = append(all, r)
+				for _, b := range slices.Concat(r.Twice, r.Two, r.Without) {
+					fmt.Printf("# wrong: round %d, %s, drops %v: %s\n", k, r.Kind, drops, b)
+				}
+				mu.Unlock()
+			}
+			if f != nil {
+				f.Close()
+			}
+			if wrong != nil {
+				mu.Lock()
+				err = wrong
+				mu.Unlock()
+			}
+		}()
+	}
+	wait.Wait()
+	return all, err
+}
+
+// kills has controllers killed with labelled searches in hand, whose clients come again elsewhere once. Without an estate: the program
+// before.
+func kills(dir, program string, with bool) (handled, twice, unsent, sent float64, first []float64, err error) {
+	p := heirsPlan(dir, program, fmt.Sprint("kills", with), 20*time.Second, 41)
+	if !with {
+		p.Estate, p.Drops = "", 100*time.Millisecond // and engines that soon forget, as before
+	}
+	f, err := opened(p)
+	if err != nil {
+		return 0, 0, 0, 0, nil, err
+	}
+	defer f.Close()
+	asked := 0.0
+	for r := range killRounds {
+		b, err := f.KilledInHand(fmt.Sprint("k", r), killSearches)
+		if err != nil {
+			return 0, 0, 0, 0, nil, err
+		}
+		asked, handled, twice = asked+killSearches, handled+float64(b.Handled), twice+float64(len(b.Twice))
+		unsent, sent = unsent+float64(b.Unsent), sent+float64(b.Sent)
+		if b.FirstShot > 0 {
+			first = append(first, float64(b.FirstShot)/float64(time.Millisecond))
+		}
+	}
+	return handled / asked, twice, unsent, sent, first, nil
+}
+
+// mill has clients search at a controller one after the other and gives the processor time a search, and how long shots were held.
+func mill(f *rehearse.Fleet, offering, tag string) (cpu, holdMS float64, err error) {
+	before := cpuMS(f.Process(0))
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	for w := range millClients {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			c, wrong := standin.Dial(f.Controllers[0].Client, time.Second)
+			for k := 0; wrong == nil && k < millSearches/millClients; k++ {
+				id, mark := fmt.Sprintf("%s-%d-%d", tag, w, k), ""
+				if offering == "mark" {
+					mark = "m" + id
+				}
+				var a standin.Answer
+				if a, wrong = c.Search(offering, id, mark, 5*time.Second); wrong == nil && a.Code != 0 {
+					wrong = fmt.Errorf("%s: %d %s", id, a.Code, a.Message)
+				}
+			}
+			if wrong != nil {
+				mu.Lock()
+				err = wrong
+				mu.Unlock()
+			}
+			if c != nil {
+				c.Close()
+			}
+		}()
+	}
+	all.Wait()
+	cpu = (cpuMS(f.Process(0)) - before) / millSearches
+	return cpu, lastField(f.Controllers[0], "tally", "hold_ms"), err
+}
+
+// lastField waits for the next line of counters and gives one of them.
+func lastField(c *rehearse.Controller, line, field string) float64 {
+	n := strings.Count(c.Log(), "msg="+line+" ")
+	for began := time.Now(); time.Since(began) < 12*time.Second; time.Sleep(100 * time.Millisecond) {
+		if log := c.Log(); strings.Count(log, "msg="+line+" ") > n {
+			at := strings.LastIndex(log, "msg="+line+" ")
+			_, rest, _ := strings.Cut(log[at:], " "+field+"=")
+			v, _ := strconv.ParseFloat(strings.Fields(rest + " ")[0], 64)
+			return v
+		}
+	}
+	return 0
+}
+
+// holdsOf gives how long labelled shots are held, by condition, and the processor time of redoable searches with copies and without.
+func holdsOf(dir, program string) (disk, both, others, plain, copied float64, err error) {
+	var a, b, c, d, e []float64
+	for turn := range 5 {
+		for n, s := range []struct {
+			estate, offering string
+			to               *[]float64
+			cpu              bool
+		}{{"", "mark", &a, false}, {"copies = 2\ncondition = \"disk and holders\"", "mark", &b, false}, {"copies = 2\ncondition = \"holders\"", "mark", &c, false},
+			{"", "look", &d, true}, {"copies = 2", "look", &e, true}} {
+			p := heirsPlan(dir, program, fmt.Sprintf("hold%d-%d", turn, n), 20*time.Second, uint64(60+turn*10+n))
+			p.Estate, p.WorkMS, p.Works = s.estate, 1, nil
+			f, wrong := opened(p)
+			if wrong != nil {
+				return 0, 0, 0, 0, 0, wrong
+			}
+			cpu, held, wrong := mill(f, s.offering, fmt.Sprint("h", turn))
+			f.Close()
+			if wrong != nil {
+				return 0, 0, 0, 0, 0, wrong
+			}
+			if s.cpu {
+				held = cpu
+			}
+			*s.to = append(*s.to, held)
+		}
+	}
+	return median(a), median(b), median(c), median(d), median(e), nil
+}
+
+// keeping gives the bytes that a copy costs its holder, without its body.
+func keeping() float64 {
+	places := []chairs.Place{{Name: "a", Life: 1}, {Name: "b", Life: 1}, {Name: "c", Life: 1}}
+	var t chairs.Table
+	t.Reseat(places, 1)
+	t.Step = 1
+	bytes, _ := heapBytes(func() any {
+		e := estate.New(estate.Member{Name: "a", Life: 1}, rules.Given{"offering.0.name": "mark", "offering.0.effect": "labelled", "offering.0.window_ms": 20e3}, 1)
+		e.Step(1000, &estate.Event{Kind: estate.Seated, Held: true, Places: places, Table: &t})
+		for k := range keptCopies {
+			key := estate.KeyOf(fmt.Sprint("m", k), "")
+			e.Step(1000, &estate.Event{Kind: estate.Words, Held: true, Token: 1, Batch: &estate.Batch{From: estate.Member{Name: "b", Life: 1}, Version: t.Version,
+				Items: []estate.Item{{Op: estate.Register, Key: key, Number: 1, Copy: &estate.Copy{Work: estate.Work{ID: fmt.Sprint(k), Mark: fmt.Sprint("m", k), Offering: "mark"},
+					Until: 6000, Whole: true, Number: 1}}}}})
+		}
+		return e
+	})
+	return bytes / keptCopies
+}
+
+// Takeover measures what becomes of work in hand. TAKEOVER_ROUNDS sets how many rounds real processes play.
+func Takeover(dir, programs string) ([]Figure, error) {
+	var figures []Figure
+	add := func(name string, value float64, unit, op string, want float64) {
+		figures = append(figures, Figure{"takeover." + name, value, unit, op, want})
+		fmt.Println("#", figures[len(figures)-1])
+	}
+	n := roundsUsual
+	if v, err := strconv.Atoi(os.Getenv("TAKEOVER_ROUNDS")); err == nil {
+		n = v
+	}
+	add("bytes_a_copy", keeping(), "B", "<=", 1500)
+	twice, two, without, other, adopted := tales(stories)
+	unit := fmt.Sprintf("of %d histories, %d adopted", stories, adopted)
+	add("sim_ran_twice", float64(twice), unit, "==", 0)
+	add("sim_two_answers", float64(two), unit, "==", 0)
+	add("sim_without_outcome", float64(without), unit, "==", 0)
+	add("sim_otherwise_wrong", float64(other), unit, "==", 0)
+	add("sim_ran_twice_without_leases", float64(lawless(sleepers)), fmt.Sprintf("of %d histories", sleepers), ">=", 1)
+	program := filepath.Join(programs, "liftshift")
+	all, err := rounds(dir, program, n)
+	if err != nil {
+		return figures, err
+	}
+	real := map[string]float64{}
+	for _, r := range all {
+		real["twice"] += float64(len(r.Twice))
+		real["two"] += float64(len(r.Two))
+		real["without"] += float64(len(r.Without))
+	}
+	unit = fmt.Sprintf("of %d rounds", len(all))
+	add("real_ran_twice", real["twice"], unit, "==", 0)
+	add("real_two_answers", real["two"], unit, "==", 0)
+	add("real_without_outcome", real["without"], unit, "==", 0)
+	handled, again, unsent, sent, first, err := kills(dir, program, true)
+	if err != nil {
+		return figures, err
+	}
+	before, wasted, _, _, _, err := kills(dir, program, false)
+	if err != nil {
+		return figures, err
+	}
+	add("never_sent_at_the_kill_handled", 100*sent/max(1, unsent), fmt.Sprintf("%% of %.0f", unsent), ">=", 99)
+	add("first_shot_of_an_heir_median", quantile(first, 0.5)/promisedMS, "x promised", "<=", 1)
+	add("first_shot_of_an_heir_p99", quantile(first, 0.99)/promisedMS, "x promised", "<=", 1)
+	add("returned_once_handled", 100*handled, "%", ">=", 100*before)
+	add("returned_once_handled_before", 100*before, "%", ">=", 0)
+	add("runs_wasted", again, "", "==", 0)
+	add("runs_wasted_before", wasted, "", ">=", 0)
+	disk, both, others, plain, copied, err := holdsOf(dir, program)
+	if err != nil {
+		return figures, err
+	}
+	add("hold_disk_alone", disk, "ms", ">=", 0)
+	add("hold_disk_and_holders", both/disk, "x disk alone", "<=", 1.3)
+	add("hold_holders_alone", others/disk, "x disk alone", "<=", 1)
+	add("cpu_redoable_with_copies", copied/plain, "x without", "<=", 1.05)
+	return figures, nil
+}
--- /dev/null
+++ b/internal/operator/estate_test.go
@@ -0,0 +1,29 @@
+package operator
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const council = "store {\n directory = \"/d\"\n}\nfleet {\n name = \"f\"\n address = \"127.0.0.1:1\"\n seeds = [\"127.0.0.1:1\"]\n founders = [\"a\", \"b\", \"c\"]\n}\n"
+
+func TestEstateBlock(t *testing.T) {
+	f, err := Parse([]byte(council+"estate {\n condition = \"holders' disks\"\n adopt = [\"look\"]\n unreachable = \"alone\"\n copies = 1\n}"), "f")
+	require.NoError(t, err)
+	assert.Equal(t, []any{false, true, 1, true, true, 1.0}, []any{f.Estate.OwnDisk, f.Estate.OnDisks, f.Estate.Copies, f.Estate.Given["alone"], f.Estate.Given["adopts.look"], f.Fleet.Given["copies"]})
+	usual, err := Parse([]byte(council+"estate {}"), "f")
+	require.NoError(t, err)
+	assert.Equal(t, []any{true, false, 2}, []any{usual.Estate.OwnDisk, usual.Estate.OnDisks, usual.Estate.Copies})
+	assert.Contains(t, f.Differs(usual), "estate")
+	for text, want := range map[string]string{
+		"estate {}": "needs a council",
+		council + "estate {\n condition = \"never\"\n}":     "f:12:14: condition must be",
+		council + "estate {\n unreachable = \"perhaps\"\n}": "f:12:16: unreachable must be",
+		council + "estate {\n copies = 9\n}":                "f:12:11: copies must be from 1 to 3",
+	} {
+		_, err := Parse([]byte(text), "f")
+		assert.ErrorContains(t, err, want)
+	}
+}
--- a/internal/rehearse/takeover.go
+++ b/internal/rehearse/takeover.go
@@ -160,6 +160,44 @@
 	return r, nil
 }
 
+// KilledInHand plays a round in which a controller is killed with so many labelled searches in hand, all entered by then; each client
+// comes again elsewhere once.
+func (f *Fleet) KilledInHand(tag string, searches int) (r Round, err error) {
+	owner, ran := len(f.Controllers)-1, len(f.Memory.Runs())
+	list := make([]inHand, searches)
+	var all sync.WaitGroup
+	for n := range list {
+		s := &list[n]
+		s.id, s.offering = fmt.Sprintf("%s-%d", tag, n), "mark"
+		s.mark = "m-" + s.id
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			if s.first = f.one(owner, s.offering, s.id, s.mark, roundPatience); s.first == "cut off" {
+				s.second = f.one(n%owner, s.offering, s.id+"b", s.mark, roundPatience)
+			}
+		}()
+	}
+	time.Sleep(300 * time.Millisecond)
+	at, before := time.Now(), f.Memory.Runs()[ran:]
+	f.Kill(owner)
+	all.Wait()
+	if err := f.Start(owner); err != nil {
+		return r, err
+	}
+	if _, err := f.WhenSettled(wholeWithin); err != nil {
+		return r, err
+	}
+	if f.Plan.Estate != "" {
+		if err := f.Ready(wholeWithin); err != nil {
+			return r, err
+		}
+	}
+	r = Round{Kind: "kill", Searches: searches, Outcomes: map[string]int{}}
+	f.judge(&r, list, ran, at, before)
+	return r, nil
+}
+
 // fault does it, and gives the controllers that are to be started again.
 func (f *Fleet) fault(kind string, owner int, chance *rand.Rand) (down []int, err error) {
 	kill := func(k int) {
--- a/internal/rehearse/takeover_test.go
+++ b/internal/rehearse/takeover_test.go
@@ -145,3 +145,27 @@
 		})
 	}
 }
+
+// Copies on holders' disks: one holder's disk is full, and nobody is held up by it; a controller is killed, and its searches go on. Then all
+// are killed at once: what was kept is known again by all, and nothing is sent a second time.
+func TestHoldersDisks(t *testing.T) {
+	f := inherited(t, "copies = 2\ncondition = \"disk and holders' disks\"", 20*time.Second)
+	require.NoError(t, f.Disk(1, "full"))
+	time.Sleep(200 * time.Millisecond)
+	assert.Equal(t, 10, count(asks(f, 0, 10, "mark", "a", true)())["handled"])
+	first := asks(f, 4, 12, "once", "o", false)
+	time.Sleep(400 * time.Millisecond)
+	require.NoError(t, f.Disk(1, "sound"))
+	for k := range f.Controllers {
+		f.Kill(k)
+	}
+	assert.Equal(t, 12, count(first())["cut off"])
+	require.NoError(t, f.StartAll())
+	settles(t, f, "all again")
+	require.Eventually(t, func() bool { return f.Outcome(2, "", "m3") == "handled" }, 20*time.Second, 100*time.Millisecond, "it is on holders' disks")
+	ran := len(f.Memory.Runs())
+	counts := count(asks(f, 3, 10, "mark", "b", true)())
+	assert.Zero(t, counts["written off"]+counts["cut off"], "%v", counts)
+	assert.Empty(t, ranTwice(f))
+	assert.Len(t, f.Memory.Runs(), ran, "nothing is sent again")
+}
