--- a/internal/estate/estate.go
+++ b/internal/estate/estate.go
@@ -377,10 +377,8 @@
 func (e *Estate) Counts() Counts {
 	c := e.counts
 	c.Copies, c.Mine, c.Waiting = len(e.copies), len(e.mine), len(e.line)
-	for _, k := range e.copies {
-		if k.state.open() {
-			c.Open++
-		}
+	for _, set := range e.owners {
+		c.Open += uint64(len(set))
 	}
 	return c
 }
--- a/internal/estate/owner.go
+++ b/internal/estate/owner.go
@@ -38,6 +38,7 @@
 	alone   bool // nobody else knows of it
 	back    *ending
 	light   bool
+	listed  bool // among those whose words have not been answered by all
 }
 
 // hold is a shot that waits for the others.
@@ -139,7 +140,8 @@
 func (e *Estate) say(m *mine) {
 	m.acks, m.nays, m.known, m.saidAt = m.acks[:0], m.nays[:0], nil, e.now
 	m.tries++
-	if !slices.Contains(e.pending, m) {
+	if !m.listed {
+		m.listed = true
 		e.pending = append(e.pending, m)
 	}
 	e.sayTo(m, e.item(m))
@@ -514,6 +516,7 @@
 func (e *Estate) repeat() {
 	rest := e.pending[:0]
 	for _, m := range e.pending {
+		m.listed = false // unless it stays
 		if m.phase == finished {
 			continue
 		}
@@ -559,6 +562,7 @@
 				}
 			}
 		}
+		m.listed = true
 		rest = append(rest, m)
 	}
 	clear(e.pending[len(rest):])
--- a/internal/trustee/trustee.go
+++ b/internal/trustee/trustee.go
@@ -26,6 +26,7 @@
 	mostBatch = 1 << 20                // bytes of one call
 	mostLines = 512                    // members that there is a line to
 	staleMS   = 200                    // a batch that has waited for so long is dropped: its times would not be true
+	refreshMS = 20                     // between two askings for what is agreed
 	patience  = 900 * time.Millisecond // of one who waits for an answer here: less than a caller's
 )
 
@@ -42,6 +43,7 @@
 	// Of the desk's goroutine.
 	where     map[uint32]rules.Entry
 	tokens    uint64
+	refreshed float64
 	replies   map[uint64]func([]byte, error)
 	questions map[uint64]*desk.Question
 	copies    *copies // nil: copies are kept in memory alone
@@ -281,7 +283,10 @@
 			t.log.WithFields(logrus.Fields{"motion": e.Motion, "member": e.Claim.Name, "life": e.Claim.Life, "parts": e.Claim.Mask}).Info("estate: proposed")
 			t.seat.Move(council.Motion(e.Motion, e.Claim, e.Version))
 		case estate.Refresh:
-			t.seat.Refresh()
+			if now > t.refreshed+refreshMS {
+				t.refreshed = now
+				t.seat.Refresh()
+			}
 		case estate.Note:
 			t.log.WithFields(logrus.Fields{"of": e.ID, "count": e.Count}).Warn("estate: " + e.Text)
 		}
