A late word of what was handled is told by all; ends overtake what a lost owner had before

Of 10,000 simulated histories 3 ended with open work: the end of a later search of a mark was refused by chairs that held an older one of a lost owner; one more had a search that never reached its node, a fault of the simulation.

Change: of two copies with one number the one that knows that it ran counts; an end with a later number takes the place of what a lost owner had.

--- a/internal/estate/estate.go
+++ b/internal/estate/estate.go
@@ -384,7 +384,7 @@
 }
 
 // better tells whether a copy says more than another of the same key: one that may have run beats one that can't have; else the later
-// word counts.
+// word counts, and of the same, the one that knows that it ran.
 func better(a, b *Copy) bool {
-	return cmp.Or(cmp.Compare(min(a.Standing, Doubt), min(b.Standing, Doubt)), cmp.Compare(a.Number, b.Number)) > 0
+	return cmp.Or(cmp.Compare(min(a.Standing, Doubt), min(b.Standing, Doubt)), cmp.Compare(a.Number, b.Number), cmp.Compare(a.Standing, b.Standing)) > 0
 }
--- a/internal/estate/estate_test.go
+++ b/internal/estate/estate_test.go
@@ -174,6 +174,40 @@
 	}
 }
 
+// What was handled under a lease, and written off by an heir that could not know, is told as handled by all, whichever quorum is asked.
+func TestALateWordCorrectsWhatWasWrittenOff(t *testing.T) {
+	w := newWorld(t, 6, 2, nil)
+	w.arrive(0, "once", "a", "")
+	require.True(t, w.shoot(0, "a"))
+	w.mute = func(from, to int, _ *Item) bool { return from == 0 || to == 0 }
+	assert.False(t, w.end(0, "a", Handled, "rows"), "it holds its lease: its client is told")
+	w.lose(0)
+	w.tick(1500)
+	heirs := w.adopter("a")
+	require.Len(t, heirs, 1)
+	w.end(heirs[0], "a", WrittenOff, "")
+	w.tick(500)
+	w.down[0] = false
+	heard := 0
+	w.mute = func(from, _ int, it *Item) bool { // three of five hear of it
+		if from == 0 && it.Op == Close {
+			heard++
+		}
+		return from == 0 && it.Op == Close && heard > 3
+	}
+	w.step(0, &Event{Kind: Relived, Life: 2})
+	table := w.table.Clone()
+	w.step(0, &Event{Kind: Seated, Places: w.places, Table: &table})
+	w.tick(500)
+	for k := 1; k < 6; k++ {
+		w.got[k][Reply] = nil
+		w.step(k, &Event{Kind: Asked, ID: "a", Token: 3})
+		w.tick(200)
+		require.Len(t, w.got[k][Reply], 1)
+		assert.Equal(t, Handled, w.got[k][Reply][0].Outcome, "asked at n%d", k)
+	}
+}
+
 // A denial of what may not run twice waits until no heir can go on with it; what was only asked for is never sent by one.
 func TestDenialsOfIrreversibleSearches(t *testing.T) {
 	w := newWorld(t, 6, 2, nil)
--- a/internal/estate/holder.go
+++ b/internal/estate/holder.go
@@ -133,7 +133,7 @@
 	switch {
 	case k == nil && it.Op == Withdraw, k != nil && !k.state.open() && it.Number <= k.Number:
 		return Item{Op: Kept}
-	case k != nil && k.state.open() && k.Owner != owner:
+	case k != nil && k.state.open() && k.Owner != owner && !(e.lost(k.Owner) && it.Op == Close && it.Copy != nil && it.Number > k.Number):
 		return e.knows(k)
 	case k == nil || k.Owner != owner || !k.state.open(): // one that is not known here, or known from before alone
 		if it.Op != Close || it.Copy == nil {
@@ -142,7 +142,11 @@
 		if k == nil {
 			k = e.enter(it.Key, it.Copy)
 		} else {
-			k.Copy = *it.Copy
+			if k.state.open() { // what a lost one had is behind this by a quorum's word
+				e.unlist(k)
+				e.counts.Dropped++
+			}
+			k.Copy, k.before = *it.Copy, nil
 		}
 		k.Owner, k.state = owner, held
 		e.begin(k)
--- a/internal/estate/owner.go
+++ b/internal/estate/owner.go
@@ -231,6 +231,12 @@
 			e.tell(by.Name, Item{Op: Take, Key: m.key, Number: over.Number, Copy: &over, From: m.from, More: true})
 			return // the last word is said again after it
 		}
+		if c := back.Copy; c != nil && c.Outcome == Open && m.phase == finishing && word.Copy == nil && e.lost(c.Owner) && c.Number < m.Number {
+			last := e.item(m) // it missed that this one came after
+			last.Copy = &m.Copy
+			e.tell(by.Name, last)
+			return
+		}
 		m.nays = append(m.nays, by)
 	default:
 		if back.Why != "no lease" { // it may have one in a moment
--- a/internal/simfleet/estates.go
+++ b/internal/simfleet/estates.go
@@ -126,9 +126,10 @@
 	if a.tries++; a.tries == 1 {
 		a.first = s.Now
 	}
-	x := &Asked{ID: fmt.Sprintf("%016x", s.number), Mark: a.mark, Offering: a.offering, Node: k, At: s.Now, ask: a}
+	x := &Asked{ID: fmt.Sprintf("%016x", s.number), Mark: a.mark, Offering: a.offering, Node: k, At: s.Now, ask: a, Cut: true}
 	s.Asked = append(s.Asked, x)
 	s.at(k, func() {
+		x.Cut = false // it has arrived
 		c := &estate.Copy{Work: estate.Work{ID: x.ID, Mark: x.Mark, Offering: x.Offering, Body: []byte("select")}, Until: s.Local(k) + 5000}
 		s.Ends[k].waiting[x.ID] = &search{id: x.ID, mark: x.Mark, offering: x.Offering, until: c.Until, asked: x}
 		s.play(k, &estate.Event{Kind: estate.Arrives, ID: x.ID, Copy: c})
