Tests' controllers listen at addresses that no caller can be given

Seen: in one whole test run a controller of a rehearsal ended at its start with 'bind: address already in use', and its fleet never settled. Cause: its port had been tried on 127.0.0.1:0 and closed; until it started, another process called from that port (internal/rehearse/rehearse.go, write; the same in five other places). Relays could take ports from the range that callers are given, too. Ruled out: the view and the council, whose logs show what they should hold of one that left at once. Now standin.Spot gives addresses of the process's own, below that range.

--- a/internal/installation/kill_test.go
+++ b/internal/installation/kill_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -28,10 +27,9 @@
 }
 
 func freePort(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	at, err := standin.Spot()
 	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	return at
 }
 
 // setup writes the files of a controller before some engines, with a store, and gives what starts it.
--- a/internal/lab/budgets.go
+++ b/internal/lab/budgets.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -68,12 +67,9 @@
 	if err != nil {
 		return nil, err
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	if s.listen, err = standin.Spot(); err != nil {
 		return nil, err
 	}
-	s.listen = l.Addr().String()
-	_ = l.Close()
 	at, err := os.MkdirTemp(dir, "site-")
 	if err != nil {
 		return nil, err
--- a/internal/lab/holds.go
+++ b/internal/lab/holds.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -31,12 +30,10 @@
 	if err != nil {
 		return nil, err
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	c := &controller{}
+	if c.listen, err = standin.Spot(); err != nil {
 		return nil, err
 	}
-	c := &controller{listen: l.Addr().String()}
-	_ = l.Close()
 	node := filepath.Join(dir, "node-"+strconv.Itoa(len(file))+".json")
 	if err := os.WriteFile(node, standin.Node(c.listen, list, 20*time.Second, engines...), 0o600); err != nil {
 		return nil, err
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -124,12 +123,10 @@
 	if err := os.MkdirAll(c.Folder, 0o700); err != nil {
 		return err
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	var err error
+	if c.Client, err = standin.Spot(); err != nil {
 		return err
 	}
-	c.Client = l.Addr().String()
-	_ = l.Close()
 	c.Socket = filepath.Join(c.Folder, "sock")
 	seeds := []string{}
 	for s := range min(3, f.Plan.Controllers) {
--- a/internal/rehearse/relay.go
+++ b/internal/rehearse/relay.go
@@ -51,7 +51,7 @@
 func NewRelay(n int, seed uint64) (*Relay, error) {
 	r := &Relay{chance: rand.New(rand.NewPCG(seed, 7)), conns: map[net.Conn][2]int{}, way: func(int, int) Link { return Link{} }}
 	for try := 0; ; try++ {
-		r.port = 20000 + int(r.chance.Uint32()%20000)
+		r.port = 10000 + int(r.chance.Uint32()%20000) // below those given to who calls: a listener that is killed finds its own again
 		err := r.listen(n)
 		if err == nil {
 			break
--- a/internal/seat/helpers_test.go
+++ b/internal/seat/helpers_test.go
@@ -1,7 +1,6 @@
 package seat
 
 import (
-	"net"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -9,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"liftshift/internal/council"
+	"liftshift/internal/standin"
 	"liftshift/internal/store"
 )
 
@@ -37,10 +37,9 @@
 // addresses gives free ones on loopback.
 func addresses(t *testing.T, n int) (list []string) {
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		at, err := standin.Spot()
 		require.NoError(t, err)
-		defer l.Close()
-		list = append(list, l.Addr().String())
+		list = append(list, at)
 	}
 	return list
 }
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -18,6 +18,8 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"liftshift/internal/standin"
 )
 
 const settings = `{"Bounds": {"Cancelling": true, "ConnectTimeout": 250000, "IdleClose": 15000000, "MaxAttempts": 6,
@@ -28,10 +30,9 @@
 
 // free is an address that nobody listens on.
 func free(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	at, err := standin.Spot()
 	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	return at
 }
 
 func node(t *testing.T, listen, changelog, executor string) *Node {
