Words of open work go as datagrams where these get through; adoption goes by others' pace

Parts of it: calls by gRPC (ten goroutines a way), the relay of the measurement, and a runtime slot that a sync of the disk kept while what was ready waited for it. Change: lanes (internal/trustee/lane.go) send short words as datagrams and fall back to calls after silence; two slots more where there is a store; the measurement goes without a relay. Adoption grows from 4 in hand as long as searches here take no longer than usual (internal/estate/pace.go). The simulation brings batches twice, and as they were at the end of a step.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,10 @@
 measure-takeover: build
 	go run ./internal/lab/measure stories $(SCRATCH) bin
 	go run ./internal/lab/measure takeover $(SCRATCH) bin
+	go run ./internal/lab/measure kills $(SCRATCH) bin
+	go run ./internal/lab/measure holds $(SCRATCH) bin
+	go run ./internal/lab/measure orphans $(SCRATCH) bin
+	go run ./internal/lab/measure control $(SCRATCH) bin
 
 # One controller with the example configuration; it serves on 127.0.0.1:9090 until Ctrl-C.
 run: build
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -195,6 +195,17 @@
 	}
 }
 
+// TryPut lines up an item, or tells that the queue is full: for who must not wait, and will be asked again.
+func (d *Desk) TryPut(it Item) bool {
+	it.at = d.clock.Now()
+	select {
+	case d.queue <- it:
+		return true
+	default:
+		return false
+	}
+}
+
 // Open tells how many searches have been taken and not answered, those still in the queue included.
 func (d *Desk) Open() int { return int(d.open.Load()) }
 
--- a/internal/estate/estate.go
+++ b/internal/estate/estate.go
@@ -30,7 +30,7 @@
 	most      int
 	lag       float64 // 0: redoable searches are not copied
 	alone     bool    // where the others can't be reached, one goes on alone
-	atOnce    int
+	pace      pace
 	share     float64 // ration of redoable searches that are run again
 	floor     float64
 	spanMS    float64
@@ -92,7 +92,7 @@
 func New(self Member, given rules.Given, seed uint32) *Estate {
 	e := &Estate{self: self, remember: given.Num("remember_ms", usualMemory), answer: int(given.Num("keep_answer", usualAnswer)),
 		most: int(given.Num("most_kept", usualKept)), lag: given.Num("lag_ms", lagMS), alone: given.Is("alone"),
-		atOnce: int(given.Num("adopt_at_once", adoptAtOnce)), share: given.Num("ration_share", 0.1), floor: given.Num("ration_floor", 3),
+		pace: pace{most: given.Num("adopt_at_once", adoptAtOnce), began: map[string]begun{}}, share: given.Num("ration_share", 0.1), floor: given.Num("ration_floor", 3),
 		spanMS: given.Num("ration_span_ms", 10000), seed: seed, out: map[string]*Batch{}, places: map[string]*chairs.Place{},
 		copies: map[Key]*kept{}, owners: map[Member]map[Key]*kept{}, wheel: map[int64][]Key{}, learns: map[int]*learning{},
 		noted: map[Member]float64{}, moves: map[string]float64{}, bereft: map[int]float64{}, mine: map[Key]*mine{}, byID: map[string]*mine{},
@@ -109,7 +109,7 @@
 		}
 		o := offering{name: name, effect: given.Text(at + "effect"), window: given.Num(at+"window_ms", 0)}
 		o.adopts = o.recorded() || given.Is("adopts."+name)
-		e.offerings = append(e.offerings, o)
+		e.offerings, e.pace.usual = append(e.offerings, o), append(e.pace.usual, times{})
 		if o.effect == "labelled" {
 			e.longest = max(e.longest, o.window, given.Num(at+"limit_ms", 0))
 		}
@@ -131,7 +131,17 @@
 	return nil
 }
 
-func (e *Estate) do(f Effect) { e.effects = append(e.effects, f) }
+// numbered gives an offering's place among the settings'; below 0: it is none.
+func (e *Estate) numbered(name string) int {
+	return slices.IndexFunc(e.offerings, func(o offering) bool { return o.name == name })
+}
+
+func (e *Estate) do(f Effect) {
+	if f.Kind == Settle || f.Kind == Recall {
+		delete(e.pace.began, f.ID)
+	}
+	e.effects = append(e.effects, f)
+}
 
 // Step takes one event at the caller's clock in ms. The effects hold until the next call.
 func (e *Estate) Step(now float64, ev *Event) []Effect {
@@ -170,6 +180,9 @@
 	case Wanted:
 		e.claim(ev.ID)
 	}
+	if len(e.queue) > 0 && e.inHand < int(e.pace.room) {
+		e.adopt()
+	}
 	e.flush()
 	return e.effects
 }
@@ -340,6 +353,7 @@
 // tick does what is due.
 func (e *Estate) tick() {
 	e.sweep()
+	e.pace.tick(e.now, len(e.queue) > 0 || e.inHand > 0)
 	if !e.chaired() {
 		e.endLine()
 		return
--- a/internal/estate/heir.go
+++ b/internal/estate/heir.go
@@ -351,7 +351,7 @@
 	if !e.held || e.leaving || slices.ContainsFunc(e.inherits, unknown) {
 		return // what is most urgent may be among what is not known yet
 	}
-	for len(e.queue) > 0 && e.inHand < e.atOnce {
+	for len(e.queue) > 0 && e.inHand < int(e.pace.room) {
 		o := e.queue[0]
 		e.queue = e.queue[1:]
 		delete(e.lined, o.key)
@@ -416,6 +416,7 @@
 		return
 	}
 	e.byID[m.ID] = m
+	e.pace.opens(e.now, m.ID, e.numbered(m.Offering), true)
 	f := Effect{Kind: Adopt, Copy: &m.Copy}
 	if m.Standing != Clear && o.recorded() {
 		f.Prior = priorOf(&m.Copy)
--- a/internal/estate/helpers_test.go
+++ b/internal/estate/helpers_test.go
@@ -99,10 +99,16 @@
 	}
 	ev.Held = true
 	effects := append([]Effect(nil), w.ends[k].Step(w.now, ev)...)
-	for _, e := range effects {
+	said := make([][]byte, len(effects)) // as it is at the end of the step: what is said goes on changing
+	for n, e := range effects {
+		if e.Kind == Say {
+			said[n] = e.Batch.Append(nil, w.now)
+		}
+	}
+	for n, e := range effects {
 		switch e.Kind {
 		case Say:
-			w.carry(k, e)
+			w.carry(k, e, said[n])
 		case Move:
 			w.moves = append(w.moves, e)
 		default:
@@ -113,7 +119,7 @@
 }
 
 // carry brings a batch to its member and the answer back, both as they go over the wire.
-func (w *world) carry(k int, e Effect) {
+func (w *world) carry(k int, e Effect, data []byte) {
 	sent := e.Batch
 	back := func(b *Batch) { w.step(k, &Event{Kind: Answers, To: e.To, Sent: sent, Batch: b}) }
 	to := -1
@@ -130,7 +136,7 @@
 		back(nil)
 		return
 	}
-	b, err := ReadBatch(sent.Append(nil, w.now), w.now)
+	b, err := ReadBatch(data, w.now)
 	require.NoError(w.t, err)
 	for _, f := range w.step(to, &Event{Kind: Words, Batch: b, Token: 1}) {
 		if f.Kind == Answer {
--- a/internal/estate/owner.go
+++ b/internal/estate/owner.go
@@ -66,12 +66,14 @@
 
 // arrives says what becomes of a search that comes in: it goes on as it is, or waits until the others were asked.
 func (e *Estate) arrives(ev *Event) {
-	c, o := ev.Copy, e.offering(ev.Copy.Offering)
-	if o == nil {
+	c, of := ev.Copy, e.numbered(ev.Copy.Offering)
+	if of < 0 {
 		e.do(Effect{Kind: Admit})
 		return
 	}
+	o := &e.offerings[of]
 	e.takes = append(e.takes, e.now)
+	e.pace.opens(e.now, c.ID, of, o.recorded())
 	if !o.recorded() {
 		if e.lag > 0 && e.chaired() && len(e.young) < e.most {
 			e.young = append(e.young, young{e.now, *c})
@@ -362,6 +364,7 @@
 
 // gone has it that the client of a search left before that was with the module.
 func (e *Estate) gone(id string) {
+	delete(e.pace.began, id)
 	e.line = slices.DeleteFunc(e.line, func(w *caller) bool { return w.ID == id })
 	if m := e.byID[id]; m != nil && m.phase == asking {
 		e.tellAllBut(m, Item{Op: Withdraw, Key: m.key, Number: m.Number, From: m.Owner})
@@ -447,6 +450,7 @@
 
 // closed books the final answer of a search, and tells the others.
 func (e *Estate) closed(ev *Event) {
+	e.pace.ended(e.now, ev.ID, ev.Outcome == Handled)
 	if m := e.byID[ev.ID]; m != nil && m.phase == having {
 		if m.alone {
 			e.forget(m)
--- a/internal/fleetwire/fleetwire.go
+++ b/internal/fleetwire/fleetwire.go
@@ -4,6 +4,7 @@
 package fleetwire
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -52,6 +53,8 @@
 
 	// Estate answers what others say of open work, if anything: by any goroutine, and no longer than the caller waits.
 	Estate func(ctx context.Context, data []byte) ([]byte, error)
+	// Word takes a datagram of open work, if anything does: data begins behind what marks it as one, is the callee's, and it must not wait.
+	Word func(from netip.AddrPort, data []byte)
 
 	view    *members.View
 	council Council
@@ -231,6 +234,23 @@
 	})
 }
 
+// wordMark is what a datagram of open work begins with; one of the view begins with other letters.
+var wordMark = []byte("LE1")
+
+// MostWord is how long the data of a Tell may be.
+const MostWord = mostDatagram - 3
+
+// Tell sends a datagram of open work. It never waits long: what the system can't take is lost.
+func (c *Carrier) Tell(to netip.AddrPort, data []byte) {
+	if len(data) > MostWord {
+		c.Dropped.Add(1)
+		return
+	}
+	if _, err := c.udp.WriteToUDPAddrPort(append(append(make([]byte, 0, len(wordMark)+len(data)), wordMark...), data...), to); err != nil {
+		c.Dropped.Add(1)
+	}
+}
+
 // listen takes datagrams.
 func (c *Carrier) listen() {
 	var b [mostDatagram + 1]byte
@@ -244,6 +264,12 @@
 			continue
 		}
 		data, at := append([]byte(nil), b[:n]...), netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String()
+		if bytes.HasPrefix(data, wordMark) {
+			if c.Word != nil {
+				c.Word(from, data[len(wordMark):])
+			}
+			continue
+		}
 		select {
 		case c.calls <- func(now float64) { c.step(now, &members.Event{Kind: members.Heard, From: at, Data: data}) }:
 		case <-c.done:
--- a/internal/installation/installation.go
+++ b/internal/installation/installation.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"maps"
+	"runtime"
 
 	"github.com/sirupsen/logrus"
 
@@ -74,6 +75,10 @@
 	return i.openDoor()
 }
 
+// syncSlots is how many of the runtime's slots syncs of a disk may occupy: a thread in a sync keeps its slot until the runtime notices,
+// and what is ready to run would wait for the disk meanwhile. It is no more processor time: a sync takes none.
+const syncSlots = 2
+
 func (i *Installation) openStore(d *desk.Desk, given rules.Given, clock desk.Clock) error {
 	s, log := i.file.Store, i.log
 	if s == nil {
@@ -92,6 +97,7 @@
 		log.WithField("why", found.Why).Warn("store: the last records may be missing")
 	}
 	i.keep = k
+	runtime.GOMAXPROCS(runtime.GOMAXPROCS(0) + syncSlots)
 	return nil
 }
 
--- /dev/null
+++ b/internal/lab/orphans.go
@@ -0,0 +1,263 @@
+package lab
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"liftshift/internal/estate"
+	"liftshift/internal/fleetwire"
+	"liftshift/internal/members"
+	"liftshift/internal/rehearse"
+	"liftshift/internal/seat"
+	"liftshift/internal/standin"
+	"liftshift/rules"
+)
+
+const (
+	orphansUsual = 20_000
+	orphanLimit  = 90 * time.Second // the hard limit of orphans: nothing is lost for want of time
+	orphanBatch  = 100
+	ownClients   = 10
+	ownPause     = 5 * time.Millisecond
+	ownBefore    = 12 * time.Second
+	engineCores  = 8
+	engineRoom   = 4 * engineCores // as many as the settings' highest level allows of one thread's work
+)
+
+// leaver is a member in this program that has searches kept by the others, as a controller does, and is then cut off.
+type leaver struct {
+	carrier *fleetwire.Carrier
+	seat    *seat.Seat
+	self    estate.Member
+	roll    atomic.Pointer[seat.Roll]
+}
+
+func joinLeaver(f *rehearse.Fleet, k int) (*leaver, error) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	l := &leaver{self: estate.Member{Name: fmt.Sprint("c", k), Life: uint64(time.Now().UnixMilli())}}
+	l.carrier = fleetwire.New(f.Relay.Listen(k), log)
+	given := rules.Given{"voters": 3.0, "probe_ms": 200.0, "answer_ms": 80.0, "suspect_ms": 800.0, "lease_ms": 2000.0, "declare_ms": 500.0, "replace_ms": 15000.0}
+	view := members.New(l.carrier.Now(), "rehearsal", members.Member{Name: l.self.Name, Life: l.self.Life, Address: f.Relay.Known(k), Zone: "z0", Version: 1},
+		[]string{f.Relay.Known(0), f.Relay.Known(1)}, given, 5)
+	var err error
+	if l.seat, err = seat.New(l.carrier, view, nil, []string{"c0", "c1", "c2"}, given, 5, log); err != nil {
+		return nil, err
+	}
+	l.seat.Rolled = func(r seat.Roll) { l.roll.Store(&r) }
+	if err := l.carrier.Start(view, l.seat); err != nil {
+		return nil, err
+	}
+	l.carrier.Mark(members.Ready)
+	for began := time.Now(); ; time.Sleep(20 * time.Millisecond) {
+		if r := l.roll.Load(); r != nil && l.seat.Held() && len(r.Table.Parts) > 0 {
+			return l, nil
+		}
+		if time.Since(began) > 20*time.Second {
+			return nil, fmt.Errorf("%s is not let in", l.self.Name)
+		}
+	}
+}
+
+// keep has so many labelled searches kept by all that sit, none of them sent.
+func (l *leaver) keep(f *rehearse.Fleet, n int) error {
+	r := l.roll.Load()
+	var wait sync.WaitGroup
+	var failed atomic.Pointer[error]
+	for to := range len(f.Controllers) - 1 {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for from := 0; from < n; from += orphanBatch {
+				b := &estate.Batch{From: l.self, Version: r.Table.Version}
+				for k := from; k < min(n, from+orphanBatch); k++ {
+					w := estate.Work{ID: fmt.Sprintf("orphan-%d", k), Mark: fmt.Sprintf("o%d", k), Offering: "mark", NeedMB: 1, WorkMS: 5, Body: []byte(`"c2VsZWN0IDE="`)}
+					b.Items = append(b.Items, estate.Item{Op: estate.Register, Key: estate.KeyOf(w.Mark, ""), Number: 1, From: l.self,
+						Copy: &estate.Copy{Work: w, Owner: l.self, Number: 1, Until: l.carrier.Now() + float64(orphanLimit.Milliseconds()), Whole: true}})
+				}
+				data, err := l.carrier.CallNow(f.Relay.Known(to), fleetwire.EstateMethod, b.Append(nil, l.carrier.Now()))
+				var back *estate.Batch
+				if err == nil {
+					back, err = estate.ReadBatch(data, 0)
+				}
+				if err == nil && (back.Behind || len(back.Items) != len(b.Items) || back.Items[0].Op != estate.Kept) {
+					err = fmt.Errorf("c%d does not keep them: %+v", to, back)
+				}
+				if err != nil {
+					failed.Store(&err)
+					return
+				}
+			}
+		}()
+	}
+	wait.Wait()
+	if err := failed.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
+
+// own has clients look things up at all controllers, and gives a call that ends them and tells how long they took, with when each began.
+func own(f *rehearse.Fleet, controllers int) func() (at []time.Time, ms []float64, failed int) {
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	var at []time.Time
+	var ms []float64
+	failed, stop := 0, make(chan struct{})
+	for w := range ownClients {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			c, err := standin.Dial(f.Controllers[w%controllers].Client, time.Second)
+			for k := 0; err == nil; k++ {
+				select {
+				case <-stop:
+					c.Close()
+					return
+				case <-time.After(ownPause):
+				}
+				began := time.Now()
+				var a standin.Answer
+				a, err = c.Search("look", fmt.Sprintf("own-%d-%d", w, k), "", 5*time.Second)
+				mu.Lock()
+				if at, ms = append(at, began), append(ms, time.Since(began).Seconds()*1000); err != nil || a.Code != 0 {
+					failed++
+				}
+				mu.Unlock()
+			}
+		}()
+	}
+	return func() ([]time.Time, []float64, int) {
+		close(stop)
+		all.Wait()
+		return at, ms, failed
+	}
+}
+
+// Orphans measures what thousands of searches of a lost controller do to those of its heirs' own clients, and to the executors. ORPHANS
+// sets how many.
+func Orphans(dir, programs string) ([]Figure, error) {
+	figures, add := collect()
+	n := number("ORPHANS", orphansUsual)
+	p := heirsPlan(dir, filepath.Join(programs, "liftshift"), "orphans", -1, 71)
+	p.Controllers, p.Works, p.Cores, p.Room = 6, map[string]time.Duration{"mark": 10 * time.Millisecond}, engineCores, engineRoom
+	f, err := rehearse.New(p)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	heirs := p.Controllers - 1
+	for k := range heirs {
+		if err := f.Start(k); err != nil {
+			return nil, err
+		}
+	}
+	if err := f.Ready(30 * time.Second); err != nil {
+		return nil, err
+	}
+	l, err := joinLeaver(f, heirs)
+	if err != nil {
+		return nil, err
+	}
+	defer l.carrier.Stop()
+	if err := l.keep(f, n); err != nil {
+		return nil, err
+	}
+	ended := own(f, heirs)
+	time.Sleep(ownBefore)
+	for _, e := range f.Engines {
+		e.Most()
+		e.Full.Store(0)
+	}
+	cut := time.Now()
+	f.Relay.Set(func(a, b int) rehearse.Link { return rehearse.Link{Cut: a == heirs || b == heirs} })
+	first, last, ran := adoption(f, n, cut)
+	at, ms, failed := ended()
+	var before, during []float64
+	for k := range at {
+		switch {
+		case at[k].Before(cut):
+			before = append(before, ms[k])
+		case !at[k].Before(first) && at[k].Before(last):
+			during = append(during, ms[k])
+		}
+	}
+	most, full, times := 0, 0, map[string]int{}
+	for _, e := range f.Engines {
+		most, full = max(most, e.Most()), full+int(e.Full.Load())
+	}
+	for _, r := range f.Memory.Runs() {
+		if r.Mark != "" {
+			times[r.Mark]++
+		}
+	}
+	twice := 0
+	for _, n := range times {
+		twice += n - 1
+	}
+	fmt.Printf("# own searches: %d before, median %.1f ms, p99 %.1f ms; %d during, median %.1f ms, p99 %.1f ms; %d not handled\n", len(before),
+		quantile(before, 0.5), quantile(before, 0.99), len(during), quantile(during, 0.5), quantile(during, 0.99), failed)
+	add("orphans_run", 100*float64(ran)/float64(n), fmt.Sprintf("%% of %d", n), ">=", 99)
+	add("orphans_run_twice", float64(twice), "", "==", 0)
+	add("orphans_a_second", float64(ran)/last.Sub(first).Seconds(), "1/s", ">=", 0)
+	add("own_late_p99_during", quantile(during, 0.99)/quantile(before, 0.99), "x before", "<=", 1.2)
+	add("own_not_handled", float64(failed), "", "==", 0)
+	add("executor_most_at_once", float64(most), fmt.Sprintf("of %d", engineRoom), "<=", engineRoom)
+	add("executor_full_answers", float64(full), "", "==", 0)
+	return *figures, nil
+}
+
+// adoption waits until all orphans have run, or nothing has for some seconds, and tells when it began and ended.
+func adoption(f *rehearse.Fleet, n int, cut time.Time) (first, last time.Time, ran int) {
+	for idle := time.Now(); time.Since(cut) < orphanLimit && time.Since(idle) < 20*time.Second && ran < n; time.Sleep(200 * time.Millisecond) {
+		seen := map[string]bool{}
+		for _, r := range f.Memory.Runs() {
+			if r.Mark == "" {
+				continue
+			}
+			if seen[r.Mark] = true; first.IsZero() {
+				first = r.At
+			}
+			last = r.At
+		}
+		if len(seen) > ran {
+			ran, idle = len(seen), time.Now()
+		}
+	}
+	return first, last, ran
+}
+
+// Control plays the faults in which a lease counts, with a program that does not look at its lease: the rounds must see that marks run twice.
+func Control(dir, _ string) ([]Figure, error) {
+	figures, add := collect()
+	programs := filepath.Join(dir, "lawless")
+	if out, err := exec.Command("go", "build", "-tags", "lawless", "-o", programs+"/", "liftshift/cmd/liftshift", "liftshift/cmd/liftshift-full").CombinedOutput(); err != nil {
+		return nil, fmt.Errorf("%w: %s", err, out)
+	}
+	usual := rehearse.Takeovers
+	defer func() { rehearse.Takeovers = usual }()
+	rehearse.Takeovers = []string{"asleep"}
+	n := number("CONTROL_ROUNDS", 12)
+	all, err := rounds(dir, filepath.Join(programs, "liftshift"), n)
+	if err != nil {
+		return nil, err
+	}
+	twice := slices.IndexFunc(all, func(r rehearse.Round) bool { return len(r.Twice) > 0 })
+	wrong := 0
+	for _, r := range all {
+		wrong += len(r.Twice) + len(r.Two)
+	}
+	fmt.Println("# without leases:", len(all), "rounds, first one that ran twice:", twice, "complaints:", wrong)
+	add("real_ran_twice_without_leases", float64(wrong), fmt.Sprintf("of %d rounds", len(all)), ">=", 1)
+	_ = os.RemoveAll(programs)
+	return *figures, nil
+}
--- a/internal/lab/takeover.go
+++ b/internal/lab/takeover.go
@@ -153,11 +153,14 @@
 	}
 	defer f.Close()
 	asked := 0.0
-	for r := range killRounds {
+	for r := range number("KILL_ROUNDS", killRounds) {
 		b, err := f.KilledInHand(fmt.Sprint("k", r), killSearches)
 		if err != nil {
 			return 0, 0, 0, 0, nil, err
 		}
+		for _, n := range b.NotHandled {
+			fmt.Println("# not handled:", n)
+		}
 		asked, handled, twice = asked+killSearches, handled+float64(b.Handled), twice+float64(len(b.Twice))
 		unsent, sent = unsent+float64(b.Unsent), sent+float64(b.Sent)
 		if b.FirstShot > 0 {
@@ -223,7 +226,7 @@
 // holdsOf gives how long labelled shots are held, by condition, and the processor time of redoable searches with copies and without.
 func holdsOf(dir, program string) (disk, both, others, plain, copied float64, err error) {
 	var a, b, c, d, e []float64
-	for turn := range 5 {
+	for turn := range number("HOLD_TURNS", 5) {
 		for n, s := range []struct {
 			estate, offering string
 			to               *[]float64
@@ -231,7 +234,7 @@
 		}{{"", "mark", &a, false}, {"copies = 2\ncondition = \"disk and holders\"", "mark", &b, false}, {"copies = 2\ncondition = \"holders\"", "mark", &c, false},
 			{"", "look", &d, true}, {"copies = 2", "look", &e, true}} {
 			p := heirsPlan(dir, program, fmt.Sprintf("hold%d-%d", turn, n), 20*time.Second, uint64(60+turn*10+n))
-			p.Estate, p.WorkMS, p.Works = s.estate, 1, nil
+			p.Estate, p.WorkMS, p.Works, p.Direct = s.estate, 1, nil, true
 			f, wrong := opened(p)
 			if wrong != nil {
 				return 0, 0, 0, 0, 0, wrong
@@ -276,7 +279,9 @@
 	add := func(name string, value float64, unit, op string, want float64) {
 		figures = append(figures, Figure{"takeover." + name, value, unit, op, want})
 	}
-	add("bytes_a_copy", keeping(), "B", "<=", 1500)
+	a := keeping()
+	add("bytes_a_copy", a, "B", "<=", 1500)
+	add("memory_of_1e5_copies", a*1e5/(1<<20), "MB", "<=", 143)
 	twice, two, without, other, adopted := tales(stories)
 	unit := fmt.Sprintf("of %d histories, %d adopted", stories, adopted)
 	add("sim_ran_twice", float64(twice), unit, "==", 0)
@@ -287,58 +292,71 @@
 	return figures, nil
 }
 
-// Takeover measures it with real processes. TAKEOVER_ROUNDS sets how many rounds they play; 0: only
-// what copies cost is measured.
-func Takeover(dir, programs string) ([]Figure, error) {
-	var figures []Figure
-	add := func(name string, value float64, unit, op string, want float64) {
-		figures = append(figures, Figure{"takeover." + name, value, unit, op, want})
-		fmt.Println("#", figures[len(figures)-1])
-	}
-	n := roundsUsual
-	if v, err := strconv.Atoi(os.Getenv("TAKEOVER_ROUNDS")); err == nil {
-		n = v
-	}
-	program := filepath.Join(programs, "liftshift")
-	if n > 0 {
-		if err := inHand(dir, program, n, add); err != nil {
-			return figures, err
-		}
+// collect gives figures of taking over, and a way to add one.
+func collect() (figures *[]Figure, add func(name string, value float64, unit, op string, want float64)) {
+	figures = &[]Figure{}
+	return figures, func(name string, value float64, unit, op string, want float64) {
+		*figures = append(*figures, Figure{"takeover." + name, value, unit, op, want})
+		fmt.Println("#", (*figures)[len(*figures)-1])
 	}
-	disk, both, others, plain, copied, err := holdsOf(dir, program)
-	if err != nil {
-		return figures, err
+}
+
+// number is one of the environment's, or what is usual.
+func number(name string, usual int) int {
+	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return n
 	}
-	add("hold_disk_alone", disk, "ms", ">=", 0)
-	add("hold_disk_and_holders", both/disk, "x disk alone", "<=", 1.3)
-	add("hold_holders_alone", others/disk, "x disk alone", "<=", 1)
-	add("cpu_redoable_with_copies", copied/plain, "x without", "<=", 1.05)
-	return figures, nil
+	return usual
 }
 
-// inHand measures rounds of all faults, and controllers killed with work in hand.
-func inHand(dir, program string, n int, add func(name string, value float64, unit, op string, want float64)) error {
-	all, err := rounds(dir, program, n)
+// Takeover plays rounds of all faults with real processes. TAKEOVER_ROUNDS sets how many.
+func Takeover(dir, programs string) ([]Figure, error) {
+	figures, add := collect()
+	all, err := rounds(dir, filepath.Join(programs, "liftshift"), number("TAKEOVER_ROUNDS", roundsUsual))
 	if err != nil {
-		return err
+		return nil, err
 	}
-	real := map[string]float64{}
+	real, played := map[string]float64{}, map[string]int{}
 	for _, r := range all {
+		played[r.Kind]++
 		real["twice"] += float64(len(r.Twice))
 		real["two"] += float64(len(r.Two))
 		real["without"] += float64(len(r.Without))
 	}
+	fmt.Println("# rounds by fault:", played)
 	unit := fmt.Sprintf("of %d rounds", len(all))
 	add("real_ran_twice", real["twice"], unit, "==", 0)
 	add("real_two_answers", real["two"], unit, "==", 0)
 	add("real_without_outcome", real["without"], unit, "==", 0)
+	return *figures, nil
+}
+
+// Holds measures how long labelled shots are held, by what is to stand before they leave, and what copies of redoable searches cost.
+// The controllers reach one another without a relay. HOLD_TURNS sets how often each side is measured.
+func Holds(dir, programs string) ([]Figure, error) {
+	figures, add := collect()
+	disk, both, others, plain, copied, err := holdsOf(dir, filepath.Join(programs, "liftshift"))
+	if err != nil {
+		return nil, err
+	}
+	add("hold_disk_alone", disk, "ms", ">=", 0)
+	add("hold_disk_and_holders", both/disk, "x disk alone", "<=", 1.3)
+	add("hold_holders_alone", others/disk, "x disk alone", "<=", 1)
+	add("cpu_redoable_with_copies", copied/plain, "x without", "<=", 1.05)
+	return *figures, nil
+}
+
+// Kills measures what clients get whose controller is killed with their labelled searches in hand.
+func Kills(dir, programs string) ([]Figure, error) {
+	figures, add := collect()
+	program := filepath.Join(programs, "liftshift")
 	handled, again, unsent, sent, first, err := kills(dir, program, true)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	before, wasted, _, _, _, err := kills(dir, program, false)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	add("never_sent_at_the_kill_handled", 100*sent/max(1, unsent), fmt.Sprintf("%% of %.0f", unsent), ">=", 99)
 	add("first_shot_of_an_heir_median", quantile(first, 0.5)/promisedMS, "x promised", "<=", 1)
@@ -347,5 +365,5 @@
 	add("returned_once_handled_before", 100*before, "%", ">=", 0)
 	add("runs_wasted", again, "", "==", 0)
 	add("runs_wasted_before", wasted, "", ">=", 0)
-	return nil
+	return *figures, nil
 }
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -32,11 +32,13 @@
 	Store       bool
 	Seed        uint64
 	NoFleet     bool   // without the block fleet
+	Direct      bool   // no relay between them: no fault of links can be made
 	Fleet       string // further lines of the block fleet
 	WorkMS      float64
 	Estate      string        // lines of a block estate; empty: none
 	Drops       time.Duration // for which engines drop repeats of a mark, as the settings say, too; 0: the usual, short one, below 0: none
 	Works       map[string]time.Duration
+	Cores, Room int           // of an engine; 0: any number
 	Within      time.Duration // in which searches must have an outcome once the fleet is whole; 0: 5 s
 }
 
@@ -90,12 +92,12 @@
 			f.Close()
 		}
 	}()
-	if f.Relay, err = NewRelay(p.Controllers, p.Seed); err != nil {
+	if f.Relay, err = NewRelay(p.Controllers, p.Seed, p.Direct); err != nil {
 		return nil, err
 	}
 	for k := range max(1, p.Engines) {
 		e := &standin.Engine{Name: fmt.Sprint("s-", k), Place: fmt.Sprint("z", k%max(1, p.Zones)), Drops: 100 * time.Millisecond,
-			Work: time.Duration(p.WorkMS * float64(time.Millisecond)), Works: p.Works, Memory: f.Memory}
+			Work: time.Duration(p.WorkMS * float64(time.Millisecond)), Works: p.Works, Memory: f.Memory, Cores: p.Cores, Room: p.Room}
 		if p.Drops != 0 {
 			e.Drops = max(0, p.Drops)
 		}
--- a/internal/rehearse/relay.go
+++ b/internal/rehearse/relay.go
@@ -24,6 +24,7 @@
 // Relay carries what controllers say to one another. Each has an address that others know, in 127.2, and listens at one in 127.1.
 type Relay struct {
 	Messages, Bytes atomic.Uint64 // datagrams
+	Streamed        atomic.Uint64 // bytes over connections
 
 	mu     sync.Mutex
 	way    func(from, to int) Link
@@ -32,11 +33,17 @@
 	tcp    []net.Listener
 	conns  map[net.Conn][2]int
 	port   int
+	direct bool // controllers reach one another without it
 	wait   sync.WaitGroup
 }
 
 // Known gives the address by which others know a controller.
-func (r *Relay) Known(k int) string { return fmt.Sprintf("127.2.%d.%d:%d", k/200, 1+k%200, r.port) }
+func (r *Relay) Known(k int) string {
+	if r.direct {
+		return r.Listen(k)
+	}
+	return fmt.Sprintf("127.2.%d.%d:%d", k/200, 1+k%200, r.port)
+}
 
 // Listen gives the address at which a controller listens.
 func (r *Relay) Listen(k int) string { return fmt.Sprintf("127.1.%d.%d:%d", k/200, 1+k%200, r.port) }
@@ -47,9 +54,9 @@
 	return int(b[2])*200 + int(b[3]) - 1
 }
 
-// NewRelay returns a relay for n controllers.
-func NewRelay(n int, seed uint64) (*Relay, error) {
-	r := &Relay{chance: rand.New(rand.NewPCG(seed, 7)), conns: map[net.Conn][2]int{}, way: func(int, int) Link { return Link{} }}
+// NewRelay returns a relay for n controllers. A direct one is only the book of their addresses, for measurements: it carries nothing.
+func NewRelay(n int, seed uint64, direct bool) (*Relay, error) {
+	r := &Relay{direct: direct, chance: rand.New(rand.NewPCG(seed, 7)), conns: map[net.Conn][2]int{}, way: func(int, int) Link { return Link{} }}
 	for try := 0; ; try++ {
 		r.port = 10000 + int(r.chance.Uint32()%20000) // below those given to who calls: a listener that is killed finds its own again
 		err := r.listen(n)
@@ -62,6 +69,9 @@
 		}
 	}
 	for k := range n {
+		if direct {
+			break
+		}
 		r.wait.Add(2)
 		go r.datagrams(k)
 		go r.connections(k)
@@ -70,6 +80,17 @@
 }
 
 func (r *Relay) listen(n int) error {
+	if r.direct { // each port is tried, and left to the controllers
+		defer func() {
+			for _, l := range r.tcp {
+				_ = l.Close()
+			}
+			for _, u := range r.udp {
+				_ = u.Close()
+			}
+			r.tcp, r.udp = nil, nil
+		}()
+	}
 	for k := range n {
 		at := netip.MustParseAddrPort(r.Known(k))
 		u, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
@@ -183,7 +204,8 @@
 	r.mu.Unlock()
 	done := make(chan struct{}, 2)
 	pass := func(a, b net.Conn) {
-		_, _ = io.Copy(a, b)
+		n, _ := io.Copy(a, b)
+		r.Streamed.Add(uint64(n))
 		done <- struct{}{}
 	}
 	go pass(on, c)
--- a/internal/rehearse/takeover.go
+++ b/internal/rehearse/takeover.go
@@ -33,12 +33,14 @@
 	Returned, Handled int      // of those with a mark, once each elsewhere; and what came of it
 	Outcomes          map[string]int
 	FirstShot         time.Duration // from the fault to the first run of what was in hand and not yet sent; 0: there was none
+	NotHandled        []string      // that came again, and what they heard
 	Unsent, Sent      int           // labelled searches that had not been sent at a kill, and of those what ran by now
 }
 
 // inHand is a search of a round, as its client has it.
 type inHand struct {
 	id, mark, offering, first, second string
+	took                              time.Duration // the second time
 }
 
 // Ready waits until all that run know who sits where, and hold their leases.
@@ -182,7 +184,9 @@
 		go func() {
 			defer all.Done()
 			if s.first = f.one(owner, s.offering, s.id, s.mark, 0); s.first == "cut off" {
+				began := time.Now()
 				s.second = f.one(n%owner, s.offering, s.id+"b", s.mark, 0)
+				s.took = time.Since(began)
 			}
 		}()
 	}
@@ -311,6 +315,9 @@
 		if s.second != "" {
 			if r.Returned++; s.second == "handled" {
 				r.Handled++
+			} else {
+				r.NotHandled = append(r.NotHandled, fmt.Sprintf("%s: %s, then %s after %v, ran %d times, began before the fault: %v", name, s.first, s.second,
+					s.took.Round(time.Millisecond), times[name], early[name]))
 			}
 		}
 		r.Outcomes[s.offering+" "+s.first]++
--- a/internal/simfleet/estates.go
+++ b/internal/simfleet/estates.go
@@ -234,7 +234,13 @@
 	end, now := s.Ends[k], s.Local(k)
 	verdict = estate.Admit
 	effects := slices.Clone(end.Estate.Step(now, ev))
-	for _, e := range effects {
+	said := make([][]byte, len(effects)) // as it is at the end of the step, as the carriage does it
+	for n, e := range effects {
+		if e.Kind == estate.Say {
+			said[n] = e.Batch.Append(nil, now)
+		}
+	}
+	for n, e := range effects {
 		switch e.Kind {
 		case estate.Hold, estate.Forbid, estate.KeepBack:
 			verdict = e.Kind
@@ -275,7 +281,7 @@
 		case estate.Recall:
 			delete(end.open, e.ID)
 		case estate.Say:
-			s.say(k, e)
+			s.say(k, e, said[n])
 		case estate.Answer:
 			if reply := end.replies[e.Token]; reply != nil {
 				delete(end.replies, e.Token)
@@ -294,9 +300,8 @@
 }
 
 // say carries a batch as it goes over the wire, and what comes back.
-func (s *Estates) say(k int, e estate.Effect) {
+func (s *Estates) say(k int, e estate.Effect, data []byte) {
 	to, sent := s.named(e.To), e.Batch
-	data := sent.Append(nil, s.Local(k))
 	run := s.Nodes[k].run
 	failed := func() {
 		s.at(k, func() {
@@ -310,7 +315,7 @@
 		return
 	}
 	// What is answered late, or not, is lost to the one who asked; whoever was asked may do it all the same.
-	s.later(k, to, func() {
+	deliver := func() {
 		b, err := estate.ReadBatch(data, s.Local(to))
 		if err != nil {
 			s.Broken = append(s.Broken, err.Error())
@@ -333,9 +338,18 @@
 			}, nil)
 		}
 		s.play(to, &estate.Event{Kind: estate.Words, Batch: b, Token: end.tokens})
-	}, failed)
+	}
+	s.later(k, to, deliver, failed)
+	if s.chance.Float64() < doubled { // what went as a datagram comes again, or goes again by a call
+		s.At(s.Now+doubledMS*s.chance.Float64(), func() { s.later(k, to, deliver, nil) })
+	}
 }
 
+const (
+	doubled   = 0.03  // share of batches that come twice
+	doubledMS = 400.0 // by which the second is later: a lane's patience, and a call's
+)
+
 // ---- the module's stand-in
 
 func (s *Estates) begin(k int, x *search, prior bool) {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,6 +26,9 @@
 	Works  map[string]time.Duration // by offering, where that differs
 	Cores  int                      // that searches share by their priorities, 1 : 4 : 8 : 16; 0: any number
 	Memory *Memory                  // what it and others of its group remember
+	Room   int                      // searches at a time, past which it answers that it is full, where it has Cores; 0: any number
+	Full   atomic.Uint64            // such answers
+	most   int
 
 	jobs     map[*job]struct{}
 	stopped  chan struct{}
@@ -161,6 +165,10 @@
 					work = e.Works[v]
 				}
 			}
+			if e.filled() {
+				say(w[1], "full", "-")
+				break
+			}
 			e.Memory.run(Run{w[1], mark, e.Name, time.Now()}, e.Place, e.Drops)
 			done := func() {
 				mu.Lock()
@@ -241,6 +249,25 @@
 	return j
 }
 
+// filled tells whether there is no room for one more.
+func (e *Engine) filled() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.most = max(e.most, len(e.jobs)); e.Room == 0 || len(e.jobs) < e.Room {
+		return false
+	}
+	e.Full.Add(1)
+	return true
+}
+
+// Most gives how many searches it had at a time at most, since it was asked last.
+func (e *Engine) Most() (n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n, e.most = e.most, len(e.jobs)
+	return n
+}
+
 func (e *Engine) end(j *job) {
 	e.mu.Lock()
 	delete(e.jobs, j)
--- /dev/null
+++ b/internal/trustee/helpers_test.go
@@ -0,0 +1,129 @@
+package trustee
+
+import (
+	"io"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"liftshift/internal/chairs"
+	"liftshift/internal/desk"
+	"liftshift/internal/estate"
+	"liftshift/internal/fleetwire"
+	"liftshift/internal/members"
+	"liftshift/internal/standin"
+	"liftshift/rules"
+)
+
+// idle is a module that does nothing.
+type idle struct{}
+
+func (idle) Step(_ float64, _ *rules.Event, out []rules.Action) []rules.Action { return out }
+
+// ear is a part that keeps what the trustee's lines bring.
+type ear struct {
+	mu   sync.Mutex
+	came []answers
+}
+
+func (e *ear) Hear(_ float64, h *desk.Happening, out []desk.Follow) []desk.Follow {
+	if a, is := h.Note.(answers); is && h.Kind == desk.Told {
+		e.mu.Lock()
+		e.came = append(e.came, a)
+		e.mu.Unlock()
+	}
+	return out
+}
+
+func (e *ear) answers() []answers {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]answers(nil), e.came...)
+}
+
+// end is a trustee on a carriage of its own.
+type end struct {
+	trustee *Trustee
+	carrier *fleetwire.Carrier
+	desk    *desk.Desk
+	at      string
+	deaf    atomic.Bool // to datagrams
+	stops   sync.Once
+}
+
+func (e *end) stop() { e.stops.Do(e.carrier.Stop) }
+
+var names = []string{"a", "b", "c"}
+
+// open starts one; its desk's part is given, or is the trustee itself, which sits everywhere and holds its lease.
+func open(t *testing.T, name string, part desk.Part) *end {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	at, err := standin.Spot()
+	require.NoError(t, err)
+	clock := desk.NewClock()
+	e := &end{carrier: fleetwire.New(at, log), desk: desk.New(clock, idle{}, log), at: at}
+	given := rules.Given{"offering.0.name": "mark", "offering.0.effect": "labelled", "offering.0.window_ms": 20e3, "offering.0.limit_ms": 5e3}
+	e.trustee = New(estate.Member{Name: name, Life: 1}, given, 1, e.desk, clock, e.carrier, log)
+	e.trustee.held = func() bool { return true }
+	e.trustee.listen()
+	hear := e.carrier.Word
+	e.carrier.Word = func(from netip.AddrPort, data []byte) {
+		if !e.deaf.Load() {
+			hear(from, data)
+		}
+	}
+	if part == nil {
+		part = e.trustee
+	}
+	e.desk.Join(part)
+	view := members.New(e.carrier.Now(), "test", members.Member{Name: name, Life: 1, Address: at}, []string{at}, rules.Given{"probe_ms": 60e3, "answer_ms": 30e3, "suspect_ms": 120e3}, 1)
+	require.NoError(t, e.carrier.Start(view, nil))
+	go e.desk.Run()
+	t.Cleanup(func() {
+		e.stop()
+		e.desk.Stop()
+		e.trustee.Close()
+	})
+	if part == e.trustee {
+		var places []chairs.Place
+		for _, n := range names {
+			places = append(places, chairs.Place{Name: n, Life: 1})
+		}
+		var table chairs.Table
+		table.Reseat(places, 1)
+		table.Step = 1
+		e.desk.Do(func(now float64) {
+			e.trustee.Step(now, &estate.Event{Kind: estate.Seated, Places: places, Table: &table})
+		})
+	}
+	return e
+}
+
+// pair is one that says things and hears what comes back, and one that answers.
+func pair(t *testing.T) (a, b *end, heard *ear) {
+	heard = &ear{}
+	b = open(t, "b", nil)
+	a = open(t, "a", heard)
+	a.trustee.addresses.Store(&map[string]string{"b": b.at})
+	return a, b, heard
+}
+
+// ask says words that ask for so many keys.
+func (e *end) ask(keys ...string) {
+	b := &estate.Batch{From: estate.Member{Name: "a", Life: 1}, Version: 1}
+	for _, k := range keys {
+		b.Items = append(b.Items, estate.Item{Op: estate.Ask, Key: estate.KeyOf(k, "")})
+	}
+	e.trustee.say("b", b, e.trustee.clock.Now())
+}
+
+func (e *ear) waits(t *testing.T, n int) []answers {
+	require.Eventually(t, func() bool { return len(e.answers()) >= n }, 3*time.Second, time.Millisecond)
+	return e.answers()
+}
--- a/internal/trustee/trustee.go
+++ b/internal/trustee/trustee.go
@@ -1,6 +1,7 @@
 // Package trustee carries what a controller's estate says to other controllers, and brings it what they say, what its own desk does and
-// what the council agrees on. It decides nothing. The estate belongs to the desk's goroutine; words to others line up for a goroutine
-// a member, which has one call under way at a time, so that what waits meanwhile goes together.
+// what the council agrees on. It decides nothing of what is kept or taken over. The estate belongs to the desk's goroutine; words to others
+// line up for a goroutine a member, which sends them as datagrams where these get through (lane.go), else has one call under way at a
+// time, so that what waits meanwhile goes together.
 package trustee
 
 import (
@@ -37,6 +38,7 @@
 	clock   desk.Clock
 	carrier *fleetwire.Carrier
 	seat    *seat.Seat
+	held    func() bool // of the lease; nil: there is none yet
 	log     logrus.FieldLogger
 	name    string
 
@@ -50,18 +52,14 @@
 
 	addresses atomic.Pointer[map[string]string]
 	mu        sync.Mutex
-	lines     map[string]chan said
+	lines     map[string]*line
 	stop      chan struct{}
+	flights   sync.Map // by number: words that went as a datagram and are not answered
+	number    atomic.Uint64
+	replied   chan reply
 
-	Dropped, Calls, Failed atomic.Uint64
-	counts                 atomic.Pointer[estate.Counts]
-}
-
-// said is a batch that waits for its call.
-type said struct {
-	batch *estate.Batch
-	data  []byte
-	at    float64
+	Dropped, Calls, Failed, Datagrams, Silent atomic.Uint64
+	counts                                    atomic.Pointer[estate.Counts]
 }
 
 // What reaches the estate by the desk's queue.
@@ -86,22 +84,29 @@
 func New(self estate.Member, given rules.Given, seed uint32, d *desk.Desk, clock desk.Clock, carrier *fleetwire.Carrier, log logrus.FieldLogger) *Trustee {
 	return &Trustee{estate: estate.New(self, given, seed), desk: d, clock: clock, carrier: carrier, log: log, name: self.Name,
 		where: map[uint32]rules.Entry{}, replies: map[uint64]func([]byte, error){}, questions: map[uint64]*desk.Question{},
-		lines: map[string]chan said{}, stop: make(chan struct{})}
+		lines: map[string]*line{}, stop: make(chan struct{}), replied: make(chan reply, lineRoom)}
 }
 
 // Begin has the trustee hear of the council and of others, once they are there.
 func (t *Trustee) Begin(s *seat.Seat) {
-	t.seat = s
+	t.seat, t.held = s, s.Held
 	s.Rolled = func(r seat.Roll) {
 		t.addresses.Store(&r.Addresses)
 		go t.desk.Put(desk.Item{Note: rolled{r}})
 	}
 	s.Relived = func(life uint64) { go t.desk.Put(desk.Item{Note: relived{life}}) }
-	t.carrier.Estate = t.heard
+	t.listen()
+}
+
+// listen has it hear what others say.
+func (t *Trustee) listen() {
+	t.carrier.Estate, t.carrier.Word = t.heard, t.heardWord
+	t.number.Store(uint64(t.clock.Now()) << 20) // no answer to an earlier life is taken for one to this
+	go t.answerWords()
 }
 
 // Held tells whether this controller may act on its lease at this moment. It may be called from any goroutine.
-func (t *Trustee) Held() bool { return t.seat != nil && (lawless || t.seat.Held()) }
+func (t *Trustee) Held() bool { return t.held != nil && (lawless || t.held()) }
 
 // heard takes what another member says; any goroutine calls it.
 func (t *Trustee) heard(ctx context.Context, data []byte) ([]byte, error) {
@@ -147,7 +152,8 @@
 		"written_off": c.WrittenOff, "dropped": c.Dropped, "mine": c.Mine, "waiting": c.Waiting, "registered": c.Registered, "waited": c.Waited,
 		"told": c.Told, "refused": c.Refused, "withheld": c.Withheld, "alone": c.Alone, "claims": c.Claims, "taken": c.Taken,
 		"taken_done": c.TakenDone, "late": c.Late, "words": c.Words, "lost": c.Lost, "pulled": c.Pulled, "calls": t.Calls.Load(),
-		"calls_failed": t.Failed.Load(), "lined_up_too_long": t.Dropped.Load()}
+		"calls_failed": t.Failed.Load(), "lined_up_too_long": t.Dropped.Load(),
+		"datagrams": t.Datagrams.Load(), "datagrams_unanswered": t.Silent.Load()}
 }
 
 // ---- as a part of the desk
@@ -329,111 +335,3 @@
 func (nobody) Handled(uint64, []byte) {}
 func (nobody) Denied(uint64, float64) {}
 func (nobody) WrittenOff(uint64)      {}
-
-// ---- lines
-
-// say lines up a batch for a member; it never waits.
-func (t *Trustee) say(to string, b *estate.Batch, now float64) {
-	line := t.line(to)
-	s := said{b, b.Append(nil, now), now}
-	select {
-	case line <- s:
-	default:
-		t.Dropped.Add(1)
-	}
-}
-
-func (t *Trustee) line(to string) chan said {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	line := t.lines[to]
-	if line == nil {
-		if len(t.lines) >= mostLines { // members that were
-			for name, old := range t.lines {
-				close(old)
-				delete(t.lines, name)
-				break
-			}
-		}
-		line = make(chan said, lineRoom)
-		t.lines[to] = line
-		go t.run(to, line)
-	}
-	return line
-}
-
-// run carries a line: one call at a time, with all that waits for it.
-func (t *Trustee) run(to string, line chan said) {
-	var next *said
-	for {
-		var first said
-		if next != nil {
-			first, next = *next, nil
-		} else {
-			select {
-			case s, open := <-line:
-				if !open {
-					return
-				}
-				first = s
-			case <-t.stop:
-				return
-			}
-		}
-		if t.clock.Now() > first.at+staleMS {
-			t.Dropped.Add(1)
-			continue
-		}
-		sent := *first.batch
-		sent.Items = append([]estate.Item(nil), sent.Items...)
-		data := first.data
-	more:
-		for len(data) < mostBatch {
-			select {
-			case s, open := <-line:
-				if !open {
-					break more
-				}
-				if s.batch.Version != sent.Version || s.batch.From != sent.From || t.clock.Now() > s.at+staleMS {
-					next = &s
-					break more
-				}
-				data = append(data, s.data...) // read as one: what repeats adds up, of the rest the last counts
-				sent.Items = append(sent.Items, s.batch.Items...)
-			default:
-				break more
-			}
-		}
-		t.Calls.Add(1)
-		back := t.call(to, data)
-		select {
-		case <-t.stop:
-			return
-		default:
-			t.desk.Put(desk.Item{Note: answers{to, &sent, back}})
-		}
-	}
-}
-
-func (t *Trustee) call(to string, data []byte) *estate.Batch {
-	at := ""
-	if all := t.addresses.Load(); all != nil {
-		at = (*all)[to]
-	}
-	if at == "" {
-		t.Failed.Add(1)
-		time.Sleep(20 * time.Millisecond)
-		return nil
-	}
-	reply, err := t.carrier.CallNow(at, fleetwire.EstateMethod, data)
-	if err != nil {
-		t.Failed.Add(1)
-		return nil
-	}
-	b, err := estate.ReadBatch(reply, t.clock.Now())
-	if err != nil {
-		t.Failed.Add(1)
-		return nil
-	}
-	return b
-}
