--- a/internal/lab/orphans.go
+++ b/internal/lab/orphans.go
@@ -164,6 +164,11 @@
 	if err := f.Ready(30 * time.Second); err != nil {
 		return nil, err
 	}
+	said := f.Relay.Bytes.Load() + f.Relay.Streamed.Load()
+	if _, _, err := mill(f, "mark", "bytes"); err != nil {
+		return nil, err
+	}
+	add("bytes_a_labelled_search", float64(f.Relay.Bytes.Load()+f.Relay.Streamed.Load()-said)/millSearches, "B over all ways", ">=", 0)
 	l, err := joinLeaver(f, heirs)
 	if err != nil {
 		return nil, err
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -251,6 +251,12 @@
 	return nil
 }
 
+// Gone has the list tell that an engine is gone, and ends it.
+func (f *Fleet) Gone(k int) error {
+	defer f.Engines[k].Stop()
+	return f.list.Tell(f.Engines[k], "Gone")
+}
+
 // Undrained gives the runs that began at an engine past the grace after it was told to be leaving.
 func Undrained(runs []standin.Run, drained map[string]time.Time) (wrong []string) {
 	for _, r := range runs {
--- a/internal/rehearse/relay.go
+++ b/internal/rehearse/relay.go
@@ -185,6 +185,14 @@
 	}
 }
 
+// counted counts bytes.
+type counted struct{ n *atomic.Uint64 }
+
+func (c counted) Write(b []byte) (int, error) {
+	c.n.Add(uint64(len(b)))
+	return len(b), nil
+}
+
 func (r *Relay) connection(from, k int, c net.Conn) {
 	defer c.Close()
 	r.mu.Lock()
@@ -204,8 +212,7 @@
 	r.mu.Unlock()
 	done := make(chan struct{}, 2)
 	pass := func(a, b net.Conn) {
-		n, _ := io.Copy(a, b)
-		r.Streamed.Add(uint64(n))
+		_, _ = io.Copy(a, io.TeeReader(b, counted{&r.Streamed}))
 		done <- struct{}{}
 	}
 	go pass(on, c)
--- a/internal/rehearse/takeover_test.go
+++ b/internal/rehearse/takeover_test.go
@@ -169,3 +169,41 @@
 	assert.Empty(t, ranTwice(f))
 	assert.Len(t, f.Memory.Runs(), ran, "nothing is sent again")
 }
+
+// A controller is killed while the whole group of a third of its labelled searches begins to leave, and that of another third is gone from
+// the list. What may have run there is sent nowhere else; no run begins at one that leaves past its grace; what was never sent goes to
+// those that stay; all has one outcome.
+func TestAdoptedWorkAndLeavingGroups(t *testing.T) {
+	f := rehearsal(t, Plan{Controllers: 5, Engines: 3, Zones: 3, Founders: 3, Store: true, Fleet: quick, Estate: "copies = 2", Drops: 20 * time.Second,
+		WorkMS: 10, Works: map[string]time.Duration{"mark": 1500 * time.Millisecond}})
+	settles(t, f, "all join")
+	chaired(t, f)
+	first := asks(f, 4, 30, "mark", "a", true)
+	time.Sleep(500 * time.Millisecond)
+	sent := map[string]string{}
+	for _, r := range f.Memory.Runs() {
+		sent[r.Mark] = r.Engine
+	}
+	f.Kill(4)
+	require.NoError(t, f.Drain(0))
+	require.NoError(t, f.Gone(1))
+	assert.Equal(t, 30, count(first())["cut off"])
+	counts := count(asks(f, 0, 30, "mark", "b", true)())
+	t.Logf("%d sent at the kill, clients that came again: %v", len(sent), counts)
+	assert.Zero(t, counts["cut off"])
+	assert.Empty(t, ranTwice(f))
+	assert.Empty(t, Undrained(f.Memory.Runs(), f.drained))
+	known := map[string]int{}
+	for w := range 30 {
+		told := f.Outcome(1, "", fmt.Sprint("m", w))
+		known[told]++
+		assert.Contains(t, []string{"handled", "written_off", "denied"}, told)
+	}
+	t.Logf("told: %v", known)
+	assert.GreaterOrEqual(t, known["handled"], counts["handled"])
+	for _, r := range f.Memory.Runs() {
+		if at, before := sent[r.Mark]; before {
+			assert.Equal(t, at, r.Engine, "it may have run there, and nowhere else")
+		}
+	}
+}
