--- a/cmd/liftshift-full/main.go
+++ b/cmd/liftshift-full/main.go
@@ -68,6 +68,6 @@
 	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage{err} })
 	cmd.PersistentFlags().String("file", os.Getenv("LIFTSHIFT_FILE"), "the operators' own file (HCL); without one nothing of it is on")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error { return serve(cmd, reload) }
-	cmd.AddCommand(serveCommand(reload), checkCommand(), versionCommand(), storeCommand(), budgetsCommand(), waitsCommand(), topCommand(), membersCommand(), councilCommand(), estateCommand(), rehearseCommand())
+	cmd.AddCommand(serveCommand(reload), checkCommand(), versionCommand(), storeCommand(), budgetsCommand(), waitsCommand(), topCommand(), membersCommand(), councilCommand(), estateCommand(), zonesCommand(), rehearseCommand())
 	return cmd
 }
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -534,6 +534,9 @@
 	if r.Chairs.Copies > 0 {
 		c.do(Effect{Kind: Reseated})
 	}
+	if r.Number > 0 || len(r.Orders) > 0 {
+		c.do(Effect{Kind: Replanned})
+	}
 }
 
 // Roll gives the places and a copy of the table of chairs, where anybody keeps copies.
--- a/internal/council/lead.go
+++ b/internal/council/lead.go
@@ -68,7 +68,7 @@
 		return Reply{Verdict: NotYet}
 	}
 	c.granted[a.name] = c.now + c.leaseMS*(1+drift)
-	return Reply{Verdict: Granted, Leader: c.name, Term: p.Term, Step: c.record.Chairs.Step}
+	return Reply{Verdict: Granted, Leader: c.name, Term: p.Term, Step: c.record.Chairs.Step, Number: c.record.Number}
 }
 
 // ---- who is in, and who is lost
@@ -322,6 +322,9 @@
 	case ev.Reply.Verdict == Granted:
 		c.leader = ev.Reply.Leader
 		c.until = max(c.until, c.askedAt+c.leaseMS*(1-drift))
+		if ev.Reply.Number > 0 {
+			c.do(Effect{Kind: Confirmed, Number: ev.Reply.Number, At: c.askedAt})
+		}
 	case ev.Reply.Verdict == NotLeader:
 		c.leader, c.askAt = ev.Reply.Leader, soon
 		c.tries++
--- a/internal/council/record.go
+++ b/internal/council/record.go
@@ -13,7 +13,7 @@
 
 // entry is one thing that is agreed.
 type entry struct {
-	Kind    string // "in", "lost", "left"; of the chairs: "copies", "ready", "claim", "settled", "anew"
+	Kind    string // "in", "lost", "left"; of the chairs: "copies", "ready", "claim", "settled", "anew"; "plan", "order"
 	Name    string
 	Life    uint64
 	Address string `json:",omitempty"`
@@ -24,6 +24,9 @@
 	Mask     uint32 `json:",omitempty"`
 	Version  uint64 `json:",omitempty"`
 	Copies   int    `json:",omitempty"`
+	// Of a plan or an order: Name is what it is about; without Data it is taken back.
+	Number uint64          `json:",omitempty"`
+	Data   json.RawMessage `json:",omitempty"`
 }
 
 // Motion makes what a member may propose: that its chairs know all (ready), a claim, its end (settled), or that parts begin anew.
@@ -32,6 +35,40 @@
 	return data
 }
 
+// PlanMotion makes a plan that is to follow the one numbered one less; OrderMotion an operator's order, or takes it back.
+func PlanMotion(number uint64, plan []byte) []byte {
+	data, _ := json.Marshal(&entry{Kind: "plan", Number: number, Data: plan})
+	return data
+}
+
+// OrderMotion makes an operator's order about something, or takes it back: no data.
+func OrderMotion(about string, order []byte) []byte {
+	data, _ := json.Marshal(&entry{Kind: "order", Name: about, Data: order})
+	return data
+}
+
+// replan takes in a plan or an order, and tells whether that changed anything. A plan that follows another one than is there is late.
+func (r *Record) replan(e *entry) bool {
+	switch {
+	case e.Kind == "plan" && e.Number == r.Number+1 && len(e.Data) > 0 && len(e.Data) <= mostPlan:
+		r.Plan, r.Number = e.Data, e.Number
+		return true
+	case e.Kind != "order" || len(e.Name) > mostPlanText:
+		return false
+	case len(e.Data) == 0:
+		_, was := r.Orders[e.Name]
+		delete(r.Orders, e.Name)
+		return was
+	case r.Orders[e.Name] == nil && len(r.Orders) >= mostOrders:
+		return false
+	}
+	if r.Orders == nil {
+		r.Orders = map[string]json.RawMessage{}
+	}
+	r.Orders[e.Name] = e.Data
+	return true
+}
+
 // proposed takes what a member wants agreed. It is checked when it is applied.
 func (c *Council) proposed(data []byte) {
 	var e entry
@@ -39,7 +76,7 @@
 		return
 	}
 	switch e.Kind {
-	case "ready", "claim", "settled", "anew":
+	case "ready", "claim", "settled", "anew", "plan", "order":
 		c.propose(e)
 	}
 }
@@ -115,6 +152,12 @@
 		if len(e.GetData()) == 0 || json.Unmarshal(e.GetData(), &n) != nil {
 			return
 		}
+		if n.Kind == "plan" || n.Kind == "order" {
+			if c.record.replan(&n) {
+				c.do(Effect{Kind: Replanned})
+			}
+			return
+		}
 		p, changed := c.record.enter(&n)
 		if changed {
 			c.told(n.Name, p)
--- a/internal/council/types.go
+++ b/internal/council/types.go
@@ -9,6 +9,7 @@
 package council
 
 import (
+	"encoding/json"
 	"hash/fnv"
 	"sort"
 
@@ -18,23 +19,27 @@
 )
 
 const (
-	leaseMS     = 6000 // how long a controller may act without the council; two elections and a restart fit in
-	declareMS   = 2000 // gone for so long before it is declared lost
-	renewals    = 3    // askings in the time of a lease
-	drift       = 2e-3 // by which two clocks may run apart, doubled for safety
-	heartMS     = 100  // between heartbeats of the leader
-	electMS     = 800  // without one until an election begins, at least: eight heartbeats
-	answerMS    = 600  // until an asking counts as lost
-	lookMS      = 200  // between the leader's looks at who is there
-	helloMS     = 500  // between askings of the other founders
-	replaceMS   = 15e3 // gone for so long before a voter is replaced: longer than a restart
-	caughtUp    = 16   // entries that a newcomer may lack to be made a voter
-	keepLog     = 512  // entries past which the log is made into a snapshot
-	keepTail    = 64   // entries that are kept behind it, for those that are a little late
-	mostIn      = 128  // lives proposed to be let in at a look: a fleet that starts at once does not fill the log
-	mostOpen    = 1024 // askings for leases that wait at the leader
-	mostKept    = 8192 // names in the record
-	mostCallers = 32   // voters that are remembered by number: seven, and those that were
+	leaseMS    = 6000 // how long a controller may act without the council; two elections and a restart fit in
+	declareMS  = 2000 // gone for so long before it is declared lost
+	renewals   = 3    // askings in the time of a lease
+	drift      = 2e-3 // by which two clocks may run apart, doubled for safety
+	heartMS    = 100  // between heartbeats of the leader
+	electMS    = 800  // without one until an election begins, at least: eight heartbeats
+	answerMS   = 600  // until an asking counts as lost
+	lookMS     = 200  // between the leader's looks at who is there
+	helloMS    = 500  // between askings of the other founders
+	replaceMS  = 15e3 // gone for so long before a voter is replaced: longer than a restart
+	caughtUp   = 16   // entries that a newcomer may lack to be made a voter
+	keepLog    = 512  // entries past which the log is made into a snapshot
+	keepTail   = 64   // entries that are kept behind it, for those that are a little late
+	mostIn     = 128  // lives proposed to be let in at a look: a fleet that starts at once does not fill the log
+	mostOpen   = 1024 // askings for leases that wait at the leader
+	mostKept   = 8192 // names in the record
+	mostOrders = 64   // of operators
+	mostPlan   = 1 << 20
+
+	mostPlanText = 80 // bytes of what an order is about
+	mostCallers  = 32 // voters that are remembered by number: seven, and those that were
 )
 
 // Place is one controller in the record.
@@ -61,6 +66,9 @@
 	Founding []Voter
 	Declared uint64 // lives declared lost so far
 	Chairs   chairs.Table
+	Plan     json.RawMessage            `json:",omitempty"` // how far searches may go, as package zones has it; the council does not read it
+	Number   uint64                     `json:",omitempty"` // of the plan: each is one later than the one before
+	Orders   map[string]json.RawMessage `json:",omitempty"` // of operators, by what they are about
 }
 
 // Identity gives the number under which a member votes with a folder. Without that folder it votes under another, so that nobody
@@ -140,6 +148,7 @@
 	Leader  string // who is asked next, where it is known
 	Term    uint64 // of the name
 	Step    uint64 // of the table of chairs
+	Number  uint64 // of the plan that was in force after it was asked
 }
 
 // EffectKind tells what an effect is.
@@ -147,20 +156,22 @@
 
 // Effects.
 const (
-	Keep     EffectKind = iota // on disk, before anything that follows from it; Stored brings back the Token
-	Say                        // Data to the voter To
-	Ask                        // the council for a lease, at To by name; Replied brings the answer, or Failed
-	Answer                     // Reply to the asking with this Token
-	Greet                      // the member To; Met brings its Hello
-	Declared                   // Name's Life is lost, in Term; told once by each that holds the record
-	Admitted                   // Name's Life is in, in Term
-	Lease                      // Held is another now
-	Dethrone                   // this life has been declared lost: go on as another
-	Led                        // who leads is another now: Name, or nobody
-	Founded                    // the council is there
-	Reseated                   // the table of chairs, or who is lost, is another now
-	Doomed                     // the leader has proposed that Name's Life be lost
-	Broken                     // this voter can't go on: Why
+	Keep      EffectKind = iota // on disk, before anything that follows from it; Stored brings back the Token
+	Say                         // Data to the voter To
+	Ask                         // the council for a lease, at To by name; Replied brings the answer, or Failed
+	Answer                      // Reply to the asking with this Token
+	Greet                       // the member To; Met brings its Hello
+	Declared                    // Name's Life is lost, in Term; told once by each that holds the record
+	Admitted                    // Name's Life is in, in Term
+	Lease                       // Held is another now
+	Dethrone                    // this life has been declared lost: go on as another
+	Led                         // who leads is another now: Name, or nobody
+	Founded                     // the council is there
+	Reseated                    // the table of chairs, or who is lost, is another now
+	Replanned                   // the plan, or the orders, are others now
+	Confirmed                   // the plan numbered Number was in force after the time At, by this controller's clock
+	Doomed                      // the leader has proposed that Name's Life be lost
+	Broken                      // this voter can't go on: Why
 )
 
 // Effect is what the council wants done, or says.
@@ -175,6 +186,8 @@
 	Reply   Reply
 	Held    bool
 	Why     string
+	Number  uint64
+	At      float64
 	Entries []*raftpb.Entry
 	State   *raftpb.HardState
 	Snap    *raftpb.Snapshot
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -396,6 +396,8 @@
 	}
 	if ev.Kind == rules.Listed && ev.List != rules.NoList {
 		d.happen(Happening{Kind: ListNews, List: ev})
+	} else if ev.Kind == rules.Listed {
+		d.happen(Happening{Kind: ListLost})
 	} else if ev.Kind == rules.Closing {
 		d.happen(Happening{Kind: Stopping})
 	}
--- a/internal/desk/seam.go
+++ b/internal/desk/seam.go
@@ -28,6 +28,7 @@
 	Ending                         // it is about to be answered: a part may KeepBack the answer until LetGo
 	Closed                         // it has its final answer, or its client left
 	ListNews                       // of the list, once the module has heard it
+	ListLost                       // the list is out of reach
 	Stopping                       // a planned stop has begun
 	Ticks                          // each 100 ms
 	Letter                         // Data from the controller numbered Peer: a part may say that it is Mine, or the module gets it
--- a/internal/fleetwire/fleetwire.go
+++ b/internal/fleetwire/fleetwire.go
@@ -56,6 +56,9 @@
 	// Word takes a datagram of open work, if anything does: data begins behind what marks it as one, is the callee's, and it must not wait.
 	Word func(from netip.AddrPort, data []byte)
 
+	// Scout takes a datagram of what is seen of zones, if anything does, as Word does.
+	Scout func(from netip.AddrPort, data []byte)
+
 	view    *members.View
 	council Council
 	log     logrus.FieldLogger
@@ -126,6 +129,15 @@
 // Post lines up a call for the owner's goroutine and does not wait for it.
 func (c *Carrier) Post(call func(now float64)) bool { return c.put(call) }
 
+// TryPost lines one up, or drops it where there is no room: for who must not wait.
+func (c *Carrier) TryPost(call func(now float64)) {
+	select {
+	case c.calls <- call:
+	default:
+		c.Dropped.Add(1)
+	}
+}
+
 func (c *Carrier) put(call func(now float64)) bool {
 	select {
 	case c.calls <- call:
@@ -234,19 +246,24 @@
 	})
 }
 
-// wordMark is what a datagram of open work begins with; one of the view begins with other letters.
-var wordMark = []byte("LE1")
+// What a datagram of open work, and one of zones, begins with; one of the view begins with other letters.
+var wordMark, scoutMark = []byte("LE1"), []byte("LZ1")
 
 // MostWord is how long the data of a Tell may be.
 const MostWord = mostDatagram - 3
 
 // Tell sends a datagram of open work. It never waits long: what the system can't take is lost.
-func (c *Carrier) Tell(to netip.AddrPort, data []byte) {
+func (c *Carrier) Tell(to netip.AddrPort, data []byte) { c.send(to, wordMark, data) }
+
+// TellScout sends one of zones in the same way.
+func (c *Carrier) TellScout(to netip.AddrPort, data []byte) { c.send(to, scoutMark, data) }
+
+func (c *Carrier) send(to netip.AddrPort, mark, data []byte) {
 	if len(data) > MostWord {
 		c.Dropped.Add(1)
 		return
 	}
-	if _, err := c.udp.WriteToUDPAddrPort(append(append(make([]byte, 0, len(wordMark)+len(data)), wordMark...), data...), to); err != nil {
+	if _, err := c.udp.WriteToUDPAddrPort(append(append(make([]byte, 0, len(mark)+len(data)), mark...), data...), to); err != nil {
 		c.Dropped.Add(1)
 	}
 }
@@ -270,6 +287,12 @@
 			}
 			continue
 		}
+		if bytes.HasPrefix(data, scoutMark) {
+			if c.Scout != nil {
+				c.Scout(from, data[len(scoutMark):])
+			}
+			continue
+		}
 		select {
 		case c.calls <- func(now float64) { c.step(now, &members.Event{Kind: members.Heard, From: at, Data: data}) }:
 		case <-c.done:
--- a/internal/installation/door.go
+++ b/internal/installation/door.go
@@ -36,6 +36,9 @@
 	if ours, out, err := i.heirs.answer(question, fields); ours {
 		return out, err
 	}
+	if ours, out, err := i.lookout.answer(question, fields); ours {
+		return out, err
+	}
 	if i.team == nil {
 		return nil, control.Wrongf("there are no budgets: the operators' file has no block budgets")
 	}
--- a/internal/installation/fleet.go
+++ b/internal/installation/fleet.go
@@ -99,6 +99,9 @@
 			return err
 		}
 	}
+	if f.inst.file.Zones != nil {
+		f.inst.openLookout(f, given)
+	}
 	return f.carrier.Start(f.view, f.seat)
 }
 
--- a/internal/installation/installation.go
+++ b/internal/installation/installation.go
@@ -29,7 +29,9 @@
 	door  *control.Server
 	fleet *fleet // nil: none
 	heirs *heirs // nil: nobody keeps copies
-	log   logrus.FieldLogger
+
+	lookout *lookout // nil: nothing is decided between zones
+	log     logrus.FieldLogger
 }
 
 // New reads the operators' file at a path; without one there is nothing besides the platform's side.
@@ -68,6 +70,9 @@
 	if i.team != nil {
 		d.Join(desk.Budgeting(i.team))
 	}
+	if i.lookout != nil {
+		d.Join(i.lookout.scout)
+	}
 	if i.keep != nil {
 		d.Join(desk.Remembering(i.keep))
 		i.recallLimits()
@@ -145,6 +150,7 @@
 	}
 	i.fleet.count()
 	i.heirs.count()
+	i.lookout.count()
 }
 
 // Stopping tells the fleet that this controller is on its way out.
@@ -157,6 +163,7 @@
 	}
 	i.fleet.close()
 	i.heirs.close()
+	i.lookout.close()
 	if i.keep == nil {
 		return
 	}
--- /dev/null
+++ b/internal/installation/lookout.go
@@ -0,0 +1,163 @@
+package installation
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"liftshift/internal/control"
+	"liftshift/internal/members"
+	"liftshift/internal/scout"
+	"liftshift/internal/zones"
+	"liftshift/rules"
+)
+
+const longestOrder = 7 * 24 * time.Hour
+
+// lookout joins a scout to a controller: who uses it, what is logged, what is asked of it. It decides nothing.
+type lookout struct {
+	inst  *Installation
+	fleet *fleet
+	scout *scout.Scout
+}
+
+// openLookout makes the scout, where the file has a block zones; the carriage does not listen yet.
+func (i *Installation) openLookout(f *fleet, given rules.Given) {
+	g := maps.Clone(given)
+	maps.Copy(g, i.file.Fleet.Given)
+	maps.Copy(g, i.file.Zones.Given)
+	for k := 0; given.Text(fmt.Sprint("offering.", k, ".name")) != ""; k++ {
+		g["zone_unit"] = max(g.Num("zone_unit", 1), given.Num(fmt.Sprint("offering.", k, ".threads"), 1))
+	}
+	b := zones.BoundsOf(g)
+	self := f.view.Self()
+	for name, r := range i.file.Zones.Regions {
+		b.WayMS[[2]string{self.Region, name}], b.Price[[2]string{self.Region, name}] = r.WayMS, r.Price
+	}
+	i.lookout = &lookout{inst: i, fleet: f, scout: scout.New(zones.New(self.Name, self.Zone, self.Region, b), self.Name, given, i.desk, f.carrier, f.view, f.seat, i.log)}
+	i.lookout.scout.Begin()
+}
+
+func (l *lookout) count() {
+	if l != nil {
+		l.inst.log.WithFields(l.scout.Count()).Info("zones")
+	}
+}
+
+func (l *lookout) close() {
+	if l != nil {
+		l.scout.Close()
+	}
+}
+
+// answer answers the questions of the operators' tools that are about zones.
+func (l *lookout) answer(question string, fields map[string]any) (ours bool, out map[string]any, err error) {
+	if !strings.HasPrefix(question, "zones") {
+		return false, nil, nil
+	}
+	if l == nil {
+		return true, nil, control.Wrongf("nothing is decided between zones: the operators' file has no block zones")
+	}
+	done := l.fleet.carrier.Do(func(now float64, _ *members.View) {
+		switch question {
+		case "zones":
+			out = l.show(now)
+		case "zones order":
+			out, err = l.order(now, fields)
+		case "zones plan":
+			out, err = l.whatIf(now, fields)
+		default:
+			err = control.Wrongf("no question %q", question)
+		}
+	})
+	if !done {
+		return true, nil, fmt.Errorf("this controller stops")
+	}
+	return true, out, err
+}
+
+// show gives the plan, this controller's part in it, the orders, and why, where it leads.
+func (l *lookout) show(now float64) map[string]any {
+	w := l.scout.Watch
+	p := w.Plan()
+	var list, pairs, orders, reaches, reports, lines []any
+	for _, z := range p.Zones {
+		list = append(list, map[string]any{"zone": z.Name, "region": z.Region, "state": z.State.String(), "stage": float64(z.Stage), "flaps": float64(z.Flaps),
+			"cores": z.Cores, "controllers": float64(z.Members), "why": z.Why})
+	}
+	for _, x := range p.Pairs {
+		pairs = append(pairs, map[string]any{"from": x.From, "to": x.To, "cap": x.Cap, "parts": float64(len(x.Parts))})
+	}
+	for _, o := range w.Orders() {
+		orders = append(orders, map[string]any{"kind": string(o.Kind), "zone": o.Zone, "author": o.Author, "why": o.Why, "until": until(o.Until)})
+	}
+	for _, r := range w.Reaches() {
+		reaches = append(reaches, map[string]any{"zone": r.Place, "tier": float64(r.Tier), "threads": r.Room, "way_ms": r.WayMS, "least": r.Least})
+	}
+	for _, zone := range slices.Sorted(maps.Keys(w.Reports())) {
+		r := w.Reports()[zone]
+		reports = append(reports, map[string]any{"zone": zone, "voices": float64(r.Voices), "wants": math.Round(10*r.Wants) / 10})
+	}
+	for _, line := range w.Lines() {
+		lines = append(lines, line)
+	}
+	return map[string]any{"plan": float64(p.Number), "leader": l.fleet.seat.Leader(now), "held": l.fleet.seat.Held(), "zones": list, "pairs": pairs,
+		"orders": orders, "reaches": reaches, "reports": reports, "lines": lines}
+}
+
+func until(unix int64) string {
+	if unix == 0 {
+		return "taken back"
+	}
+	return time.UnixMilli(unix).UTC().Format(time.RFC3339)
+}
+
+// order has the council take in an operator's order.
+func (l *lookout) order(now float64, fields map[string]any) (map[string]any, error) {
+	text := func(name string) string { s, _ := fields[name].(string); return s }
+	o := zones.Order{Kind: zones.OrderKind(text("kind")), Zone: text("zone"), Author: text("who"), Why: text("why")}
+	if !slices.ContainsFunc(l.scout.Watch.Plan().Zones, func(z zones.Zone) bool { return z.Name == o.Zone }) {
+		return nil, control.Wrongf("no zone %q; see: liftshift zones show", o.Zone)
+	}
+	if l.fleet.seat.Leader(now) == "" {
+		return nil, control.Wrongf("nobody leads the council now: an order could not be agreed on")
+	}
+	span, err := time.ParseDuration(cmp.Or(text("for"), "0s"))
+	if err != nil || span < 0 || span > longestOrder {
+		return nil, control.Wrongf("for must be a time of up to %v, not %q", longestOrder, text("for"))
+	}
+	if span > 0 {
+		o.Until = time.Now().Add(span).UnixMilli()
+	} else if o.Kind != zones.Return {
+		return nil, control.Wrongf("an order to %s ends at some time: say for how long", o.Kind)
+	}
+	if o.Kind == zones.Return && span == 0 {
+		o.Until = time.Now().Add(time.Minute).UnixMilli() // it takes the place of the order before, and lapses
+	}
+	l.inst.log.WithFields(logrus.Fields{"zone": o.Zone, "order": string(o.Kind), "who": o.Author, "until": until(o.Until)}).Warn("zones: an operator's order")
+	return map[string]any{"asked": true, "until": until(o.Until)}, l.scout.Order(o, false)
+}
+
+// whatIf tells what would follow if a zone or a region were lost now, from what is seen at the one who leads.
+func (l *lookout) whatIf(now float64, fields map[string]any) (map[string]any, error) {
+	w := l.scout.Watch
+	if len(w.Reports()) == 0 {
+		return nil, control.Wrongf("what controllers want is summed up at the one who leads the council; ask %s", cmp.Or(l.fleet.seat.Leader(now), "it, once somebody does"))
+	}
+	name, _ := fields["zone"].(string)
+	lines, err := w.WhatIf(name)
+	if err != nil {
+		return nil, control.Wrongf("%v", err)
+	}
+	var out []any
+	for _, line := range lines {
+		out = append(out, line)
+	}
+	return map[string]any{"lines": out}, nil
+}
--- a/internal/lab/takeover.go
+++ b/internal/lab/takeover.go
@@ -312,12 +312,16 @@
 // Takeover plays rounds of all faults with real processes. TAKEOVER_ROUNDS sets how many.
 func Takeover(dir, programs string) ([]Figure, error) {
 	figures, add := collect()
+	if kinds := os.Getenv("TAKEOVER_KINDS"); kinds != "" {
+		rehearse.Takeovers = strings.Split(kinds, ",")
+	}
 	all, err := rounds(dir, filepath.Join(programs, "liftshift"), number("TAKEOVER_ROUNDS", roundsUsual))
 	if err != nil {
 		return nil, err
 	}
-	real, played := map[string]float64{}, map[string]int{}
+	real, played, settled := map[string]float64{}, map[string]int{}, 0.0
 	for _, r := range all {
+		settled = max(settled, r.Settled.Seconds())
 		played[r.Kind]++
 		real["twice"] += float64(len(r.Twice))
 		real["two"] += float64(len(r.Two))
@@ -328,6 +332,7 @@
 	add("real_ran_twice", real["twice"], unit, "==", 0)
 	add("real_two_answers", real["two"], unit, "==", 0)
 	add("real_without_outcome", real["without"], unit, "==", 0)
+	add("real_longest_until_told_alike", settled, "s after the fleet is whole", "<=", 5)
 	return *figures, nil
 }
 
--- a/internal/operator/file.go
+++ b/internal/operator/file.go
@@ -20,6 +20,7 @@
 	Budgets *Budgets
 	Fleet   *Fleet
 	Estate  *Estate
+	Zones   *Zones
 	Control string // path of the control socket; empty: none
 }
 
@@ -50,7 +51,7 @@
 }
 
 // file is what may stand in the file.
-var file = &block{blocks: map[string]*block{"store": {fields: storeFields}, "budgets": budgetsBlock, "fleet": fleetBlock, "estate": estateBlock,
+var file = &block{blocks: map[string]*block{"store": {fields: storeFields}, "budgets": budgetsBlock, "fleet": fleetBlock, "estate": estateBlock, "zones": zonesBlock,
 	"control": {fields: []field{{name: "socket", kind: text, required: true, help: "path of a Unix socket, for its owner alone"}}}}}
 
 // Read reads the file at a path. The error has a line for each complaint.
@@ -97,6 +98,11 @@
 		}
 		f.Fleet.Given["copies"] = float64(f.Estate.Copies)
 	}
+	for _, b := range body.kids["zones"] {
+		if f.Zones, diags = zonesOf(b, f.Fleet); diags.HasErrors() {
+			return nil, complaint(diags)
+		}
+	}
 	return f, nil
 }
 
@@ -120,5 +126,8 @@
 	if (f.Estate == nil) != (next.Estate == nil) || f.Estate != nil && !f.Estate.Same(next.Estate) {
 		names = append(names, "estate")
 	}
+	if (f.Zones == nil) != (next.Zones == nil) || f.Zones != nil && !f.Zones.Same(next.Zones) {
+		names = append(names, "zones")
+	}
 	return names
 }
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -36,6 +36,7 @@
 	Fleet       string // further lines of the block fleet
 	WorkMS      float64
 	Estate      string        // lines of a block estate; empty: none
+	Between     string        // lines of a block zones; empty: none
 	Drops       time.Duration // for which engines drop repeats of a mark, as the settings say, too; 0: the usual, short one, below 0: none
 	Works       map[string]time.Duration
 	Cores, Room int           // of an engine; 0: any number
@@ -153,6 +154,9 @@
 	if f.Plan.Estate != "" {
 		fmt.Fprintf(&hcl, "estate {\n%s\n}\n", f.Plan.Estate)
 	}
+	if f.Plan.Between != "" {
+		fmt.Fprintf(&hcl, "zones {\n%s\n}\n", f.Plan.Between)
+	}
 	if f.Plan.Store {
 		fmt.Fprintf(&hcl, "store {\n  directory = %q\n  segment = \"256KiB\"\n}\n", filepath.Join(c.Folder, "store"))
 	}
--- a/internal/rehearse/takeover.go
+++ b/internal/rehearse/takeover.go
@@ -33,6 +33,7 @@
 	Returned, Handled int      // of those with a mark, once each elsewhere; and what came of it
 	Outcomes          map[string]int
 	FirstShot         time.Duration // from the fault to the first run of what was in hand and not yet sent; 0: there was none
+	Settled           time.Duration // from when the fleet was whole until the last outcome was told by all alike
 	NotHandled        []string      // that came again, and what they heard
 	Unsent, Sent      int           // labelled searches that had not been sent at a kill, and of those what ran by now
 }
@@ -328,6 +329,7 @@
 			continue
 		}
 		told := f.settledOutcome(s, began.Add(cmp.Or(f.Plan.Within, settledWithin)))
+		r.Settled = max(r.Settled, time.Since(began))
 		r.Outcomes[s.offering+" is "+told]++
 		switch {
 		case told == "open":
@@ -353,7 +355,8 @@
 	return id
 }
 
-// settledOutcome asks each controller what became of a search until they say the same, and that it is over.
+// settledOutcome asks each controller what became of a search until they say the same, and that it is over: where its client heard that
+// it was handled by one that was cut off, until the late word of that has come.
 func (f *Fleet) settledOutcome(s *inHand, until time.Time) string {
 	for {
 		var told []string
@@ -364,7 +367,8 @@
 		}
 		slices.Sort(told)
 		one := slices.Compact(told)
-		if len(one) == 1 && one[0] != "open" || time.Now().After(until) {
+		late := (s.first == "handled" || s.second == "handled") && one[0] != "handled"
+		if len(one) == 1 && one[0] != "open" && !late || time.Now().After(until) {
 			if len(one) > 1 {
 				return fmt.Sprint(one)
 			}
--- /dev/null
+++ b/internal/rehearse/zones_test.go
@@ -0,0 +1,93 @@
+package rehearse
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const swiftly = "stage = \"700ms\"\n return_wait = \"700ms\""
+
+// between starts nine controllers in three zones, with three engines each.
+func between(t *testing.T) *Fleet {
+	f := rehearsal(t, Plan{Controllers: 9, Engines: 9, Zones: 3, Founders: 3, Store: true, Fleet: quick, Between: swiftly, WorkMS: 20, Cores: 4, Room: 64})
+	settles(t, f, "all join")
+	for z := range 3 {
+		_, err := f.Agreed(20*time.Second, f.ZoneOf(z), "whole")
+		require.NoError(t, err)
+	}
+	return f
+}
+
+func outcomes(list []Asked) map[string]int {
+	n := map[string]int{}
+	for _, a := range list {
+		n[a.Outcome]++
+	}
+	return n
+}
+
+// A zone's engines are out of reach under load, and in reach again: traffic is near while that is safe, goes to the others within their
+// caps, and comes back by stages.
+func TestAZoneLostUnderLoad(t *testing.T) {
+	f := between(t)
+	time.Sleep(time.Second)
+	load := f.Traffic("t", 2, 20*time.Millisecond)
+	defer load.End()
+	began := time.Now()
+	time.Sleep(3 * time.Second)
+	near, far := f.Spilled("t", began, time.Now())
+	t.Logf("whole: %d near, %d far, %v", near, far, outcomes(load.Between(began, time.Now())))
+	assert.Greater(t, near, 100)
+	assert.LessOrEqual(t, far, near/50)
+	f.CutZone("z1", true)
+	cut := time.Now()
+	took, err := f.Agreed(15*time.Second, "z1", "lost")
+	require.NoError(t, err)
+	t.Logf("lost in all plans after %v", took)
+	time.Sleep(4 * time.Second)
+	settled := time.Now().Add(-2 * time.Second)
+	mine := map[string]int{}
+	for _, a := range load.Between(settled, time.Now()) {
+		if f.ZoneOf(a.Controller) == "z1" {
+			mine[a.Outcome]++
+		}
+	}
+	t.Logf("while lost, its own clients: %v; since the cut, all: %v", mine, outcomes(load.Between(cut, time.Now())))
+	assert.Greater(t, mine["handled"], 9*(mine["denied"]+mine["written off"]+mine["cut off"]), "others have room for them")
+	f.CutZone("z1", false)
+	back := time.Now()
+	_, err = f.Agreed(15*time.Second, "z1", "returning", "whole")
+	require.NoError(t, err)
+	_, err = f.Agreed(25*time.Second, "z1", "whole")
+	require.NoError(t, err)
+	t.Logf("whole again after %v", time.Since(back))
+	time.Sleep(time.Second)
+	began = time.Now()
+	time.Sleep(2 * time.Second)
+	near, far = f.Spilled("t", began, time.Now())
+	assert.LessOrEqual(t, far, near/50, "back near")
+}
+
+// A zone is emptied by an operator and the order lapses; the one who leads is killed meanwhile.
+func TestAnOrderOutlivesWhoGaveIt(t *testing.T) {
+	f := between(t)
+	_, err := f.Ask(4, "zones order", map[string]any{"kind": "evacuate", "zone": "z2", "for": "6s", "who": "kim"})
+	require.NoError(t, err)
+	given := time.Now()
+	_, err = f.Agreed(5*time.Second, "z2", "evacuated")
+	require.NoError(t, err)
+	f.Kill(4)
+	f.Kill(led(t, f, -1))
+	_, err = f.Agreed(5*time.Second, "z2", "evacuated")
+	require.NoError(t, err)
+	_, err = f.Agreed(25*time.Second, "z2", "returning", "whole")
+	require.NoError(t, err)
+	assert.Greater(t, time.Since(given), 5900*time.Millisecond, "not before its time")
+	_, err = f.Ask(5, "zones order", map[string]any{"kind": "evacuate", "zone": "z9", "for": "6s"})
+	assert.ErrorContains(t, err, "no zone")
+	_, err = f.Ask(5, "zones order", map[string]any{"kind": "evacuate", "zone": "z1"})
+	assert.ErrorContains(t, err, "for how long")
+}
--- /dev/null
+++ b/internal/scout/scout.go
@@ -0,0 +1,325 @@
+// Package scout carries a controller's part in deciding between zones: what its module holds of executors to its watch, what watches tell
+// one another, plans to the council and back, and how far searches may go to the module. It decides nothing. The watch belongs to the
+// carriage's goroutine, as the view and the council do; the desk's goroutine only hands over what it has.
+package scout
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"liftshift/internal/council"
+	"liftshift/internal/desk"
+	"liftshift/internal/fleetwire"
+	"liftshift/internal/members"
+	"liftshift/internal/seat"
+	"liftshift/internal/zones"
+	"liftshift/rules"
+)
+
+const (
+	seenMS    = 250                   // between two looks at what the module holds
+	presentMS = 250                   // between two looks at the view
+	beat      = 50 * time.Millisecond // of the watch
+	knownMS   = 10000                 // for which a sign of work, or a report, is evidence of an executor
+	mostName  = 64
+)
+
+// The kinds of datagrams: the kind, the sender's name behind its length, and what is said.
+const (
+	reports   = 'r'
+	announces = 'n'
+)
+
+// Scout joins a watch to a desk, to the carriage and to the council.
+type Scout struct {
+	Watch   *zones.Watch // of the carriage's goroutine
+	carrier *fleetwire.Carrier
+	view    *members.View
+	seat    *seat.Seat
+	desk    *desk.Desk
+	log     logrus.FieldLogger
+	name    string
+	stop    chan struct{}
+	last    float64 // when the view was looked at
+	number  uint64  // of the plan that was logged
+
+	// Of the desk's goroutine.
+	where   map[uint32]rules.Entry
+	cores   map[string]float64 // of a machine, by kind
+	threads map[string]float64 // of a search, by offering
+	wants   float64
+	seenAt  float64
+
+	deaf bool
+
+	reaches atomic.Pointer[[]rules.Reach]
+	opened  chan struct{}
+
+	counts atomic.Pointer[zones.Counts]
+	plan   atomic.Pointer[zones.Plan]
+}
+
+// New joins one; Begin has it work.
+func New(w *zones.Watch, name string, given rules.Given, d *desk.Desk, c *fleetwire.Carrier, v *members.View, s *seat.Seat, log logrus.FieldLogger) *Scout {
+	t := &Scout{Watch: w, carrier: c, view: v, seat: s, desk: d, log: log, name: name, stop: make(chan struct{}), opened: make(chan struct{}, 1), where: map[uint32]rules.Entry{},
+		cores: map[string]float64{}, threads: map[string]float64{}}
+	for k := 0; ; k++ {
+		at := "kind." + strconv.Itoa(k) + "."
+		kind := given.Text(at + "name")
+		if kind == "" {
+			break
+		}
+		t.cores[kind] = given.Num(at+"cores", 1)
+	}
+	for k := 0; ; k++ {
+		at := "offering." + strconv.Itoa(k) + "."
+		name := given.Text(at + "name")
+		if name == "" {
+			return t
+		}
+		t.threads[name] = max(1, given.Num(at+"threads", 1))
+	}
+}
+
+// Begin has it hear the council and the others; it is called before the carriage listens.
+func (t *Scout) Begin() {
+	t.seat.Planned = t.planned
+	t.seat.Confirmed = func(now float64, number uint64, at float64) {
+		t.step(now, &zones.Event{Kind: zones.Confirmed, Number: number, At: at})
+	}
+	t.carrier.Scout = t.heard
+	go t.open()
+	go func() {
+		tick := time.NewTicker(beat)
+		defer tick.Stop()
+		for {
+			select {
+			case <-tick.C:
+				t.carrier.Post(t.tick)
+			case <-t.stop:
+				return
+			}
+		}
+	}()
+}
+
+// open tells the module how far searches may go, the latest word alone.
+func (t *Scout) open() {
+	for {
+		select {
+		case <-t.opened:
+			t.desk.Put(desk.Item{Event: rules.Event{Kind: rules.Opened, Reaches: *t.reaches.Load()}})
+		case <-t.stop:
+			return
+		}
+	}
+}
+
+// Close ends it.
+func (t *Scout) Close() { close(t.stop) }
+
+// Count gives the counters for the log.
+func (t *Scout) Count() logrus.Fields {
+	c, p := zones.Counts{}, zones.Plan{}
+	if x := t.counts.Load(); x != nil {
+		c = *x
+	}
+	if x := t.plan.Load(); x != nil {
+		p = *x
+	}
+	f := logrus.Fields{"plan": p.Number, "told": c.Told, "heard": c.Heard, "stale": c.Stale, "malformed": c.Malformed, "proposed": c.Proposed,
+		"plans": c.Plans, "bytes": c.Bytes}
+	for _, z := range p.Zones {
+		f["zone."+z.Name] = z.State.String()
+	}
+	return f
+}
+
+// tick gives the watch its time, and what the view has.
+func (t *Scout) tick(now float64) {
+	if now >= t.last+presentMS {
+		t.last = now
+		var list []zones.Member
+		for _, m := range t.view.Members() {
+			list = append(list, zones.Member{Name: m.Name, Zone: m.Zone, Region: m.Region, Living: m.Phase.Living()})
+		}
+		leader := t.seat.Leader(now)
+		t.step(now, &zones.Event{Kind: zones.Present, Members: list, Leader: leader, Leads: leader == t.name && t.seat.Held()})
+	}
+	t.step(now, &zones.Event{Kind: zones.Ticked, Unix: time.Now().UnixMilli()})
+	c := t.Watch.Counts
+	t.counts.Store(&c)
+}
+
+// planned takes what is agreed.
+func (t *Scout) planned(now float64, p seat.Planned) {
+	ev := zones.Event{Kind: zones.Planned}
+	if len(p.Plan) > 0 {
+		plan := &zones.Plan{}
+		if json.Unmarshal(p.Plan, plan) != nil {
+			return // of a later version
+		}
+		plan.Number = p.Number
+		ev.Plan = plan
+	}
+	names := make([]string, 0, len(p.Orders))
+	for name := range p.Orders {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		var o zones.Order
+		if json.Unmarshal(p.Orders[name], &o) == nil {
+			ev.Orders = append(ev.Orders, o)
+		}
+	}
+	t.step(now, &ev)
+	t.tell()
+}
+
+// tell logs what the zones are now, once a change.
+func (t *Scout) tell() {
+	p := t.Watch.Plan()
+	was := t.plan.Load()
+	if was != nil && was.Number == p.Number {
+		return
+	}
+	one := *p
+	t.plan.Store(&one)
+	for _, z := range p.Zones {
+		before, stage := zones.Whole, 0
+		if was != nil {
+			for _, o := range was.Zones {
+				if o.Name == z.Name {
+					before, stage = o.State, o.Stage
+				}
+			}
+		}
+		if z.State != before || z.Stage != stage {
+			t.log.WithFields(logrus.Fields{"zone": z.Name, "was": before.String(), "stage": z.Stage, "plan": p.Number, "why": z.Why}).Warn("zones: " + z.State.String())
+		}
+	}
+}
+
+// step plays an event to the watch and carries what follows.
+func (t *Scout) step(now float64, ev *zones.Event) {
+	for _, e := range slices.Clone(t.Watch.Step(now, ev)) {
+		switch e.Kind {
+		case zones.Tell:
+			t.send(now, e.To, reports, e.Data)
+		case zones.Announce:
+			t.send(now, e.To, announces, binary.AppendUvarint(nil, e.Number))
+		case zones.Fetch:
+			t.seat.Fetch(now, t.Watch.Plan().Number)
+		case zones.Propose:
+			if data, err := json.Marshal(e.Plan); err == nil {
+				t.seat.Move(council.PlanMotion(e.Plan.Number, data))
+			}
+		case zones.Reach:
+			reaches := e.Reaches
+			t.reaches.Store(&reaches)
+			select {
+			case t.opened <- struct{}{}:
+			default: // it is on its way already, and will be as it is then
+			}
+		}
+	}
+}
+
+func (t *Scout) send(now float64, to string, kind byte, data []byte) {
+	m, known := t.view.Find(to)
+	at, err := netip.ParseAddrPort(m.Address)
+	if !known || err != nil {
+		return
+	}
+	t.carrier.TellScout(at, append(append([]byte{kind, byte(len(t.name))}, t.name...), data...))
+}
+
+// heard takes a datagram; the carriage's listening goroutine calls it.
+func (t *Scout) heard(_ netip.AddrPort, data []byte) {
+	if len(data) < 2 || data[1] > mostName || len(data) < 2+int(data[1]) {
+		return
+	}
+	kind, from, rest := data[0], string(data[2:2+int(data[1])]), data[2+int(data[1]):]
+	ev := zones.Event{Kind: zones.Heard, From: from, Data: rest}
+	if kind == announces {
+		n, _ := binary.Uvarint(rest)
+		ev = zones.Event{Kind: zones.Announced, From: from, Number: n}
+	} else if kind != reports {
+		return
+	}
+	t.carrier.TryPost(func(now float64) { t.step(now, &ev) })
+}
+
+// Order has the council take in an operator's order, or take one back.
+func (t *Scout) Order(o zones.Order, back bool) error {
+	var data []byte
+	if !back {
+		var err error
+		if data, err = json.Marshal(o); err != nil {
+			return err
+		}
+	}
+	t.seat.Move(council.OrderMotion("zone "+o.Zone, data))
+	return nil
+}
+
+// ---- as a part of the desk
+
+// Hear hands over what the module holds, and counts what searches in hand want.
+func (t *Scout) Hear(now float64, h *desk.Happening, out []desk.Follow) []desk.Follow {
+	switch h.Kind {
+	case desk.Entered:
+		t.wants += t.threads[h.Search.Offering]
+	case desk.Closed:
+		t.wants = max(0, t.wants-t.threads[h.Search.Offering])
+	case desk.ListNews:
+		t.deaf = false
+		t.list(h.List)
+	case desk.ListLost:
+		t.deaf = true
+	case desk.Ticks:
+		if now < t.seenAt+seenMS {
+			break
+		}
+		t.seenAt = now
+		beliefs, _ := h.Beliefs()
+		ev := &zones.Event{Kind: zones.Seen, Wants: t.wants, Deaf: t.deaf, Executors: t.executors(beliefs)}
+		go t.carrier.Post(func(now float64) { t.step(now, ev) }) // this goroutine must not wait
+	}
+	return out
+}
+
+func (t *Scout) executors(beliefs []rules.Belief) (list []zones.Executor) {
+	for k := range beliefs {
+		b := &beliefs[k]
+		at, known := t.where[b.Executor]
+		if !known {
+			continue
+		}
+		x := zones.Executor{Zone: at.Place, Kind: at.Kind, Cores: max(1, t.cores[at.Kind]), Listed: b.Standing == rules.Active, Aside: b.Aside, Cold: b.Cold,
+			Out: float64(b.Threads)}
+		x.Known = b.Aside || b.Bad > 0 || b.Out > 0 || b.HeardMS >= 0 && b.HeardMS < knownMS || b.ReportMS >= 0 && b.ReportMS < knownMS
+		list = append(list, x)
+	}
+	return list
+}
+
+// list keeps where executors are.
+func (t *Scout) list(l *rules.Event) {
+	if l.List != rules.Changes {
+		clear(t.where)
+	}
+	for _, e := range l.Entries {
+		if delete(t.where, e.Executor); e.Standing != rules.Gone {
+			t.where[e.Executor] = e
+		}
+	}
+}
--- a/internal/seat/roll.go
+++ b/internal/seat/roll.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"encoding/json"
+	"maps"
 
 	"liftshift/internal/chairs"
 	"liftshift/internal/council"
@@ -72,3 +73,32 @@
 		}
 	})
 }
+
+// Planned is the plan of zones that is agreed, as it was proposed, and the operators' orders by what they are about.
+type Planned struct {
+	Number uint64
+	Plan   json.RawMessage            `json:",omitempty"`
+	Orders map[string]json.RawMessage `json:",omitempty"`
+}
+
+func (s *Seat) plan(now float64) Planned {
+	r := s.council.Status(now).Record
+	return Planned{r.Number, r.Plan, maps.Clone(r.Orders)}
+}
+
+// Fetch has the plan brought from the member that leads, if it is later than the one that is known. It is for the carrier's goroutine.
+func (s *Seat) Fetch(now float64, known uint64) {
+	to := s.council.Status(now).Leader
+	if to == "" || to == s.name {
+		return
+	}
+	s.ask(now, to, binary.AppendUvarint([]byte{asksPlan}, known), func(now float64, reply []byte, err error) {
+		var p Planned
+		if err == nil && len(reply) > 0 && json.Unmarshal(reply, &p) == nil && s.Planned != nil {
+			s.Planned(now, p)
+		}
+	})
+}
+
+// Leader is who leads, as this member has it. It is for the carrier's goroutine.
+func (s *Seat) Leader(now float64) string { return s.council.Status(now).Leader }
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -35,6 +35,7 @@
 	asksRecord  = 'r'
 	asksRoll    = 'l' // behind it the step that is known
 	moves       = 'p'
+	asksPlan    = 'z' // behind it the number that is known
 	rollMS      = 250 // between two looks at whether what is agreed has changed
 	mostNameLen = 64
 )
@@ -55,6 +56,11 @@
 	Rolled  func(Roll)
 	Relived func(life uint64)
 
+	// Planned, if set, is told the plan of zones and the operators' orders whenever either changes, as far as this member knows; Confirmed
+	// which plan was in force after a time.
+	Planned   func(now float64, p Planned)
+	Confirmed func(now float64, number uint64, at float64)
+
 	council *council.Council
 	carrier *fleetwire.Carrier
 	view    *members.View
@@ -166,6 +172,14 @@
 			return
 		}
 		reply(json.Marshal(Roll{Places: places, Table: table}))
+	case asksPlan:
+		known, _ := binary.Uvarint(rest)
+		p := s.plan(now)
+		if s.council.Status(now).Leader != s.name || p.Number <= known {
+			reply(nil, nil)
+			return
+		}
+		reply(json.Marshal(p))
 	case moves:
 		s.step(now, council.Event{Kind: council.Proposed, Data: rest})
 		reply(nil, nil)
@@ -287,6 +301,14 @@
 			if places, table := s.council.Roll(); table.Step > s.rolled {
 				s.roll(Roll{Places: places, Table: table})
 			}
+		case council.Replanned:
+			if s.Planned != nil {
+				s.Planned(now, s.plan(now))
+			}
+		case council.Confirmed:
+			if s.Confirmed != nil {
+				s.Confirmed(now, e.Number, e.At)
+			}
 		default:
 			s.Said(now, e)
 		}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -29,6 +29,7 @@
 	Room   int                      // searches at a time, past which it answers that it is full, where it has Cores; 0: any number
 	Full   atomic.Uint64            // such answers
 	most   int
+	cut    bool
 
 	jobs     map[*job]struct{}
 	stopped  chan struct{}
@@ -94,8 +95,15 @@
 				return
 			}
 			e.mu.Lock()
-			e.conns[c] = struct{}{}
+			cut := e.cut
+			if e.conns[c] = struct{}{}; cut {
+				delete(e.conns, c)
+			}
 			e.mu.Unlock()
+			if cut {
+				_ = c.Close()
+				continue
+			}
 			go e.serve(c)
 		}
 	}()
@@ -105,6 +113,18 @@
 // Address is where it listens.
 func (e *Engine) Address() string { return e.listener.Addr().String() }
 
+// Cut has it out of reach, or in reach again: connections end, and new ones end at once. What runs there goes on.
+func (e *Engine) Cut(cut bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cut = cut; cut {
+		for c := range e.conns {
+			_ = c.Close()
+		}
+		clear(e.conns)
+	}
+}
+
 // Stop ends it and its connections.
 func (e *Engine) Stop() {
 	_ = e.listener.Close()
--- /dev/null
+++ b/internal/zones/plan.go
@@ -0,0 +1,438 @@
+package zones
+
+import (
+	"cmp"
+	"fmt"
+	"hash/crc32"
+	"maps"
+	"math"
+	"slices"
+)
+
+// seen is all that a plan is made of.
+type seen struct {
+	now     float64
+	unix    int64
+	reports map[string]Report  // by the zone of those who see
+	cores   map[string]float64 // by zone, as this member's list has them; nil: it is out of reach
+	kinds   map[string][]string
+	members []Member
+	orders  []Order
+	bounds  *Bounds
+}
+
+// planner makes plans, where this member leads.
+type planner struct {
+	memos map[string]*memo
+	held  []heldUntil
+	Lines []string // why the latest plan is as it is
+}
+
+type heldUntil struct {
+	Held
+	until float64
+}
+
+// begin has a planner take up a plan that another made: all that it grants, or holds, may be in use for as long as a part is valid.
+func (p *planner) begin(now float64, plan *Plan, b *Bounds) {
+	p.memos, p.held = map[string]*memo{}, nil
+	for _, h := range plan.Held {
+		p.held = append(p.held, heldUntil{h, now + b.ValidMS})
+	}
+	for k := range plan.Zones {
+		z := &plan.Zones[k]
+		p.memos[z.Name] = &memo{since: now, last: fine}
+	}
+}
+
+// next makes the plan that is to follow one, and tells whether it is another.
+func (p *planner) next(prev *Plan, in *seen) (plan Plan, changed bool) {
+	plan = Plan{Number: prev.Number + 1}
+	p.Lines = p.Lines[:0]
+	p.held = slices.DeleteFunc(p.held, func(h heldUntil) bool { return in.now >= h.until })
+	for _, name := range p.names(prev, in) {
+		z := Zone{Name: name}
+		if old := prev.zone(name); old != nil {
+			z = *old
+		}
+		if changed = p.look(&z, in) || changed; z.Name != "" {
+			plan.Zones = append(plan.Zones, z)
+		}
+	}
+	changed = changed || len(plan.Zones) != len(prev.Zones)
+	p.grant(prev, &plan, in)
+	if !changed && samePairs(prev.Pairs, plan.Pairs) && len(prev.Held) == len(p.held) {
+		return plan, false
+	}
+	for _, h := range p.held {
+		one := h.Held
+		one.LeftMS = math.Ceil(h.until - in.now)
+		plan.Held = append(plan.Held, one)
+	}
+	return plan, true
+}
+
+func samePairs(a, b []Pair) bool {
+	return slices.EqualFunc(a, b, func(x, y Pair) bool { return x.From == y.From && x.To == y.To && slices.Equal(x.Parts, y.Parts) })
+}
+
+// names gives all zones that are known, in order.
+func (p *planner) names(prev *Plan, in *seen) []string {
+	set := map[string]bool{}
+	for k := range prev.Zones {
+		set[prev.Zones[k].Name] = true
+	}
+	for name, cores := range in.cores {
+		if cores > 0 {
+			set[name] = true
+		}
+	}
+	names := slices.Sorted(maps.Keys(set))
+	return names[:min(len(names), mostZones)]
+}
+
+// look judges a zone, by what the looks say two times in a row, and tells whether it stands otherwise now. One that has neither executors
+// nor controllers any more, and is not lost, has been renamed: it is forgotten.
+func (p *planner) look(z *Zone, in *seen) (changed bool) {
+	m := p.memos[z.Name]
+	if m == nil {
+		m = &memo{since: in.now, last: fine}
+		p.memos[z.Name] = m
+	}
+	before := *z
+	z.Members = 0
+	for _, x := range in.members {
+		if x.Zone == z.Name && x.Living {
+			z.Members++
+			z.Region = cmp.Or(x.Region, z.Region)
+		}
+	}
+	says, why := p.says(z, in)
+	if says == m.last {
+		m.times++
+	} else {
+		m.last, m.times = says, 1
+	}
+	l := &looked{zone: z, memo: m, now: in.now}
+	order := orderOf(in.orders, z.Name, in.unix)
+	switch {
+	case order == Evacuate:
+		says, why = ordered, "an operator wants it empty"
+		l.play(says)
+	case z.State == Evacuated:
+		says, why = open, "the order to empty it is over"
+		l.play(says)
+	case m.times >= agree:
+		l.play(says)
+	}
+	if says == fine || says == thin && z.State == Lost {
+		m.good = cmp.Or(m.good, in.now)
+	} else {
+		m.good = 0
+	}
+	p.advance(l, in, order)
+	if z.State == Whole && says == fine {
+		if c := in.cores[z.Name]; in.cores != nil && c > 0 {
+			z.Cores, z.Kinds = c, in.kinds[z.Name]
+		}
+	}
+	if z.State != before.State || z.Stage != before.Stage {
+		z.Why = why
+		p.line("zone %s: %s, stage %d (was %s, stage %d): %s", z.Name, z.State, z.Stage, before.State, before.Stage, why)
+	}
+	if in.cores != nil && in.cores[z.Name] == 0 && z.Members == 0 && (z.State == Whole && z.Cores == 0 || z.State == Lost && in.now > m.since+forgetMS) {
+		delete(p.memos, z.Name)
+		z.Name = ""
+		return true
+	}
+	return z.State != before.State || z.Stage != before.Stage || z.Cores != before.Cores || z.Members != before.Members || z.Region != before.Region ||
+		!slices.Equal(z.Kinds, before.Kinds)
+}
+
+// advance has a zone that waits begin its return, and one that returns gain a stage, once there have been good signs for long enough.
+func (p *planner) advance(l *looked, in *seen, order OrderKind) {
+	z, m := l.zone, l.memo
+	if order == Hold || m.good == 0 {
+		return
+	}
+	good := in.now - max(m.good, m.since)
+	switch {
+	case z.State == Lost && (good >= z.waits(in.bounds) || order == Return):
+		l.play(due)
+	case z.State == Returning && good >= in.bounds.StageMS:
+		if m.good = in.now; z.Stage+1 >= len(stages) {
+			l.play(done)
+		} else {
+			l.play(due)
+		}
+	}
+}
+
+// orderOf gives the latest order that holds for a zone.
+func orderOf(orders []Order, zone string, unix int64) (kind OrderKind) {
+	for _, o := range orders {
+		if o.Zone == zone && (o.Until == 0 || unix < o.Until) {
+			kind = o.Kind
+		}
+	}
+	return kind
+}
+
+// says weighs the signs of a zone. Its own controllers use its executors, and know; alone they may be those that are cut off. So it is
+// gone only if another place says so, too: others' voices, the list, or the view, which has no controller of it.
+func (p *planner) says(z *Zone, in *seen) (input, string) {
+	var own, far Sight
+	ownVoices, farVoices, deaf := 0, 0, 0
+	for _, zone := range slices.Sorted(maps.Keys(in.reports)) {
+		r := in.reports[zone]
+		deaf += r.Deaf
+		for _, s := range r.Sights {
+			switch {
+			case s.Zone != z.Name:
+			case zone == z.Name:
+				own.Fine, own.Thin, own.Gone = own.Fine+s.Fine, own.Thin+s.Thin, own.Gone+s.Gone
+				ownVoices = s.Fine + s.Thin + s.Gone
+			default:
+				far.Fine, far.Thin, far.Gone = far.Fine+s.Fine, far.Thin+s.Thin, far.Gone+s.Gone
+				farVoices += s.Fine + s.Thin + s.Gone
+			}
+		}
+	}
+	listed := -1.0 // share of its cores that the list still has; below 0: that is not known
+	if in.cores != nil && z.Cores > 0 {
+		listed = in.cores[z.Name] / z.Cores
+	}
+	ownGone, farGone := ownVoices > 0 && 2*own.Gone > ownVoices, farVoices > 0 && 2*far.Gone > farVoices
+	unseen := z.Members == 0
+	switch {
+	case listed >= 0 && listed < goneShare && (ownGone || ownVoices == 0 || unseen):
+		return gone, fmt.Sprintf("the list has %.0f%% of its cores, and %d of %d of its own controllers see it gone", 100*listed, own.Gone, ownVoices)
+	case ownGone && (farGone || unseen):
+		return gone, fmt.Sprintf("%d of %d of its own controllers and %d of %d others see it gone", own.Gone, ownVoices, far.Gone, farVoices)
+	case ownGone && farVoices == 0 && deaf > 0:
+		return doubt, fmt.Sprintf("%d of %d of its own controllers see it gone; the list is out of reach", own.Gone, ownVoices)
+	case ownGone && 5*own.Gone > 4*ownVoices && farVoices == 0:
+		return gone, fmt.Sprintf("%d of %d of its own controllers see it gone, and nobody else sees it", own.Gone, ownVoices)
+	case unseen && ownVoices == 0 && farGone:
+		return gone, fmt.Sprintf("no controller of it is there, and %d of %d others see it gone", far.Gone, farVoices)
+	case unseen && ownVoices == 0 && z.Cores > 0 && farVoices == 0:
+		return gone, "no controller of it is there, and nobody sees its executors"
+	case ownGone || farGone || own.Gone > 0 && 5*own.Gone > ownVoices:
+		return doubt, fmt.Sprintf("%d of %d of its own controllers and %d of %d others see it gone", own.Gone, ownVoices, far.Gone, farVoices)
+	case listed >= 0 && listed < thinShare || 2*(own.Thin+own.Gone) > ownVoices && ownVoices > 0:
+		return thin, fmt.Sprintf("the list has %.0f%% of its cores, %d of %d of its own controllers see much of it gone", 100*max(0, listed), own.Thin+own.Gone, ownVoices)
+	}
+	return fine, fmt.Sprintf("%d of %d of its own controllers reach it", own.Fine, ownVoices)
+}
+
+func (p *planner) line(format string, args ...any) {
+	if len(p.Lines) < 4*mostZones {
+		p.Lines = append(p.Lines, fmt.Sprintf(format, args...))
+	}
+}
+
+// ---- caps
+
+// flow is what a zone has and wants.
+type flow struct {
+	zone  *Zone
+	room  float64 // threads that its executors may have from all
+	wants float64 // of its own controllers
+	need  float64 // of that, what finds no room near
+	left  float64 // what others may have of it
+}
+
+// grant fills in who may have how much where, and holds back what another may still be using.
+func (p *planner) grant(prev, plan *Plan, in *seen) {
+	flows, left := make([]flow, len(plan.Zones)), map[string]float64{}
+	for k := range plan.Zones {
+		z := &plan.Zones[k]
+		share, all := z.share()
+		f := &flows[k]
+		m := p.memos[z.Name]
+		m.wants += steady * (wantsOf(in, z) - m.wants)
+		f.zone, f.room, f.wants = z, in.bounds.Room*z.Cores*p.reach(z, in), m.wants
+		near := f.room * share
+		f.need = max(0, f.wants-near)
+		if all {
+			f.left = in.bounds.Spill * max(0, f.room-f.wants)
+			left[z.Name] = f.left
+		} else {
+			left[z.Name] = near
+			plan.Pairs = append(plan.Pairs, Pair{From: z.Name, To: z.Name, Cap: math.Floor(near)})
+			p.line("zone %s to itself: %.0f of %.0f threads, as it is %s", z.Name, near, f.room, z.State)
+		}
+	}
+	for tier := 1; tier <= 2; tier++ {
+		for k := range flows {
+			p.fill(&flows[k], flows, tier, prev, plan)
+		}
+	}
+	slices.SortFunc(plan.Pairs, func(a, b Pair) int { return cmp.Or(cmp.Compare(a.From, b.From), cmp.Compare(a.To, b.To)) })
+	p.share(prev, plan, left, in)
+}
+
+// reach is the share of a zone's cores that its controllers reach, as far as that is told; a bad sign counts at once.
+func (p *planner) reach(z *Zone, in *seen) float64 {
+	share := 1.0
+	if in.cores != nil && z.Cores > 0 {
+		share = min(1, in.cores[z.Name]/z.Cores)
+	}
+	for _, s := range in.reports[z.Name].Sights {
+		if n := s.Fine + s.Thin + s.Gone; s.Zone == z.Name && n > 0 {
+			share = min(share, (float64(s.Fine)+0.5*float64(s.Thin))/float64(n))
+		}
+	}
+	return share
+}
+
+// wantsOf is what the controllers of a zone want, held to what so many can want at most: a figure that is false by ten times must not
+// open every door.
+func wantsOf(in *seen, z *Zone) float64 {
+	var each []float64
+	for _, r := range in.reports {
+		if r.Voices > 0 {
+			each = append(each, r.Wants/float64(r.Voices))
+		}
+	}
+	r := in.reports[z.Name]
+	if r.Voices == 0 || len(each) == 0 {
+		return 0
+	}
+	slices.Sort(each)
+	return min(r.Wants, float64(r.Voices)*max(1, wantsMost*each[(len(each)-1)/2]))
+}
+
+// tierOf is how far a zone is from another: 1 in the same region, 2 in another.
+func tierOf(a, b *Zone) int {
+	if a.Region == b.Region {
+		return 1
+	}
+	return 2
+}
+
+// fill gives what is left of a zone to those of a tier that need it, each its part by what it needs.
+func (p *planner) fill(to *flow, all []flow, tier int, prev, plan *Plan) {
+	sum := 0.0
+	for k := range all {
+		if f := &all[k]; f.zone != to.zone && tierOf(f.zone, to.zone) == tier {
+			sum += f.need
+		}
+	}
+	if to.left < 1 || sum == 0 {
+		return
+	}
+	left := to.left
+	for k := range all {
+		f := &all[k]
+		if f.zone == to.zone || tierOf(f.zone, to.zone) != tier || f.need == 0 {
+			continue
+		}
+		// What the others of this tier can still give counts, too: the nearest do not carry all where two could.
+		take := math.Floor(min(left*f.need/sum, f.need))
+		if old := prev.Pair(f.zone.Name, to.zone.Name); old != nil && take > steadyLow*old.Cap && take < steadyHigh*old.Cap && old.Cap <= to.left {
+			take = old.Cap // what hardly changes stays: a change takes from somebody, and waits
+		}
+		if take >= 1 {
+			plan.Pairs = append(plan.Pairs, Pair{From: f.zone.Name, To: to.zone.Name, Cap: take})
+			p.line("zone %s to %s: %.0f threads of %.0f left there (%.0f of %.0f in use by its own), %.0f needed", f.zone.Name, to.zone.Name, take,
+				to.left, to.wants, to.room, f.need)
+			f.need -= take
+			to.left -= take
+		}
+	}
+}
+
+// way is from the controllers of one zone to the executors of another; use is what each controller may be using of it by now.
+type way struct{ from, to string }
+
+// share cuts caps into parts. Who has one keeps it as long as it is due to it; what is taken from one is another's only once nobody can
+// be using it any more. So all that may be in use of a cap is within it, or within the one before as long as that may be in use.
+func (p *planner) share(prev, plan *Plan, left map[string]float64, in *seen) {
+	unit := max(1, in.bounds.Unit)
+	living := map[string][]string{}
+	for _, m := range in.members {
+		if m.Living && len(living[m.Zone]) < mostOf {
+			living[m.Zone] = append(living[m.Zone], m.Name)
+		}
+	}
+	wants := make([]map[string]float64, len(plan.Pairs))
+	for k := range plan.Pairs {
+		pair := &plan.Pairs[k]
+		names := living[pair.From]
+		slices.SortFunc(names, func(a, b string) int {
+			return cmp.Or(cmp.Compare(rank(a, pair.To), rank(b, pair.To)), cmp.Compare(a, b))
+		})
+		wants[k] = spread(names, prev.Pair(pair.From, pair.To), math.Floor(pair.Cap/unit), unit)
+	}
+	for _, old := range prev.Pairs { // what is taken away is held back
+		k := slices.IndexFunc(plan.Pairs, func(x Pair) bool { return x.From == old.From && x.To == old.To })
+		for _, x := range old.Parts {
+			if k < 0 || wants[k][x.Name] < x.Threads {
+				p.held = append(p.held, heldUntil{Held{From: old.From, To: old.To, Name: x.Name, Threads: x.Threads}, in.now + in.bounds.ValidMS})
+			}
+		}
+	}
+	use := map[way]map[string]float64{} // by controller: as it may be by now
+	add := func(w way, name string, threads float64) {
+		if use[w] == nil {
+			use[w] = map[string]float64{}
+		}
+		use[w][name] = max(use[w][name], threads)
+	}
+	for _, h := range p.held {
+		add(way{h.From, h.To}, h.Name, h.Threads)
+	}
+	for k := range plan.Pairs {
+		pair := &plan.Pairs[k]
+		for name, want := range wants[k] {
+			add(way{pair.From, pair.To}, name, min(want, prev.Pair(pair.From, pair.To).part(name)))
+		}
+	}
+	of, into := map[way]float64{}, map[string]float64{}
+	for w, by := range use {
+		for _, t := range by {
+			of[w] += t
+			into[w.to] += t
+		}
+	}
+	for k := range plan.Pairs {
+		pair := &plan.Pairs[k]
+		w := way{pair.From, pair.To}
+		for _, name := range living[pair.From] {
+			want, may := wants[k][name], use[w][name]
+			room := math.Floor(min(pair.Cap-of[w], left[w.to]-into[w.to])/unit) * unit
+			if extra := min(want-may, room); extra > 0 {
+				of[w], into[w.to], may = of[w]+extra, into[w.to]+extra, may+extra
+			}
+			if t := math.Floor(min(want, may)/unit) * unit; t > 0 {
+				pair.Parts = append(pair.Parts, Part{name, t})
+			}
+		}
+		slices.SortFunc(pair.Parts, func(a, b Part) int { return cmp.Compare(a.Name, b.Name) })
+	}
+}
+
+// rank is the order in which members get what does not go round: another for each zone, the same everywhere.
+func rank(name, zone string) uint32 { return crc32.ChecksumIEEE([]byte(zone + "\x00" + name)) }
+
+// spread deals whole units among names: the same to all, and what does not go round to those that had more before, then by rank.
+func spread(names []string, old *Pair, chunks, unit float64) map[string]float64 {
+	want := map[string]float64{}
+	if len(names) == 0 || chunks < 1 {
+		return want
+	}
+	each := math.Floor(chunks / float64(len(names)))
+	rest := int(chunks) - int(each)*len(names)
+	first := slices.Clone(names)
+	slices.SortStableFunc(first, func(a, b string) int {
+		return -cmp.Compare(min(old.part(a), (each+1)*unit), min(old.part(b), (each+1)*unit))
+	})
+	for k, name := range first {
+		want[name] = each * unit
+		if k < rest {
+			want[name] += unit
+		}
+	}
+	return want
+}
--- /dev/null
+++ b/internal/zones/watch.go
@@ -0,0 +1,506 @@
+package zones
+
+import (
+	"cmp"
+	"encoding/json"
+	"math"
+	"slices"
+
+	"liftshift/rules"
+)
+
+// EventKind tells what an Event reports.
+type EventKind uint8
+
+// The events.
+const (
+	Seen      EventKind = iota // Executors, Wants and Deaf are as this controller has them
+	Present                    // Members are those of the view; Leader is who leads the council, Leads whether this one does
+	Heard                      // Data, a report, came from the member From
+	Planned                    // Plan is agreed, and Orders are
+	Confirmed                  // the plan numbered Number was in force after the time At, which is when that was asked
+	Announced                  // the member From says that the plan numbered Number is there
+	Ticked                     // each 50 ms or so
+)
+
+// Event is one thing that a watch hears. Only the fields of its kind are set.
+type Event struct {
+	Kind      EventKind
+	Executors []Executor
+	Wants     float64
+	Deaf      bool
+	Members   []Member
+	Leader    string
+	Leads     bool
+	From      string
+	Data      []byte
+	Plan      *Plan
+	Orders    []Order
+	Number    uint64
+	At        float64
+	Unix      int64 // Ticked: the machine's clock, ms: orders end by it alone
+}
+
+// EffectKind tells what an Effect asks for.
+type EffectKind uint8
+
+// The effects.
+const (
+	Tell     EffectKind = iota // Data, a report, to the member To
+	Announce                   // Number, a plan's, to the member To
+	Fetch                      // a plan numbered Number is there, which is not known here
+	Propose                    // Plan is to be agreed
+	Reach                      // the decision module is to know Reaches
+)
+
+// Effect is one thing that a watch wants done.
+type Effect struct {
+	Kind    EffectKind
+	To      string
+	Data    []byte
+	Plan    *Plan
+	Reaches []rules.Reach
+	Number  uint64
+}
+
+// told is a report as it came.
+type told struct {
+	at     float64
+	number uint64
+	report Report
+	from   string // zone
+}
+
+// letter is a report on its way.
+type letter struct {
+	N      uint64
+	Report Report
+}
+
+// Watch is one controller's part.
+type Watch struct {
+	name, zone, region string
+	bounds             Bounds
+	now                float64
+	unix               int64
+	effects            []Effect
+
+	own       Report
+	ownAt     float64
+	executors []Executor
+	deaf      bool
+	members   []Member
+	mates     []string // living members of its zone, in order
+	leader    string
+	leads     bool
+	led       bool // it led at the last look
+	children  map[string]*told
+	zonesTold map[string]*told // at the one who leads: by zone
+	number    uint64
+	sentAt    float64
+	planAt    float64
+
+	plan        Plan
+	orders      []Order
+	confirmed   uint64  // a number that is later than the plan known here, and
+	confirms    float64 // when it was asked for
+	confirmedAt float64
+	announcedAt float64
+	fetchedAt   float64
+	latest      uint64 // of all numbers that were announced
+	planner     planner
+	proposed    uint64
+	proposedAt  float64
+	reaches     []rules.Reach
+	reachAt     float64
+	Counts      Counts
+}
+
+// Counts are what a watch counts.
+type Counts struct{ Told, Heard, Stale, Malformed, Proposed, Plans, Bytes uint64 }
+
+// New gives the watch of a controller.
+func New(name, zone, region string, b Bounds) *Watch {
+	return &Watch{name: name, zone: zone, region: region, bounds: b, children: map[string]*told{}, zonesTold: map[string]*told{}, confirmedAt: math.Inf(-1)}
+}
+
+func (w *Watch) do(e Effect) { w.effects = append(w.effects, e) }
+
+// Plan is what is agreed, as far as it is known here; Lines why the latest one is as it is, where this controller leads.
+func (w *Watch) Plan() *Plan     { return &w.plan }
+func (w *Watch) Lines() []string { return w.planner.Lines }
+
+// Orders are those that are agreed.
+func (w *Watch) Orders() []Order { return w.orders }
+
+// Reaches is what the module was told last.
+func (w *Watch) Reaches() []rules.Reach { return w.reaches }
+
+// Reports are those that count now, where this controller leads.
+func (w *Watch) Reports() map[string]Report { return w.reports() }
+
+// Step takes one event at the caller's clock in ms. The effects hold until the next call.
+func (w *Watch) Step(now float64, ev *Event) []Effect {
+	w.effects, w.now = w.effects[:0], max(w.now, now)
+	switch ev.Kind {
+	case Seen:
+		w.see(ev)
+	case Present:
+		w.present(ev)
+	case Heard:
+		w.heard(ev)
+	case Planned:
+		if ev.Plan != nil && ev.Plan.Number >= w.plan.Number {
+			if ev.Plan.Number > w.plan.Number {
+				w.Counts.Plans++
+			}
+			w.plan = *ev.Plan
+		}
+		w.orders = ev.Orders
+		if w.plan.Number >= w.confirmed {
+			w.confirmedAt = max(w.confirmedAt, w.confirms)
+		}
+		w.announce(true)
+		w.open()
+	case Confirmed:
+		// A part of a plan is another's only so long after a later one is there; and that one is later than what was in force here.
+		if w.confirmed, w.confirms = ev.Number, ev.At; ev.Number <= w.plan.Number {
+			w.confirmedAt = max(w.confirmedAt, ev.At)
+		} else {
+			w.fetch(ev.Number)
+		}
+	case Announced:
+		if parent := w.parentOf(w.name); ev.From == parent || parent == "" && ev.From == w.leader {
+			w.fetch(ev.Number)
+		}
+	case Ticked:
+		w.unix = ev.Unix
+		w.report()
+		w.lead()
+		w.announce(false)
+		w.fetch(w.latest)
+		w.open()
+	}
+	return w.effects
+}
+
+// see makes this controller's own report.
+func (w *Watch) see(ev *Event) {
+	w.executors, w.deaf, w.ownAt = ev.Executors, ev.Deaf, w.now
+	w.own = Report{Zone: w.zone, Voices: 1, Wants: ev.Wants}
+	if ev.Deaf {
+		w.own.Deaf = 1
+	}
+	type sum struct{ known, up, listed float64 }
+	sums, order := map[string]*sum{}, []string{}
+	for k := range ev.Executors {
+		x := &ev.Executors[k]
+		s := sums[x.Zone]
+		if s == nil {
+			s = &sum{}
+			sums[x.Zone] = s
+			order = append(order, x.Zone)
+		}
+		if x.Listed {
+			s.listed += x.Cores
+		}
+		if x.Known && x.Listed { // one that is leaving says nothing
+			if s.known += x.Cores; !x.Aside {
+				s.up += x.Cores
+			}
+		}
+	}
+	slices.Sort(order)
+	for _, zone := range order[:min(len(order), mostZones)] {
+		s, sight := sums[zone], Sight{Zone: zone}
+		switch {
+		case s.known == 0: // no evidence, no voice
+		case s.up < goneShare*s.known:
+			sight.Gone = 1
+		case s.up < thinShare*s.known:
+			sight.Thin = 1
+		default:
+			sight.Fine = 1
+		}
+		for k := range ev.Executors {
+			if ev.Executors[k].Zone == zone {
+				sight.Out += ev.Executors[k].Out
+			}
+		}
+		w.own.Sights = append(w.own.Sights, sight)
+	}
+}
+
+// present takes who is there.
+func (w *Watch) present(ev *Event) {
+	w.members, w.leader, w.leads = ev.Members, ev.Leader, ev.Leads
+	w.mates = w.mates[:0]
+	for _, m := range ev.Members {
+		if m.Living && m.Zone == w.zone {
+			w.mates = append(w.mates, m.Name)
+		}
+	}
+	slices.Sort(w.mates)
+	for name := range w.children {
+		if w.parentOf(name) != w.name {
+			delete(w.children, name)
+		}
+	}
+}
+
+// parentOf gives who sums up a member's reports: in a tree of those of its zone, in the order of their names; "" for the first.
+func (w *Watch) parentOf(name string) string {
+	k, found := slices.BinarySearch(w.mates, name)
+	if !found || k == 0 {
+		return ""
+	}
+	return w.mates[(k-1)/fan]
+}
+
+// report sums up what is known here and hands it on: to its parent, or the first of a zone to the one who leads.
+func (w *Watch) report() {
+	if w.now < w.sentAt+reportMS || w.ownAt == 0 {
+		return
+	}
+	w.sentAt = w.now
+	sum := Report{Zone: w.zone}
+	if w.now < w.ownAt+staleMS {
+		sum.add(&w.own)
+	}
+	for name, t := range w.children {
+		if w.now > t.at+staleMS {
+			delete(w.children, name)
+			continue
+		}
+		sum.add(&t.report)
+	}
+	to := w.parentOf(w.name)
+	if to == "" {
+		to = w.leader
+	}
+	w.number++
+	switch data, err := json.Marshal(letter{w.number, sum}); {
+	case to == w.name:
+		w.zonesTold[w.zone] = &told{w.now, w.number, sum, w.zone}
+	case to != "" && err == nil:
+		w.Counts.Told++
+		w.Counts.Bytes += uint64(len(data))
+		w.do(Effect{Kind: Tell, To: to, Data: data})
+	}
+}
+
+// announce tells those whose reports this one sums up which plan is there, and, where it leads, the first of each zone.
+func (w *Watch) announce(now bool) {
+	if w.plan.Number == 0 || !now && w.now < w.announcedAt+2*reportMS {
+		return
+	}
+	w.announcedAt = w.now
+	for k, name := range w.mates {
+		if k > 0 && w.mates[(k-1)/fan] == w.name {
+			w.do(Effect{Kind: Announce, To: name, Number: w.plan.Number})
+		}
+	}
+	if !w.leads {
+		return
+	}
+	first := map[string]string{}
+	for _, m := range w.members {
+		if m.Living && (first[m.Zone] == "" || m.Name < first[m.Zone]) {
+			first[m.Zone] = m.Name
+		}
+	}
+	for _, name := range first {
+		if name != w.name {
+			w.do(Effect{Kind: Announce, To: name, Number: w.plan.Number})
+		}
+	}
+}
+
+// fetch has a plan brought that is not known here; again after a while if it does not come.
+func (w *Watch) fetch(number uint64) {
+	if w.latest = max(w.latest, number); w.latest > w.plan.Number && w.now >= w.fetchedAt+reportMS {
+		w.fetchedAt = w.now
+		w.do(Effect{Kind: Fetch, Number: w.latest})
+	}
+}
+
+// add adds another's report to this one.
+func (r *Report) add(o *Report) {
+	r.Voices, r.Deaf, r.Wants = r.Voices+o.Voices, r.Deaf+o.Deaf, r.Wants+o.Wants
+	for _, s := range o.Sights {
+		k := slices.IndexFunc(r.Sights, func(x Sight) bool { return x.Zone == s.Zone })
+		if k < 0 {
+			if len(r.Sights) < mostZones {
+				r.Sights = append(r.Sights, s)
+			}
+			continue
+		}
+		x := &r.Sights[k]
+		x.Fine, x.Thin, x.Gone, x.Out = x.Fine+s.Fine, x.Thin+s.Thin, x.Gone+s.Gone, x.Out+s.Out
+	}
+	slices.SortFunc(r.Sights, func(a, b Sight) int { return cmp.Compare(a.Zone, b.Zone) })
+}
+
+// sound tells whether a report can be believed at all: nobody has more voices than there are members, and no figure is absurd.
+func (w *Watch) sound(r *Report) bool {
+	if r.Voices < 0 || r.Voices > len(w.members) || r.Deaf < 0 || r.Deaf > r.Voices || !(r.Wants >= 0) || math.IsInf(r.Wants, 0) ||
+		len(r.Zone) > mostText || len(r.Sights) > mostZones {
+		return false
+	}
+	return !slices.ContainsFunc(r.Sights, func(s Sight) bool {
+		return s.Fine < 0 || s.Thin < 0 || s.Gone < 0 || s.Fine+s.Thin+s.Gone > r.Voices || !(s.Out >= 0) || len(s.Zone) > mostText
+	})
+}
+
+// heard files a report: of one whose reports this controller sums up, or, where it leads, of a whole zone. Of two the later counts.
+func (w *Watch) heard(ev *Event) {
+	var l letter
+	if json.Unmarshal(ev.Data, &l) != nil || !w.sound(&l.Report) {
+		w.Counts.Malformed++
+		return
+	}
+	w.Counts.Heard++
+	by, key := w.children, ev.From
+	if l.Report.Zone != w.zone || w.parentOf(ev.From) != w.name {
+		if by, key = w.zonesTold, l.Report.Zone; !w.leads || len(by) >= mostZones && by[key] == nil {
+			w.Counts.Stale++
+			return
+		}
+	}
+	if old := by[key]; old != nil && old.from == ev.From && l.N <= old.number && w.now < old.at+staleMS {
+		w.Counts.Stale++ // it came twice, or late
+		return
+	}
+	by[key] = &told{w.now, l.N, l.Report, ev.From}
+}
+
+// reports gives those of zones that count now.
+func (w *Watch) reports() map[string]Report {
+	list := map[string]Report{}
+	for zone, t := range w.zonesTold {
+		if w.now <= t.at+staleMS {
+			list[zone] = t.report
+		}
+	}
+	return list
+}
+
+// lead makes the next plan, where this controller leads.
+func (w *Watch) lead() {
+	if !w.leads {
+		w.led = false
+		clear(w.zonesTold)
+		return
+	}
+	if !w.led {
+		w.led, w.planAt = true, w.now+2*reportMS // until reports have come
+		w.planner.begin(w.now, &w.plan, &w.bounds)
+	}
+	if w.now < w.planAt || w.proposed > w.plan.Number && w.now < w.proposedAt+staleMS {
+		return
+	}
+	w.planAt = w.now + planMS
+	in := &seen{now: w.now, unix: w.unix, reports: w.reports(), members: w.members, orders: w.orders, bounds: &w.bounds}
+	if !w.deaf {
+		in.cores, in.kinds = map[string]float64{}, map[string][]string{}
+		for k := range w.executors {
+			if x := &w.executors[k]; x.Listed {
+				in.cores[x.Zone] += x.Cores
+				if !slices.Contains(in.kinds[x.Zone], x.Kind) {
+					in.kinds[x.Zone] = append(in.kinds[x.Zone], x.Kind)
+					slices.Sort(in.kinds[x.Zone])
+				}
+			}
+		}
+	}
+	if plan, changed := w.planner.next(&w.plan, in); changed {
+		w.proposed, w.proposedAt = plan.Number, w.now
+		w.Counts.Proposed++
+		w.do(Effect{Kind: Propose, Plan: &plan})
+	}
+}
+
+// valid is the part of a part that may be used still: all while what confirms it is fresh, then less and less, and nothing once the
+// lease that confirmed it is over. It never grows by itself.
+func (w *Watch) valid() float64 {
+	return max(0, min(1, 2*(w.bounds.ValidMS-(w.now-w.confirmedAt))/w.bounds.ValidMS))
+}
+
+// open tells the module how far searches may go now.
+func (w *Watch) open() {
+	valid := w.valid()
+	var list []rules.Reach
+	for _, name := range w.places() {
+		if name == w.zone {
+			pair, z := w.plan.Pair(name, name), w.plan.zone(name)
+			if pair == nil || z == nil {
+				continue // near, and whole
+			}
+			r := rules.Reach{Place: name, Room: math.Floor(pair.part(w.name) * valid)}
+			if z.State == Evacuated && orderOf(w.orders, name, w.unix) != Evacuate && valid == 0 {
+				r.Room = w.bounds.Unit // the order has lapsed, and nobody can agree on what follows: one search at a time
+			}
+			list = append(list, r)
+			continue
+		}
+		list = append(list, w.far(name, valid))
+	}
+	if slices.EqualFunc(list, w.reaches, same) {
+		return
+	}
+	w.reaches = list
+	w.do(Effect{Kind: Reach, Reaches: list})
+}
+
+// places gives all zones that are known here, in order.
+func (w *Watch) places() (names []string) {
+	for k := range w.plan.Zones {
+		names = append(names, w.plan.Zones[k].Name)
+	}
+	for k := range w.executors {
+		if zone := w.executors[k].Zone; !slices.Contains(names, zone) {
+			names = append(names, zone)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// far is how far another zone is. One that is in no plan yet is closed, but for kinds that there are nowhere near.
+func (w *Watch) far(name string, valid float64) rules.Reach {
+	self, z := w.plan.zone(w.zone), w.plan.zone(name)
+	r := rules.Reach{Place: name, Tier: 2}
+	if z == nil || z.State <= Doubtful {
+		near, there := w.kinds(w.zone, self), w.kinds(name, z)
+		for _, kind := range there {
+			if !slices.Contains(near, kind) {
+				r.Free = append(r.Free, kind)
+			}
+		}
+	}
+	if z == nil || self == nil {
+		return r
+	}
+	way := [2]string{self.Region, z.Region}
+	r.Tier, r.Room = tierOf(self, z), math.Floor(w.plan.Pair(w.zone, name).part(w.name)*valid)
+	r.WayMS, r.Least = w.bounds.WayMS[way], w.bounds.Price[way]
+	return r
+}
+
+// kinds gives those of a zone's executors: as agreed when it was whole, else as the list has them.
+func (w *Watch) kinds(zone string, z *Zone) (kinds []string) {
+	if z != nil && len(z.Kinds) > 0 {
+		return z.Kinds
+	}
+	for k := range w.executors {
+		if x := &w.executors[k]; x.Zone == zone && !slices.Contains(kinds, x.Kind) {
+			kinds = append(kinds, x.Kind)
+		}
+	}
+	slices.Sort(kinds)
+	return kinds
+}
+
+func same(a, b rules.Reach) bool {
+	return a.Place == b.Place && a.Tier == b.Tier && a.Room == b.Room && a.WayMS == b.WayMS && a.Least == b.Least && slices.Equal(a.Free, b.Free)
+}
--- /dev/null
+++ b/internal/zones/zones_test.go
@@ -0,0 +1,342 @@
+package zones
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// calm gives a world of three zones in two regions that has settled, at half load.
+func calm(t *testing.T, each int) *world {
+	w := newWorld(t, 3, each, testBounds())
+	for _, s := range w.sites {
+		s.wants = 60 / float64(each)
+	}
+	w.run(5000)
+	for z := range w.sites {
+		require.Equal(t, Whole, w.state(z))
+	}
+	return w
+}
+
+func TestWholeZonesKeepToThemselves(t *testing.T) {
+	w := calm(t, 4)
+	assert.Empty(t, w.plan.Pairs)
+	for k := range w.watches {
+		for place, r := range w.reaches[k] {
+			assert.NotEqual(t, fmt.Sprint("z", w.zoneOf[k]), place, "its own zone is near without bound")
+			assert.Zero(t, r.Room)
+			assert.Equal(t, 1, r.Tier)
+		}
+	}
+	before := w.plan.Number
+	w.run(10_000)
+	assert.LessOrEqual(t, w.plan.Number-before, uint64(1), "nothing changes, nothing is planned")
+	w.clean()
+}
+
+// A zone's executors are lost at full load: what its controllers want goes to the others within what those have left, and back by stages.
+func TestALostZone(t *testing.T) {
+	w := calm(t, 4)
+	w.sites[0].up, w.sites[0].listed = 0, 0
+	w.run(1500)
+	assert.Equal(t, Lost, w.state(0))
+	w.run(2000)
+	left := 0.8 * (1.2*100 - 60)
+	assert.InDelta(t, 60, w.may(0, 1)+w.may(0, 2), 10, "what it wants")
+	assert.LessOrEqual(t, w.may(0, 1), left)
+	assert.Greater(t, w.may(0, 1), 10.0)
+	assert.Greater(t, w.may(0, 2), 10.0, "both carry it")
+	assert.Zero(t, w.may(1, 0)+w.may(2, 0))
+	assert.Equal(t, 0.0, w.reaches[0]["z0"].Room)
+	w.sites[0].up, w.sites[0].listed = 1, 1
+	last, seen := 0.0, map[float64]bool{}
+	for range 200 {
+		w.run(100)
+		if w.state(0) == Returning {
+			share := w.may(0, 0)
+			assert.LessOrEqual(t, share, 0.7*1.2*100)
+			assert.GreaterOrEqual(t, share, last, "good signs alone: it only grows")
+			last = share
+			seen[stages[w.plan.zone("z0").Stage]] = true
+		}
+	}
+	assert.Len(t, seen, len(stages), "each stage")
+	assert.Equal(t, Whole, w.state(0))
+	w.run(5000)
+	assert.Empty(t, w.plan.Pairs)
+	w.clean()
+}
+
+func TestSignsOfAZone(t *testing.T) {
+	for name, c := range map[string]struct {
+		cause func(w *world)
+		want  State
+	}{
+		"lost for half of its controllers only": {func(w *world) { w.sites[0].hidden = map[int]bool{0: true, 3: true} }, Doubtful},
+		"cut off from others alone":             {func(w *world) { w.sites[0].foreign = true }, Whole},
+		"its list is gone, it is not":           {func(w *world) { w.deaf = true }, Whole},
+		"slow":                                  {func(w *world) { w.sites[0].wants *= 3 }, Whole},
+		"half of it gone":                       {func(w *world) { w.sites[0].up, w.sites[0].listed = 0.5, 0.5 }, Thinned},
+		"gone, with its controllers": {func(w *world) {
+			w.sites[0].up, w.sites[0].listed = 0, 0
+			for k := range w.watches {
+				w.down[k] = w.zoneOf[k] == 0
+			}
+		}, Lost},
+		"gone, together with the list": {func(w *world) {
+			w.sites[0].up, w.deaf = 0, true
+			for k := range w.watches {
+				w.down[k] = w.zoneOf[k] == 0
+			}
+		}, Lost},
+		"gone for its own, the list out of reach": {func(w *world) { w.sites[0].up, w.deaf = 0, true }, Doubtful},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := calm(t, 4)
+			c.cause(w)
+			w.run(4000)
+			assert.Equal(t, c.want, w.state(0), "%v", w.plan.zone("z0").Why)
+			assert.Equal(t, Whole, w.state(1))
+			w.clean()
+		})
+	}
+}
+
+// Back and lost again and again: each time it waits longer, up to a bound, and the others are not asked to swing with it.
+func TestAFlappingZone(t *testing.T) {
+	w := calm(t, 4)
+	returns, was := 0, Whole
+	for range 6 {
+		for _, up := range []float64{0, 1} {
+			w.sites[0].up, w.sites[0].listed = up, up
+			for range 50 {
+				w.run(100)
+				if s := w.state(0); s != was {
+					if was = s; s == Returning {
+						returns++
+					}
+				}
+			}
+		}
+	}
+	assert.LessOrEqual(t, returns, 3, "of six times that it was back for 5 s")
+	assert.GreaterOrEqual(t, w.plan.zone("z0").Flaps, 1)
+	w.clean()
+	z := Zone{Flaps: 40}
+	assert.Equal(t, float64(longWait), z.waits(&Bounds{WaitMS: 1000}))
+}
+
+// A controller that is cut off goes on with its part for a while, and with less and less of it; what it had is nobody else's meanwhile.
+func TestCutOffWithAnOldPlan(t *testing.T) {
+	w := calm(t, 4)
+	w.sites[0].up, w.sites[0].listed = 0, 0
+	w.run(4000)
+	out := 9 // of z0, and no voter
+	had := w.reaches[out]["z1"].Room + w.reaches[out]["z2"].Room
+	require.Greater(t, had, 0.0)
+	w.away[out] = true
+	last := had
+	for range 80 {
+		w.run(100)
+		now := w.reaches[out]["z1"].Room + w.reaches[out]["z2"].Room
+		assert.LessOrEqual(t, now, last, "it never grows")
+		last = now
+	}
+	assert.Zero(t, last)
+	w.away[out] = false
+	w.run(8000)
+	assert.Greater(t, w.reaches[out]["z1"].Room+w.reaches[out]["z2"].Room, 0.0, "it is back")
+	w.clean()
+}
+
+// The one who leads is lost with its zone, most voters are, there is no majority: plans are made by another, or none is; no cap is passed.
+func TestTheCouncilAndTheZoneTogether(t *testing.T) {
+	w := calm(t, 4)
+	w.leader = 0
+	w.run(1000)
+	w.down[0] = true
+	w.sites[0].up, w.sites[0].listed = 0, 0
+	w.run(6000)
+	assert.Equal(t, Lost, w.state(0))
+	assert.Greater(t, w.may(0, 1), 0.0)
+	before := w.plan.Number
+	w.down[1] = true // no majority
+	w.sites[0].up, w.sites[0].listed = 1, 1
+	w.run(8000)
+	assert.Equal(t, before, w.plan.Number, "nothing is agreed")
+	assert.Zero(t, w.may(0, 1)+w.may(0, 2), "no part outlives what confirms it")
+	w.down[0], w.down[1] = false, false
+	w.run(20_000)
+	assert.Equal(t, Whole, w.state(0))
+	w.clean()
+}
+
+// Both others are thinned and full: nothing goes there that they can't carry.
+func TestNoRoomElsewhere(t *testing.T) {
+	w := calm(t, 4)
+	w.sites[1].wants, w.sites[2].wants = 30, 30 // of each: as much as there is room
+	w.run(3000)
+	w.sites[0].up, w.sites[0].listed = 0, 0
+	w.run(5000)
+	assert.Zero(t, w.may(0, 1)+w.may(0, 2))
+	w.clean()
+}
+
+// The receiving zone's own come first: as they want more, what others may have there shrinks.
+func TestOwnSearchesFirst(t *testing.T) {
+	w := calm(t, 4)
+	w.sites[0].up, w.sites[0].listed = 0, 0
+	w.run(5000)
+	before := w.may(0, 1)
+	w.sites[1].wants = 28
+	w.run(5000)
+	assert.Less(t, w.may(0, 1), before/2)
+	w.clean()
+}
+
+func TestRegionsGoFirst(t *testing.T) {
+	w := newWorld(t, 3, 4, testBounds())
+	w.sites[2].region = "far"
+	for k := range w.watches {
+		w.watches[k].region = w.sites[w.zoneOf[k]].region
+	}
+	for _, s := range w.sites {
+		s.wants = 10
+	}
+	w.run(5000)
+	w.sites[0].up, w.sites[0].listed = 0, 0
+	w.run(5000)
+	assert.InDelta(t, 40, w.may(0, 1), 5, "the near one has room for all")
+	assert.Zero(t, w.may(0, 2))
+	w.sites[1].wants = 26
+	w.run(8000)
+	assert.Greater(t, w.may(0, 2), 10.0, "else the further one")
+	assert.Equal(t, 2, w.reaches[0]["z2"].Tier)
+	w.clean()
+}
+
+// An operator empties a zone; others join and leave meanwhile; the order lapses to the second, also where nobody can agree any more.
+func TestOrders(t *testing.T) {
+	w := calm(t, 4)
+	w.orders = []Order{{Kind: Evacuate, Zone: "z0", Author: "kim", Until: w.unix + 5000}}
+	for k := range w.watches {
+		w.planned(k)
+	}
+	w.run(3000)
+	assert.Equal(t, Evacuated, w.state(0))
+	assert.Zero(t, w.may(0, 0))
+	assert.Greater(t, w.may(0, 1), 0.0)
+	w.run(2500)
+	assert.Equal(t, Returning, w.state(0))
+	w.orders = append(w.orders, Order{Kind: Hold, Zone: "z0"})
+	w.planned(w.leader)
+	w.run(300)
+	stage := w.plan.zone("z0").Stage
+	w.run(5000)
+	assert.Equal(t, stage, w.plan.zone("z0").Stage, "it is held")
+	w.orders = []Order{{Kind: Evacuate, Zone: "z0", Until: w.unix + 4000}}
+	for k := range w.watches {
+		w.planned(k)
+	}
+	w.run(1500)
+	w.down[1], w.down[2] = true, true
+	w.run(8000)
+	assert.Equal(t, Evacuated, w.state(0), "nobody could agree that it returns")
+	assert.EqualValues(t, 1, w.reaches[3]["z0"].Room, "and yet it is not shut for ever")
+	w.clean()
+}
+
+// The only zone with a kind: searches for it go there from everywhere as if it were near, and nowhere once it is lost.
+func TestAKindThatOneZoneHas(t *testing.T) {
+	w := newWorld(t, 2, 3, testBounds())
+	w.sites[1].kinds = []string{"big", "type-a"}
+	w.run(5000)
+	assert.Equal(t, []string{"type-a"}, w.reaches[0]["z1"].Free)
+	w.sites[1].up, w.sites[1].listed = 0, 0
+	w.run(4000)
+	assert.Empty(t, w.reaches[0]["z1"].Free)
+	w.clean()
+}
+
+// Reports that are late, doubled, false by ten times, made up or of a version before do not open doors.
+func TestFalseReports(t *testing.T) {
+	w := calm(t, 4)
+	w.sites[0].up, w.sites[0].listed = 0, 0
+	w.run(5000)
+	honest := w.may(0, 1) + w.may(0, 2)
+	w.watches[3].own.Wants *= 10
+	for range 40 {
+		w.run(100)
+		w.watches[9].own.Wants *= 10
+	}
+	assert.LessOrEqual(t, w.may(0, 1)+w.may(0, 2), 3*honest)
+	leader := w.watches[w.leader]
+	was := leader.Counts.Malformed
+	for _, r := range []Report{{Zone: "z0", Voices: 1000}, {Zone: "z0", Voices: 2, Wants: -1}, {Zone: "z0", Voices: 1, Sights: []Sight{{Zone: "z1", Gone: 5}}},
+		{Zone: "z0", Voices: 2, Deaf: 3}} {
+		data, err := json.Marshal(letter{1 << 40, r})
+		require.NoError(t, err)
+		leader.Step(w.now, &Event{Kind: Heard, From: w.name(0), Data: data})
+	}
+	leader.Step(w.now, &Event{Kind: Heard, From: "x", Data: []byte("{")})
+	assert.Equal(t, was+5, leader.Counts.Malformed)
+	data, err := json.Marshal(letter{1, Report{Zone: "z2", Voices: 4, Wants: 9}})
+	require.NoError(t, err)
+	stale := leader.Counts.Stale
+	for range 2 {
+		leader.Step(w.now, &Event{Kind: Heard, From: w.name(2), Data: data})
+	}
+	assert.Greater(t, leader.Counts.Stale, stale, "the second is none")
+	w.clean()
+}
+
+// A zone that is renamed by a reload: the old name goes, the new one is whole.
+func TestARenamedZone(t *testing.T) {
+	w := calm(t, 2)
+	w.sites[2].listed = 0
+	for k := range w.watches {
+		w.down[k] = w.zoneOf[k] == 2
+	}
+	w.run(3000)
+	assert.NotEqual(t, Whole, w.state(2), "it looks lost first")
+	w.run(200_000)
+	assert.Equal(t, states, w.state(2), "and is forgotten in the end")
+}
+
+// What a controller sends does not grow with the fleet, and a plan is in force everywhere within a second or two.
+func TestTrafficOfManyControllers(t *testing.T) {
+	per := map[int]float64{}
+	for _, each := range []int{10, 100} {
+		w := newWorld(t, 3, each, testBounds())
+		for _, s := range w.sites {
+			s.wants = 60 / float64(each)
+		}
+		w.run(4000)
+		w.bytes = 0
+		w.run(4000)
+		per[each] = float64(w.bytes) / float64(3*each) / 4
+		w.sites[0].up, w.sites[0].listed = 0, 0
+		at, took := w.now, 0.0
+		for took == 0 && w.now < at+6000 {
+			w.run(50)
+			n := 0
+			for k := range w.watches {
+				if z := w.watches[k].Plan().zone("z0"); z != nil && z.State == Lost {
+					n++
+				}
+			}
+			if 100*n >= 95*len(w.watches) {
+				took = w.now - at
+			}
+		}
+		t.Logf("%d controllers: %.0f bytes/s each, the plan in force at 95%% after %.0f ms", 3*each, per[each], took)
+		assert.NotZero(t, took)
+		assert.Less(t, took, 2500.0)
+		w.clean()
+	}
+	assert.Less(t, per[100], 1.5*per[10])
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1,7 +1,6 @@
-// Every decision of liftshift stands in this file. A front makes an instance with New and hands it each
-// event, in order, through Step (the interface Instance in types.go), which appends the actions it wants
-// done. step.go routes each event to its function here; slab.go is storage. docs/design.md says what was
-// added to the design's ordinary path, and when that acts.
+// Every decision of liftshift stands in this file. A front makes an instance with New and hands it each event
+// through Step, which appends the actions it wants done: step.go routes events here; slab.go is storage.
+// docs/design.md says what was added to the design's ordinary path, and when that acts.
 package rules
 
 import (
@@ -137,8 +136,7 @@
 	}
 }
 
-// recall takes over what was known before a restart: it narrows what may be sent, by the ration used up and
-// by executors that are leaving, cold or aside, and what was learnt need not be learnt by pain again.
+// recall takes over what was known before a restart: it narrows sending, and saves learning.
 func (g *Gateway) recall(ev *Event) {
 	g.recount(ev)
 	for _, t := range ev.Trusts {
@@ -158,8 +156,7 @@
 	}
 }
 
-// stop makes a planned end of this instance the hard limit of all in hand and all that still comes: what
-// can't be handled by then is denied while the client has time to ask elsewhere, or written off.
+// stop makes a planned end the hard limit of all in hand and to come: the rest is denied, or written off.
 func (g *Gateway) stop(by float64) {
 	g.closing, g.dirty = by, true
 	for i := range g.slab.places {
@@ -167,8 +164,8 @@
 	}
 }
 
-// maySend is the one place that decides whether a shot at s may go to executor x. notHere means
-// that this executor won't do, notNow that none will at this moment, never that none will any more.
+// maySend is the one place that decides whether a shot at s may go to executor x. notHere: this one won't do;
+// notNow: none will at this moment; never: none will any more.
 func (g *Gateway) maySend(s *search, x int) verdict {
 	o, e := &g.offerings[s.offering], &g.executors[x]
 	if s.state != waiting || s.out > 0 || g.now >= s.until-closingMS {
@@ -189,12 +186,19 @@
 		return notNow
 	}
 	if !among(o.kinds, e.kind) || !among(o.places, e.place) || e.standing != Active || e.state == aside ||
-		g.now < e.coldUntil && !g.warmEnough(o, e) {
+		g.now < e.coldUntil && !g.warmEnough(o, e) || g.beyond(s, o, e.place) {
 		return notHere
 	}
 	return yes
 }
 
+// beyond tells whether a place is too far for a search: no room left there, too little gain, too long a way.
+func (g *Gateway) beyond(s *search, o *offering, place string) bool {
+	r := g.reach(o, place)
+	return r != nil && (float64(g.outAt(place)+o.threads) > r.Room || s.earns < r.Least ||
+		g.now+r.WayMS+s.work/float64(o.threads) > s.until-closingMS)
+}
+
 // rationLeft tells whether one more shot beyond a search's first, besides those coming, is in the ration.
 func (g *Gateway) rationLeft(coming int) bool {
 	length := g.given.Num("ration_span_ms", 0)
@@ -204,8 +208,8 @@
 		g.given.Num("ration_share", 0)*float64(g.takes.count())
 }
 
-// warmEnough tells whether a search fits this controller's part of what a cold executor may be sent, by the
-// least capacity it has. Where a part is less than a search, only some controllers have a turn there.
+// warmEnough tells whether a search fits this controller's part of what a cold executor may be sent, at its
+// least capacity. Where a part is less than a search, only some controllers have a turn there.
 func (g *Gateway) warmEnough(o *offering, e *executor) bool {
 	length := g.given.Num("fall_ms", 2000)
 	e.coldSent.forget(g.now-length-beatMS, 0)
@@ -266,8 +270,8 @@
 	return o.gain / s.work
 }
 
-// choose gives the executor for a search, or -1: the first in its group's order with room, else the one with
-// the fewest threads a core that is not full. A search waits rather than stand behind a load of its group.
+// choose gives the executor for a search, or -1: in the nearest places with room the first in its order, else
+// the one with the fewest threads a core. A search waits rather than stand behind a load of its group.
 func (g *Gateway) choose(s *search) int {
 	o := &g.offerings[s.offering]
 	limit := fullPerCore
@@ -275,7 +279,7 @@
 		limit = shortPerCore
 	}
 	g.full = true
-	best, bestFill, bestRank := -1, 0.0, uint64(0)
+	best, bestFill, bestRank, bestTier := -1, 0.0, uint64(0), 0
 	for x := range g.executors {
 		e := &g.executors[x]
 		busy, part, memory := float64(e.threads), g.part(e), e.memory
@@ -294,7 +298,7 @@
 		} else if v == notHere {
 			continue
 		}
-		threads := busy + float64(o.threads)
+		threads, tier := busy+float64(o.threads), g.reach(o, e.place).tier()
 		memory = (memory + g.grant(s, e)) / (e.ram * part)
 		group := s.group
 		if o.holds && g.blind(e) { // controllers that don't see each other's loads spread them
@@ -305,13 +309,14 @@
 			fill = 1 + now*busy/room + far*g.owed(e)/e.cores/owedMS
 		}
 		if (fill == 0 || threads <= limit*room && memory <= limit/shortPerCore || busy == 0) &&
-			(best < 0 || fill < bestFill || fill == bestFill && order(group, e.id) > bestRank) {
+			(best < 0 || tier < bestTier || tier == bestTier &&
+				(fill < bestFill || fill == bestFill && order(group, e.id) > bestRank)) {
 			// What is told to all at once would send all to the same one: the fuller, the fewer go at each telling.
 			if g.given.Is("may_tell") && g.blind(e) && g.fresh(e) &&
 				g.odds(s.seq*7919+uint64(e.seenAt)*31+uint64(x)) > 1-busy/(limit*room) {
 				continue
 			}
-			best, bestFill, bestRank = x, fill, order(group, e.id)
+			best, bestFill, bestRank, bestTier = x, fill, order(group, e.id), tier
 		}
 	}
 	if best >= 0 && g.asked(best) {
@@ -320,8 +325,8 @@
 	return best
 }
 
-// tell lets a few controllers know what this one has out. Those add up what they were told and let all know
-// how full each executor is. A lost message is made good by the next; without any, the owed work decides.
+// tell lets a few controllers know what this one has out. Those add up and tell all how full executors are.
+// A lost message is made good by the next; without any, the owed work decides.
 func (g *Gateway) tell() {
 	if !g.given.Is("may_tell") || g.now < g.tellAt || len(g.executors) == 0 || !g.blind(&g.executors[0]) {
 		return
@@ -364,15 +369,13 @@
 // blind tells that this controller's part of an executor is below one thread.
 func (g *Gateway) blind(e *executor) bool { return g.part(e)*e.cores < 1 }
 
-// fresh tells whether the load that an executor has reported still counts.
-// Bad news counts for longer, so that nobody runs back into a line.
+// fresh tells whether a reported load still counts: bad news for longer, so that nobody runs back to a line.
 func (g *Gateway) fresh(e *executor) bool {
 	age := g.now - e.seenAt
 	return e.seenAt > 0 && (age < freshMS || e.seen > shortPerCore*e.cores && age < 2*freshMS)
 }
 
-// asked tells whether the load report of an executor is to be waited for before anything goes there: where
-// this controller's part is below one thread, its own threads say nothing of how full it is.
+// asked tells whether an executor's load report is to be waited for: our own threads say nothing of its load.
 func (g *Gateway) asked(x int) bool {
 	e := &g.executors[x]
 	if g.given.Text("report_comes") != "probes" || g.fresh(e) || !g.blind(e) {
@@ -387,8 +390,7 @@
 	return g.now < g.reportedAt+blindMS
 }
 
-// owed is the work, in ms of one thread, that this controller has sent to an executor beyond what its part
-// of it has done since. Where that part is below one thread, the threads running now say nothing.
+// owed is the work, in ms of one thread, sent to an executor beyond what our part of it has done since.
 func (g *Gateway) owed(e *executor) float64 {
 	return max(0, e.owed-(g.now-e.owedAt)*drainPerCore*e.cores*g.share())
 }
@@ -407,8 +409,7 @@
 	o := &g.offerings[s.offering]
 	s.p, s.quanta, s.level = pTop, 0, topLevel
 	if s.start > 0 && !o.holds { // past its budget while others wait: the paper's static p0 (3.2)
-		s.p = min(s.start, pTop)
-		s.level = levelOf(s.p)
+		s.p, s.level = min(s.start, pTop), levelOf(min(s.start, pTop))
 	}
 	g.lend(s, g.target, g.grant(s, e))
 	e.owed, e.owedAt = g.owed(e)+s.work, g.now
@@ -460,8 +461,7 @@
 	case Waits:
 		g.line(h, true)
 		g.dirty = true
-		// A reader that stands behind a load, maybe another controller's, goes elsewhere at once: it has done
-		// nothing yet that would be lost. Harms only by the shot that it uses up.
+		// A reader that stands behind a load goes elsewhere at once: all it loses is the shot that it uses up.
 		if ev.Value == 2 {
 			g.seen = append(g.seen, holding{s.group, h.executor, g.now + seenMS})
 			if s.state == running && o.effect == "redoable" && h.share == 0 && g.mayFollow(s) {
@@ -481,8 +481,8 @@
 		least := s.work / float64(o.threads)
 		expected := least * max(1, o.slow) * max(1, e.pace)
 		projected := h.ran / max(h.share, 0.01)
-		// A bad plan, told by a pace far under that of offering and executor. It also catches a shot that an
-		// executor has forgotten; it harms when an estimate is far too low, hence the limit on what is left.
+		// A bad plan, told by a pace far under that of offering and executor, or a shot that was forgotten there.
+		// It harms when an estimate is far too low, hence the limit on what is left.
 		if s.state == running && h.ran > badPlanMS && projected > badPlan*expected &&
 			projected-h.ran > 2*expected && o.effect == "redoable" && g.mayFollow(s) {
 			g.search(i, doomed)
@@ -573,15 +573,14 @@
 	g.dirty = true
 }
 
-// evict calls off the shots at an executor set aside, but irreversible ones: it may only have been cut off.
+// evict calls off the shots at an executor set aside, but irreversible ones: it may only be cut off.
 func (g *Gateway) evict(x int) {
 	e := &g.executors[x]
 	e.asideAt, e.answers, e.strikes = g.now, 0, e.strikes+1
 	g.lost(x, g.now, false)
 }
 
-// lost calls off the shots at x that went out before then; unless surely gone, only those that another shot
-// may follow.
+// lost calls off the shots at x that went out before then; unless surely gone, only those another may follow.
 func (g *Gateway) lost(x int, before float64, surely bool) {
 	for i := range g.slab.places {
 		s := &g.slab.places[i]
@@ -694,8 +693,7 @@
 	}
 }
 
-// press holds a search under a priority while others have less than they are due; a load never, it would hold
-// its group for longer.
+// press holds a search under a priority while others lack their due; a load never: its group would wait.
 func (g *Gateway) press(i int, ev *Event) {
 	s := &g.slab.places[i]
 	if s.under, s.part = ev.Start, ev.Part; g.offerings[s.offering].holds {
@@ -707,9 +705,8 @@
 	}
 }
 
-// forgotten tells whether a shot has missed a note while its executor goes on working: it catches lost
-// replies, cut streams and shots dropped by an executor. It harms where notes alone are lost. It leaves alone
-// a shot in line for memory, which sends none, and does nothing where no notes come.
+// forgotten tells whether a shot has missed a note while its executor goes on working: lost replies, cut
+// streams, dropped shots. It harms where notes alone are lost; one in line for memory sends none, and stays.
 func (g *Gateway) forgotten(s *search, h *shot) bool {
 	every := g.given.Num("told_every_ms", 0)
 	e := &g.executors[h.executor]
@@ -727,8 +724,7 @@
 	if g.now < g.onsetAt+onsetEvery {
 		return
 	}
-	g.onsetAt = g.now
-	g.onset = onsetOf(g.finished.sorted())
+	g.onsetAt, g.onset = g.now, onsetOf(g.finished.sorted())
 }
 
 // onsetOf solves sum(min(t, onset)) = onsetShare * sum(t) for sorted running times t.
@@ -747,8 +743,7 @@
 	return 0
 }
 
-// watch probes an executor that is aside or shows no sign of work, and sets it aside when that goes on. It
-// catches silence, cut links, hung machines, and ones that answer probes but finish nothing.
+// watch probes an executor that is aside or shows no sign of work, and sets it aside when that goes on.
 func (g *Gateway) watch(x int) {
 	e := &g.executors[x]
 	if e.state == chilled && g.now >= e.coldUntil {
--- a/rules/slab.go
+++ b/rules/slab.go
@@ -292,6 +292,7 @@
 	told       []telling // by controller, at those that add up
 	askAt      float64   // when the list is to be asked for
 	present    float64   // controllers that share the executors, where that is heard
+	reaches    []Reach   // places that are not simply near
 	closing    float64   // when this instance stops; far off unless that is planned
 }
 
@@ -690,6 +691,38 @@
 	return false
 }
 
+// reach gives how far a place is for an offering, or nil: it is near.
+func (g *Gateway) reach(o *offering, place string) *Reach {
+	for k := range g.reaches {
+		if r := &g.reaches[k]; r.Place == place && !r.free(o) {
+			return r
+		}
+	}
+	return nil
+}
+
+func (r *Reach) tier() int {
+	if r == nil {
+		return 0
+	}
+	return r.Tier
+}
+
+// outAt counts the threads of this instance's shots at a place.
+func (g *Gateway) outAt(place string) (n int) {
+	for x := range g.executors {
+		if g.executors[x].place == place {
+			n += g.executors[x].threads
+		}
+	}
+	return n
+}
+
+// free tells whether an offering runs on kinds alone that are free at a place.
+func (r *Reach) free(o *offering) bool {
+	return o.kinds != nil && len(r.Free) > 0 && !slices.ContainsFunc(o.kinds, func(k string) bool { return !slices.Contains(r.Free, k) })
+}
+
 // among tells whether a name is in a list that binds; no list binds nothing.
 func among(list []string, name string) bool { return list == nil || slices.Contains(list, name) }
 
--- a/rules/step.go
+++ b/rules/step.go
@@ -37,6 +37,8 @@
 		g.stop(ev.Until)
 	case Counted:
 		g.present = ev.Value
+	case Opened:
+		g.reaches, g.dirty = append(g.reaches[:0], ev.Reaches...), true
 	case Heard:
 		g.heard(ev.FromPeer, ev.Data)
 	}
--- a/rules/types.go
+++ b/rules/types.go
@@ -53,6 +53,7 @@
 	Kept                       // what was known before the instance was last ended
 	Pressed                    // a search is held under a priority, or no longer
 	Counted                    // so many controllers share the executors now
+	Opened                     // how far searches may go now: Reaches; places that it leaves out are near
 	eventKinds
 )
 
@@ -153,6 +154,7 @@
 
 	Takes, Extras []float64 // Kept: clocks at which searches were taken, and further shots sent
 	Trusts        []Trust   // Kept
+	Reaches       []Reach   // Opened
 	Figures       []Figure  // Kept
 }
 
@@ -163,6 +165,16 @@
 	Cell  int64
 }
 
+// Reach is how far searches may go to the executors of a place.
+type Reach struct {
+	Place string
+	Tier  int      // 0: near; a further one is used only where no nearer executor has room
+	Room  float64  // threads of this instance's shots there at most; infinite: any number
+	WayMS float64  // longer on the way there and back than to near ones
+	Least float64  // gain for its work that a search must have to go there
+	Free  []string // kinds that no near place has: searches that run on nothing else go there as if it were near
+}
+
 // Trust is what is known of an executor besides what the list says.
 type Trust struct {
 	Executor  uint32
