--- a/internal/zones/plan.go
+++ b/internal/zones/plan.go
@@ -263,6 +263,9 @@
 			p.line("zone %s to itself: %.0f of %.0f threads, as it is %s", z.Name, near, f.room, z.State)
 		}
 	}
+	for k := range flows {
+		p.stand(&flows[k], flows, prev, plan)
+	}
 	for tier := 1; tier <= 2; tier++ {
 		for k := range flows {
 			p.fill(&flows[k], flows, tier, prev, plan)
@@ -311,6 +314,37 @@
 	return 2
 }
 
+// stand gives each zone a part of what is left of the others in its region before it needs any: near ones come first all the same, and
+// what it can't have near goes there at once, ahead of any plan.
+func (p *planner) stand(to *flow, all []flow, prev, plan *Plan) {
+	n := 0.0
+	for k := range all {
+		if f := &all[k]; f.zone != to.zone && tierOf(f.zone, to.zone) == 1 {
+			n++
+		}
+	}
+	most := standing * to.left / max(1, n)
+	for k := range all {
+		f := &all[k]
+		if f.zone == to.zone || tierOf(f.zone, to.zone) != 1 {
+			continue
+		}
+		if take := steadily(prev.Pair(f.zone.Name, to.zone.Name), math.Floor(most), most); take >= 1 {
+			plan.Pairs = append(plan.Pairs, Pair{From: f.zone.Name, To: to.zone.Name, Cap: take})
+			f.need -= min(f.need, take)
+			to.left -= take
+		}
+	}
+}
+
+// steadily keeps a cap as it was where it hardly changes, and may be so: a change takes from somebody, and waits.
+func steadily(old *Pair, take, most float64) float64 {
+	if old != nil && take > steadyLow*old.Cap && take < steadyHigh*old.Cap && old.Cap <= most {
+		return old.Cap
+	}
+	return take
+}
+
 // fill gives what is left of a zone to those of a tier that need it, each its part by what it needs.
 func (p *planner) fill(to *flow, all []flow, tier int, prev, plan *Plan) {
 	sum := 0.0
@@ -328,18 +362,24 @@
 		if f.zone == to.zone || tierOf(f.zone, to.zone) != tier || f.need == 0 {
 			continue
 		}
-		// What the others of this tier can still give counts, too: the nearest do not carry all where two could.
+		pair, had := plan.Pair(f.zone.Name, to.zone.Name), 0.0
+		if pair != nil {
+			had = pair.Cap
+		}
 		take := math.Floor(min(left*f.need/sum, f.need))
-		if old := prev.Pair(f.zone.Name, to.zone.Name); old != nil && take > steadyLow*old.Cap && take < steadyHigh*old.Cap && old.Cap <= to.left {
-			take = old.Cap // what hardly changes stays: a change takes from somebody, and waits
+		take = steadily(prev.Pair(f.zone.Name, to.zone.Name), had+take, had+to.left) - had
+		if take < 1 {
+			continue
 		}
-		if take >= 1 {
-			plan.Pairs = append(plan.Pairs, Pair{From: f.zone.Name, To: to.zone.Name, Cap: take})
-			p.line("zone %s to %s: %.0f threads of %.0f left there (%.0f of %.0f in use by its own), %.0f needed", f.zone.Name, to.zone.Name, take,
-				to.left, to.wants, to.room, f.need)
-			f.need -= take
-			to.left -= take
+		if pair == nil {
+			plan.Pairs = append(plan.Pairs, Pair{From: f.zone.Name, To: to.zone.Name})
+			pair = &plan.Pairs[len(plan.Pairs)-1]
 		}
+		pair.Cap += take
+		p.line("zone %s to %s: %.0f threads, %.0f are left there (%.0f of %.0f in use by its own), %.0f more needed", f.zone.Name, to.zone.Name,
+			pair.Cap, to.left, to.wants, to.room, f.need)
+		f.need -= min(f.need, take)
+		to.left -= take
 	}
 }
 
--- a/internal/zones/types.go
+++ b/internal/zones/types.go
@@ -35,6 +35,7 @@
 	mostOrders = 64
 	mostOf     = 1024 // members that share a cap
 	mostText   = 64
+	standing   = 0.5 // part of what is left of a zone that the others of its region have before they need it
 	steady     = 0.4 // weight of the latest in what a zone wants: a second, mostly
 	steadyLow  = 0.7 // a cap stays as it is while what is due is no less than this of it
 	steadyHigh = 1.2 // and no more than this
