What is taken back is taken back everywhere; a late word is not given up too soon

Checked with estate explain at all controllers: the open ones were copies of a living controller, word 1, in nobody's hand: it had asked, had no quorum and denied; its Withdraw is said once, and chairs without a lease, its own too, refused it, or learnt the copy later from one that had not heard (owner.go, giveUp, conflict, gone). The others: an owner that did not know yet that its life was lost said its end without the copy, was told of a later word, and gave up (owner.go, answered and settling). Ruled out: claims and their turns.

--- a/internal/estate/estate.go
+++ b/internal/estate/estate.go
@@ -64,7 +64,9 @@
 	// As an owner.
 	mine    map[Key]*mine
 	byID    map[string]*mine
-	pending []*mine // words of theirs have not been answered by all
+	pending []*mine  // words of theirs have not been answered by all
+	back    []*taken // words that are being taken back
+	backBy  map[takenWord]*taken
 	line    []*caller
 	young   []young
 	fresh   map[string]struct{} // those of them that are open
@@ -96,7 +98,7 @@
 		spanMS: given.Num("ration_span_ms", 10000), seed: seed, out: map[string]*Batch{}, places: map[string]*chairs.Place{},
 		copies: map[Key]*kept{}, owners: map[Member]map[Key]*kept{}, wheel: map[int64][]Key{}, learns: map[int]*learning{},
 		noted: map[Member]float64{}, moves: map[string]float64{}, bereft: map[int]float64{}, mine: map[Key]*mine{}, byID: map[string]*mine{},
-		fresh: map[string]struct{}{}, lined: map[Key]struct{}{}}
+		backBy: map[takenWord]*taken{}, fresh: map[string]struct{}{}, lined: map[Key]struct{}{}}
 	e.longest = given.Num("doubt_ms", 0)
 	if given.Is("tells_come_back") {
 		e.away = given.Num("longest_come_back_ms", 0)
@@ -359,6 +361,7 @@
 		return
 	}
 	e.repeat()
+	e.repeatBack()
 	e.age()
 	e.poll()
 	e.keepUp()
--- a/internal/estate/estate_test.go
+++ b/internal/estate/estate_test.go
@@ -483,3 +483,49 @@
 		}
 	})
 }
+
+// A search that could not be registered is denied; chairs that could not hear that it is taken back, for want of a lease or as they are
+// still learning, hear of it later: whoever comes again with its mark is not held up by one that nobody has.
+func TestWhatIsTakenBackIsTakenBackEverywhere(t *testing.T) {
+	w := newWorld(t, 6, 2, nil)
+	w.mute = func(_, to int, it *Item) bool { return to != 1 && it.Op == Register || it.Op == Withdraw } // no quorum, and nobody hears
+	w.arrive(0, "mark", "a", "m")
+	w.tick(1500)
+	require.Len(t, w.said(0, Settle, "a"), 1)
+	assert.Equal(t, Denied, w.said(0, Settle, "a")[0].Outcome)
+	w.mute = nil
+	w.tick(3000)
+	for k := range w.ends {
+		assert.Nil(t, w.ends[k].copies[KeyOf("m", "")], "n%d", k)
+		assert.Empty(t, w.ends[k].back, "n%d", k)
+		assert.Empty(t, w.ends[k].backBy, "n%d", k)
+	}
+	w.arrive(3, "mark", "b", "m")
+	assert.Len(t, w.said(3, Resume, "b"), 1, "it goes on at once")
+	w.balance()
+}
+
+// A life that does not know yet that it was declared lost says that a search of its was handled: its heir has written that off meanwhile.
+// The word is not given up, and corrects it.
+func TestALateWordOfOneThatDoesNotKnowThatItIsLost(t *testing.T) {
+	w := newWorld(t, 6, 2, nil)
+	w.arrive(0, "once", "a", "")
+	require.True(t, w.shoot(0, "a"))
+	w.mute = func(from, to int, _ *Item) bool { return from == 0 || to == 0 }
+	assert.False(t, w.end(0, "a", Handled, "rows"), "its client is told")
+	w.lose(0)
+	w.tick(1500)
+	heirs := w.adopter("a")
+	require.Len(t, heirs, 1)
+	w.end(heirs[0], "a", WrittenOff, "")
+	w.tick(500)
+	w.down[0], w.mute = false, nil // it hears who sits where by now, and not yet that it goes on under another life
+	table := w.table.Clone()
+	w.step(0, &Event{Kind: Seated, Places: w.places, Table: &table})
+	w.tick(2000)
+	for k := 1; k < 6; k++ {
+		if c := w.ends[k].copies[KeyOf("", "a")]; c != nil {
+			assert.Equal(t, Handled, c.Outcome, "n%d", k)
+		}
+	}
+}
--- a/internal/estate/holder.go
+++ b/internal/estate/holder.go
@@ -54,6 +54,9 @@
 // newHere is why an answer counts for nothing yet: this chair does not know all that those before it knew.
 const newHere = "new here"
 
+// noLease is why a chair says nothing: it may be one that is lost.
+const noLease = "no lease"
+
 // word takes one item and gives the answer, and says so where it may be wrong for want of what is still being copied.
 func (e *Estate) word(from Member, it *Item) Item {
 	back := e.take(from, it)
@@ -92,7 +95,7 @@
 		return refused("not here")
 	}
 	if !e.held {
-		return refused("no lease")
+		return refused(noLease)
 	}
 	k := e.copies[it.Key]
 	if it.Op == Ask {
--- a/internal/estate/owner.go
+++ b/internal/estate/owner.go
@@ -189,7 +189,10 @@
 	case Pull:
 		e.paged(by, word, back)
 		return
-	case Mind, Withdraw:
+	case Withdraw:
+		e.tookBack(by, word, back)
+		return
+	case Mind:
 		return
 	}
 	m := e.mine[word.Key]
@@ -239,9 +242,15 @@
 			e.tell(by.Name, last)
 			return
 		}
+		if c := back.Copy; c != nil && c.Outcome == WrittenOff && c.ID == m.ID && m.phase == finishing && m.Outcome == Handled && word.Copy == nil {
+			last := e.item(m) // its heir could not know that it was handled under the lease that it had then
+			last.Copy = &m.Copy
+			e.tell(by.Name, last)
+			return
+		}
 		m.nays = append(m.nays, by)
 	default:
-		if back.Why != "no lease" { // it may have one in a moment
+		if back.Why != noLease { // it may have one in a moment
 			m.nays = append(m.nays, by)
 		}
 	}
@@ -324,7 +333,7 @@
 
 // conflict has it that another has the search: what was asked for is taken back, and it waits, or is told what is known.
 func (e *Estate) conflict(m *mine) {
-	e.tellAllBut(m, Item{Op: Withdraw, Key: m.key, Number: m.Number, From: m.Owner})
+	e.takeBack(m)
 	e.forget(m)
 	w := &caller{Copy: m.Copy, key: m.key, began: m.began, known: m.known}
 	w.Number = m.Number + 1 // what was said under the one before may still be on its way
@@ -334,10 +343,70 @@
 	e.wait(w)
 }
 
-func (e *Estate) tellAllBut(m *mine, it Item) {
-	for _, name := range e.sitting(m.key.Part()) {
-		e.tell(name, it)
+// takeBack has a search that was never more than asked for known to nobody any more: it is said until all that sit have heard, or those
+// that come again with its mark would wait for one that nobody has.
+func (e *Estate) takeBack(m *mine) {
+	if len(e.back) >= mostBack {
+		delete(e.backBy, e.back[0].word())
+		e.back = append(e.back[:0], e.back[1:]...)
+	}
+	t := &taken{key: m.key, number: m.Number, from: m.Owner}
+	e.back = append(e.back, t)
+	e.backBy[t.word()] = t
+	e.sayBack(t)
+}
+
+// taken is a word that is being taken back.
+type taken struct {
+	key    Key
+	number uint64
+	from   Member
+	saidAt float64
+	tries  int
+	acks   []string
+}
+
+type takenWord struct {
+	key    Key
+	number uint64
+}
+
+func (t *taken) word() takenWord { return takenWord{t.key, t.number} }
+
+func (e *Estate) sayBack(t *taken) {
+	t.saidAt = e.now
+	t.tries++
+	for _, name := range e.sitting(t.key.Part()) {
+		if !slices.Contains(t.acks, name) {
+			e.tell(name, Item{Op: Withdraw, Key: t.key, Number: t.number, From: t.from})
+		}
+	}
+}
+
+// tookBack books who has heard of one. A chair that may not answer now, or is still learning from those that have not heard, has not.
+func (e *Estate) tookBack(by Member, word, back *Item) {
+	t := e.backBy[takenWord{word.Key, word.Number}]
+	if t != nil && back.Why != newHere && back.Why != noLease && !slices.Contains(t.acks, by.Name) {
+		t.acks = append(t.acks, by.Name)
+	}
+}
+
+// repeatBack says again what was not heard by all.
+func (e *Estate) repeatBack() {
+	rest := e.back[:0]
+	for _, t := range e.back {
+		heard := !slices.ContainsFunc(e.sitting(t.key.Part()), func(name string) bool { return !slices.Contains(t.acks, name) })
+		if heard && e.reachable(t.key.Part()) || t.tries > closeTries {
+			delete(e.backBy, t.word())
+			continue
+		}
+		if e.now >= t.saidAt+againMS*float64(min(t.tries, 10)) {
+			e.sayBack(t)
+		}
+		rest = append(rest, t)
 	}
+	clear(e.back[len(rest):])
+	e.back = rest
 }
 
 // forget has a search no longer in hand here.
@@ -367,7 +436,7 @@
 	delete(e.pace.began, id)
 	e.line = slices.DeleteFunc(e.line, func(w *caller) bool { return w.ID == id })
 	if m := e.byID[id]; m != nil && m.phase == asking {
-		e.tellAllBut(m, Item{Op: Withdraw, Key: m.key, Number: m.Number, From: m.Owner})
+		e.takeBack(m)
 		e.forget(m)
 	}
 }
@@ -517,11 +586,18 @@
 		e.forget(m) // it is another's by now, or a later search of its mark is known
 		return
 	}
-	if all := len(e.sitting(part)); len(m.acks) >= all || m.Owner != e.self && enough || m.light || m.tries >= closeTries && enough || m.tries >= 4*closeTries {
+	if e.heardByAll(m) || m.Owner != e.self && enough || m.light || m.tries >= closeTries && enough || m.tries >= 4*closeTries {
 		e.forget(m)
 	}
 }
 
+// heardByAll tells whether all that sit have the last word of a search. Others may have answered, that sat before.
+func (e *Estate) heardByAll(m *mine) bool {
+	return !slices.ContainsFunc(e.sitting(m.key.Part()), func(name string) bool {
+		return !slices.Contains(m.acks, Member{name, e.places[name].Life})
+	})
+}
+
 // repeat says again what was not answered, and gives up shots that have waited for too long.
 func (e *Estate) repeat() {
 	rest := e.pending[:0]
@@ -581,7 +657,7 @@
 
 // giveUp has it that nobody could be asked in time.
 func (e *Estate) giveUp(m *mine) {
-	e.tellAllBut(m, Item{Op: Withdraw, Key: m.key, Number: m.Number, From: m.Owner})
+	e.takeBack(m)
 	e.forget(m)
 	if m.known != nil && m.known.Outcome == Open && e.now < m.Until-lastMS {
 		w := &caller{Copy: m.Copy, key: m.key, began: e.now, known: m.known}
--- a/internal/estate/types.go
+++ b/internal/estate/types.go
@@ -20,6 +20,7 @@
 	leavesMS     = 600   // in which a shot that is made now has left: it is held, and its connection comes up
 	againMS      = 120   // until a word that was not answered is said again
 	askMS        = 150   // between two looks at a search that another has
+	mostBack     = 8192  // words that are being taken back
 	closeTries   = 40    // words of an end that is not answered
 	sureMS       = 1000  // by which what is told as so many ms ago may be older: the longest way of a word
 	stopMS       = 2000  // after which a controller that stops answers what still waits
--- a/internal/rehearse/takeover.go
+++ b/internal/rehearse/takeover.go
@@ -333,7 +333,7 @@
 		r.Outcomes[s.offering+" is "+told]++
 		switch {
 		case told == "open":
-			r.Without = append(r.Without, fmt.Sprintf("%s (%s, %s, %s) is open still", name, s.offering, s.first, s.second))
+			r.Without = append(r.Without, fmt.Sprintf("%s (%s, %s, %s) is open still: %s", name, s.offering, s.first, s.second, f.explained(name)))
 		case told == "unknown" && times[name] > 0:
 			r.Without = append(r.Without, fmt.Sprintf("%s (%s, %s, %s) ran, and nobody knows of it", name, s.offering, s.first, s.second))
 		case (s.first == "handled" || s.second == "handled") && told != "handled",
@@ -348,6 +348,23 @@
 	}
 }
 
+// explained gives what each controller has of a search, for a complaint.
+func (f *Fleet) explained(name string) (text string) {
+	for k, c := range f.Controllers {
+		a, err := f.Ask(k, "estate explain", map[string]any{"name": name})
+		copies, _ := a["copies"].([]any)
+		if err != nil || len(copies) == 0 {
+			text += c.Name + " nothing; "
+			continue
+		}
+		for _, x := range copies {
+			m, _ := x.(map[string]any)
+			text += fmt.Sprintf("%s %v of %v/%v word %v %v in hand %v; ", c.Name, m["state"], m["owner"], m["life"], m["number"], m["outcome"], m["in_hand_here"])
+		}
+	}
+	return text
+}
+
 func key(id, mark string) string {
 	if mark != "" {
 		return mark
