--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets for a developer's machine; .ci/run is what a submission has to pass.
-.PHONY: build test lint fuzz run clean measure-store measure-budgets measure-fleet measure-takeover
+.PHONY: build test lint fuzz run clean measure-store measure-budgets measure-fleet measure-takeover measure-zones
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -38,6 +38,9 @@
 	go run ./internal/lab/measure orphans $(SCRATCH) bin
 	go run ./internal/lab/measure control $(SCRATCH) bin
 
+measure-zones: build
+	go run ./internal/lab/measure zones $(SCRATCH) bin
+
 # One controller with the example configuration; it serves on 127.0.0.1:9090 until Ctrl-C.
 run: build
 	RELAY_CONFIG=$${RELAY_CONFIG:-deploy/example.json} bin/liftshift $(if $(FILE),--file $(FILE))
--- a/internal/council/council_test.go
+++ b/internal/council/council_test.go
@@ -150,3 +150,40 @@
 	_, changed := r.enter(&entry{Kind: "lost", Name: "1", Life: 1})
 	assert.True(t, changed)
 }
+
+// Plans follow one another by their numbers; orders stand until they are taken back, so many at most; both are in a snapshot.
+func TestPlansAndOrders(t *testing.T) {
+	r := Record{Places: map[string]Place{}}
+	plan := func(n uint64, text string) *entry {
+		return &entry{Kind: "plan", Number: n, Data: json.RawMessage(text)}
+	}
+	assert.False(t, r.replan(plan(2, `{}`)), "there is no first")
+	assert.True(t, r.replan(plan(1, `{"a":1}`)))
+	assert.False(t, r.replan(plan(1, `{"a":2}`)), "told twice, or by a leader that was late")
+	assert.True(t, r.replan(plan(2, `{"a":3}`)))
+	assert.False(t, r.replan(plan(3, "")))
+	order := func(about, text string) *entry {
+		return &entry{Kind: "order", Name: about, Data: json.RawMessage(text)}
+	}
+	assert.True(t, r.replan(order("zone a", `{"Kind":"hold"}`)))
+	assert.True(t, r.replan(order("zone b", `{"Kind":"hold"}`)))
+	assert.True(t, r.replan(order("zone a", "")))
+	assert.False(t, r.replan(order("zone a", "")), "it is gone")
+	for k := range 2 * mostOrders {
+		r.replan(order("zone "+string(rune('c'+k)), `{}`))
+	}
+	assert.Len(t, r.Orders, mostOrders)
+	assert.True(t, r.replan(order("zone b", `{"Kind":"evacuate"}`)), "one that is there can be changed still")
+	data, err := json.Marshal(&r)
+	require.NoError(t, err)
+	var again Record
+	require.NoError(t, json.Unmarshal(data, &again))
+	assert.Equal(t, r.Number, again.Number)
+	assert.JSONEq(t, `{"a":3}`, string(again.Plan))
+	assert.JSONEq(t, `{"Kind":"evacuate"}`, string(again.Orders["zone b"]))
+	var e entry
+	require.NoError(t, json.Unmarshal(PlanMotion(7, []byte(`{"x":1}`)), &e))
+	assert.Equal(t, uint64(7), e.Number)
+	require.NoError(t, json.Unmarshal(OrderMotion("zone z", nil), &e))
+	assert.Equal(t, "order", e.Kind)
+}
--- a/internal/lab/measure/main.go
+++ b/internal/lab/measure/main.go
@@ -13,11 +13,11 @@
 )
 
 var measurements = map[string]func(dir, programs string) ([]lab.Figure, error){"store": lab.Store, "budgets": lab.Budgets, "fleet": lab.Fleet, "council": lab.Council, "takeover": lab.Takeover, "stories": lab.Stories,
-	"kills": lab.Kills, "holds": lab.Holds, "orphans": lab.Orphans, "control": lab.Control}
+	"kills": lab.Kills, "holds": lab.Holds, "orphans": lab.Orphans, "control": lab.Control, "zones": lab.Zones}
 
 func main() {
 	if len(os.Args) != 4 || measurements[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "measure: NAME FOLDER PROGRAMS, where NAME is store, budgets, fleet, council, takeover, stories, kills, holds, orphans or control, FOLDER is scratch room on the disk that is measured,\n"+
+		fmt.Fprintln(os.Stderr, "measure: NAME FOLDER PROGRAMS, where NAME is store, budgets, fleet, council, takeover, stories, kills, holds, orphans, control or zones, FOLDER is scratch room on the disk that is measured,\n"+
 			"and PROGRAMS is where liftshift is built")
 		os.Exit(2)
 	}
--- /dev/null
+++ b/internal/operator/zones_test.go
@@ -0,0 +1,35 @@
+package operator
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const zoned = "store {\n directory = \"/d\"\n}\nfleet {\n name = \"f\"\n address = \"127.0.0.1:1\"\n seeds = [\"127.0.0.1:1\"]\n founders = [\"a\", \"b\", \"c\"]\n zone = \"z\"\n region = \"east\"\n}\n"
+
+func TestBlockZones(t *testing.T) {
+	f, err := Parse([]byte(zoned+"zones {\n spill = 0.5\n stage = \"2s\"\n region \"west\" {\n  way = \"20ms\"\n  price = 0.5\n }\n}"), "f")
+	require.NoError(t, err)
+	assert.Equal(t, 0.5, f.Zones.Given["zone_spill"])
+	assert.Equal(t, 2000.0, f.Zones.Given["stage_ms"])
+	assert.Equal(t, Region{WayMS: 20, Price: 0.5}, f.Zones.Regions["west"])
+	usual, err := Parse([]byte(zoned+"zones {}"), "f")
+	require.NoError(t, err)
+	assert.Equal(t, 1.2, usual.Zones.Given["zone_room"])
+	assert.Contains(t, f.Differs(usual), "zones")
+	assert.NotContains(t, f.Differs(f), "zones")
+	for text, want := range map[string]string{
+		council + "zones {}":                            "in which zone",
+		"zones {}":                                      "no block fleet with founders",
+		zoned + "zones {\n spill = 2\n}":                "spill must be from 0 to 1",
+		zoned + "zones {\n room = \"much\"\n}":          "room must be a number",
+		zoned + "zones {\n region \"east\" {\n }\n}":    "controller's own",
+		zoned + "zones {\n stage = \"1ms\"\n}":          "stage must be from 100ms",
+		zoned + "zones {\n region \"w\" { far = 1 }\n}": "far",
+	} {
+		_, err := Parse([]byte(text), "f")
+		assert.ErrorContains(t, err, want, text)
+	}
+}
--- a/internal/rehearse/zones_test.go
+++ b/internal/rehearse/zones_test.go
@@ -91,3 +91,57 @@
 	_, err = f.Ask(5, "zones order", map[string]any{"kind": "evacuate", "zone": "z1"})
 	assert.ErrorContains(t, err, "for how long")
 }
+
+// Two zones that do not hear each other, one way or both, are not lost: their engines are in reach. One that is in reach and out again is
+// not followed each time. One that goes with its controllers, that of the council's leader, is lost all the same, and comes back.
+func TestZonesAndPartings(t *testing.T) {
+	f := between(t)
+	load := f.Traffic("t", 1, 30*time.Millisecond)
+	defer load.End()
+	for _, oneWay := range []bool{true, false} {
+		f.Relay.Set(func(a, b int) Link {
+			return Link{Cut: a%3 == 1 && b%3 == 2 || !oneWay && a%3 == 2 && b%3 == 1}
+		})
+		for began := time.Now(); time.Since(began) < 4*time.Second; time.Sleep(100 * time.Millisecond) {
+			for k := range f.Controllers {
+				states, _ := f.ZoneStates(k)
+				for zone, s := range states {
+					assert.NotContains(t, []string{"lost", "returning"}, s, "%s at c%d, one way: %v", zone, k, oneWay)
+				}
+			}
+		}
+		f.Relay.Set(func(int, int) Link { return Link{} })
+		settles(t, f, "healed")
+	}
+	returns, was := 0, ""
+	for n := range 10 {
+		f.CutZone("z1", n%2 == 0)
+		for began := time.Now(); time.Since(began) < 2*time.Second; time.Sleep(50 * time.Millisecond) {
+			s, _ := f.ZoneStates(0)
+			if s["z1"] != was {
+				if was = s["z1"]; was == "returning" {
+					returns++
+				}
+			}
+		}
+	}
+	t.Logf("in reach five times for 2 s: its return began %d times", returns)
+	assert.LessOrEqual(t, returns, 3)
+	_, err := f.Agreed(90*time.Second, "z1", "whole")
+	require.NoError(t, err)
+	leader := led(t, f, -1)
+	zone := f.ZoneOf(leader)
+	f.CutZone(zone, true)
+	for k := range f.Controllers {
+		if f.ZoneOf(k) == zone {
+			f.Kill(k)
+		}
+	}
+	took, err := f.Agreed(25*time.Second, zone, "lost")
+	require.NoError(t, err)
+	t.Logf("with its controllers and the leader: lost in all plans after %v", took)
+	f.CutZone(zone, false)
+	require.NoError(t, f.StartAll())
+	_, err = f.Agreed(60*time.Second, zone, "whole")
+	require.NoError(t, err)
+}
--- a/internal/simfleet/zones.go
+++ b/internal/simfleet/zones.go
@@ -45,8 +45,8 @@
 	OwnLate        float64 // of the zones that stay: 99th percentile during the loss against before
 	Handled, Asked int
 	InForceMS      float64 // from the loss until 95% of the controllers have a plan that says so
+	BytesASecond   float64 // that a controller's watch says to others
 	BackMS         float64 // from the return until 95% of its share is near again; 0: it was not
-	Lines          []string
 }
 
 const (
@@ -347,6 +347,9 @@
 		p.now += simBeat
 	}
 	p.f.Asked = p.number
+	for _, w := range p.watches {
+		p.f.BytesASecond += float64(w.Counts.Bytes) / float64(len(p.watches)) / (p.End / 1000)
+	}
 	p.f.Gain = p.earned / max(1, p.due)
 	p.f.Near = p.nearN[1] / max(1, p.nearN[0])
 	for k := range p.took {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -704,3 +704,48 @@
 	g.Step(1002, &Event{Kind: Counted, Value: 0}, nil)
 	assert.Equal(t, 0.25, g.share(), "nothing is known")
 }
+
+// Places that are far get searches only where no near one has room, no more threads than are open there, none that it is not worth, and
+// none that would be late on the way; what runs on kinds that are nowhere near goes there as if it were near.
+func TestHowFarSearchesGo(t *testing.T) {
+	far := func(r Reach) *Gateway {
+		g := gateway(1, Given{"offering.2.kinds": []string{"odd"}})
+		g.Step(1000, &Event{Kind: Listed, Entries: []Entry{{Executor: 2, Place: "there", Kind: "big"}, {Executor: 3, Place: "there", Kind: "odd"}}}, nil)
+		r.Place, r.Tier = "there", 1
+		g.Step(1000, &Event{Kind: Opened, Reaches: []Reach{r}}, nil)
+		return g
+	}
+	sent := func(g *Gateway, offering string, n int) (by [4]int) {
+		for k := range n {
+			for _, a := range take(g, 1001, offering+string(rune('a'+k)), offering) {
+				if a.Kind == Send {
+					by[a.Executor]++
+				}
+			}
+		}
+		return by
+	}
+	shut := sent(far(Reach{}), "read", 24)
+	assert.Greater(t, shut[1], 7, "near ones as far as there is room")
+	assert.Zero(t, shut[2]+shut[3])
+	some := sent(far(Reach{Room: 3}), "read", 24)
+	assert.Equal(t, shut[1], some[1], "near ones first")
+	assert.Equal(t, 3, some[2]+some[3])
+	all := sent(far(Reach{Room: math.Inf(1)}), "read", 24)
+	assert.Equal(t, shut[1], all[1])
+	assert.Equal(t, 24-shut[1], all[2]+all[3])
+	assert.Zero(t, sent(far(Reach{Room: 9, Least: 1}), "read", 24)[2], "its gain for its work is a hundredth")
+	assert.Zero(t, sent(far(Reach{Room: 9, WayMS: 7900}), "read", 24)[2], "it has 8 s")
+	assert.Zero(t, sent(far(Reach{}), "once", 3)[3])
+	assert.Equal(t, 3, sent(far(Reach{Free: []string{"odd"}}), "once", 3)[3])
+	assert.Zero(t, sent(far(Reach{Free: []string{"odd"}}), "read", 24)[3], "others may run near")
+	g := far(Reach{Room: 1})
+	sent(g, "read", 24)
+	moved := 0
+	for _, a := range g.Step(1002, &Event{Kind: Opened}, nil) {
+		if a.Kind == Send && a.Executor > 1 {
+			moved++
+		}
+	}
+	assert.Positive(t, moved, "once all is near, what waits goes on")
+}
