What an heir could not have is handed back to whom it was taken from; a zone that some can't reach

Checked with estate explain at all: two heirs, of the first owner and of the lost heir, had each been let take it by some chairs; the one that was barred gave up (heir.go, yield) and left what it had been given standing as its own. Ruled out: a lost claim (both lives were in).

--- a/internal/estate/heir.go
+++ b/internal/estate/heir.go
@@ -369,7 +369,8 @@
 			continue // it is looked at again
 		}
 		m := &mine{Copy: k.Copy, key: o.key, phase: taking, from: o.from, adopted: true, began: e.now}
-		m.Owner, m.Number, m.unsure = e.self, k.Number+1, 0
+		m.Owner, m.Number, m.unsure = e.self, k.Number+1+k.tries, 0
+		k.tries++ // what is taken back of an earlier try must not be taken for a word on this one
 		if m.Standing != Clear {
 			m.unsure = 1
 		}
--- a/internal/estate/holder.go
+++ b/internal/estate/holder.go
@@ -14,8 +14,10 @@
 	state   state
 	expires float64
 	before  *Copy // what ended, and would count again if this one is withdrawn
-	pointer bool  // its ID stands for its Mark, nothing more
-	bytes   int   // of its work and answer, as counted
+	handed  bool  // its owner took it over: from the one before, or from what was known to others alone
+	tries   uint64
+	pointer bool // its ID stands for its Mark, nothing more
+	bytes   int  // of its work and answer, as counted
 }
 
 // words takes what another member says, and answers it.
@@ -158,11 +160,17 @@
 		return e.end(k, it)
 	case it.Number < k.Number: // overtaken
 	case it.Op == Withdraw:
-		if k.state == held && (k.Standing == Clear || k.before != nil) {
+		switch {
+		case k.state == held && (k.Standing == Clear || k.before != nil):
 			e.withdraw(k)
+		case k.state == adopted && k.handed && it.Number == k.Number:
+			e.handBack(k)
 		}
 	case it.Number > k.Number:
 		k.Sure = true
+		if k.handed { // its owner goes on with it
+			k.handed, k.before = false, nil
+		}
 		k.Number, k.Standing, k.First, k.Place, k.Cell = it.Number, it.Standing, it.First, it.Place, it.Cell
 		e.save(k)
 	}
@@ -254,7 +262,7 @@
 func (e *Estate) own(k *kept, owner Member, c *Copy) {
 	e.unlist(k)
 	k.Copy = *c
-	k.Owner = owner
+	k.Owner, k.before, k.handed = owner, nil, false
 	e.list(k)
 	e.extend(k)
 	e.save(k)
@@ -269,7 +277,7 @@
 		return Item{Op: Kept}
 	}
 	e.unlist(k)
-	k.Number, k.Outcome, k.Answer, k.before = max(it.Number, k.Number), it.Outcome, it.Answer, nil
+	k.Number, k.Outcome, k.Answer, k.before, k.handed = max(it.Number, k.Number), it.Outcome, it.Answer, nil, false
 	k.Standing, k.First, k.Place, k.Cell = it.Standing, it.First, it.Place, it.Cell
 	k.Body, k.Whole = nil, false
 	e.play(k, ends)
@@ -307,6 +315,27 @@
 	e.save(k)
 }
 
+// handBack has it that an heir could not have a search after all: what it was taken from counts again.
+func (e *Estate) handBack(k *kept) {
+	if k.before == nil {
+		e.play(k, retires)
+		return
+	}
+	e.unlist(k)
+	e.counts.Dropped++
+	k.Copy, k.before, k.handed, k.state = *k.before, nil, false, held
+	e.counts.Held++
+	e.list(k)
+	e.extend(k)
+	e.save(k)
+	if e.lost(k.Owner) {
+		e.play(k, loses)
+		if _, _, claim := e.table.HeirOf(k.Owner.Name, k.Owner.Life, k.key.Part()); claim {
+			e.play(k, claims)
+		}
+	}
+}
+
 // drop forgets a copy.
 func (e *Estate) drop(k *kept) {
 	if e.owners[k.Owner][k.key] == k {
@@ -329,7 +358,7 @@
 	switch {
 	case k == nil:
 		k = e.enter(it.Key, it.Copy)
-		k.Owner, k.state = from, adopted
+		k.Owner, k.state, k.handed = from, adopted, true
 		e.begin(k)
 	case k.Owner == from && k.state.open():
 	case k.state.open() && k.Owner == it.From:
@@ -337,7 +366,8 @@
 			return e.knows(k)
 		}
 		e.unlist(k)
-		work := k.Work
+		work, was := k.Work, k.Copy
+		k.before, k.handed = &was, true
 		k.Copy = *it.Copy
 		if k.Owner = from; !k.Whole {
 			k.Work, k.Whole = work, true
--- a/internal/estate/owner.go
+++ b/internal/estate/owner.go
@@ -422,6 +422,9 @@
 
 // finish ends what this controller does for a search that is another's, or over.
 func (e *Estate) finish(m *mine) {
+	if m.phase == taking && e.chaired() {
+		e.takeBack(m) // those that let it be taken are not to hold it for this one's
+	}
 	if m.adopted {
 		e.inHand--
 		if m.phase == having {
--- a/internal/estate/pace.go
+++ b/internal/estate/pace.go
@@ -14,9 +14,9 @@
 	paceWeight  = 0.05 // of the latest in the share of those that took longer than half of them usually do
 	paceSlow    = 0.8  // that share, from which on there is no room: half is usual, noise is a tenth
 	paceLate    = 1.1  // times the longest that is usual: late
-	paceMayBe   = 0.02 // share of late ones that is no sign: twice the usual
+	paceMayBe   = 0.01 // share of late ones that is no sign: the usual
 	paceSign    = 3    // late ones beyond that which are one
-	paceHoldMS  = 200  // between two cuts: what was in hand at the first has ended by then, mostly
+	paceHoldMS  = 300  // between two cuts: what was in hand at the first has ended by then, mostly
 )
 
 // times are how long the latest searches of an offering took while nothing was adopted.
@@ -107,7 +107,7 @@
 			p.usual[k].weigh()
 		}
 	case p.slow < paceSlow && p.debt < paceSign:
-		p.room = min(p.most, p.room+max(1, p.room/8))
+		p.room = min(p.most, p.room+max(0.5, p.room/16))
 	case now > p.cutAt+paceHoldMS:
 		p.room, p.slow, p.debt, p.cutAt = max(1, p.room/2), 0.5, 0, now
 	}
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -36,6 +37,7 @@
 	Fleet       string // further lines of the block fleet
 	WorkMS      float64
 	Estate      string        // lines of a block estate; empty: none
+	Seconds     []int         // controllers that know engines by their second addresses
 	Between     string        // lines of a block zones; empty: none
 	Drops       time.Duration // for which engines drop repeats of a mark, as the settings say, too; 0: the usual, short one, below 0: none
 	Works       map[string]time.Duration
@@ -140,6 +142,17 @@
 		return err
 	}
 	node["name"] = c.Name
+	if slices.Contains(f.Plan.Seconds, k) { // it knows the engines by their other addresses
+		text, _ := json.Marshal(node["known"])
+		for _, e := range f.Engines {
+			text = []byte(strings.ReplaceAll(string(text), `"`+e.Address()+`"`, `"`+e.Second()+`"`))
+		}
+		var known any
+		if err := json.Unmarshal(text, &known); err != nil {
+			return err
+		}
+		node["known"] = known
+	}
 	settings := node["settings"].(map[string]any)
 	settings["Siblings"], settings["SlotNo"] = f.Plan.Controllers, k
 	text, err := json.Marshal(node)
--- a/internal/rehearse/zones.go
+++ b/internal/rehearse/zones.go
@@ -100,6 +100,18 @@
 	}
 }
 
+// CutZoneForSome has all engines of a zone out of reach for the controllers of Plan.Seconds, or in reach again.
+func (f *Fleet) CutZoneForSome(zone string, cut bool) {
+	for _, e := range f.Engines {
+		if e.Place == zone {
+			e.CutSecond(cut)
+		}
+	}
+}
+
+// LoseList ends the list of engines.
+func (f *Fleet) LoseList() { f.list.Stop() }
+
 // ZoneStates gives how a controller has all zones, and the number of the plan.
 func (f *Fleet) ZoneStates(k int) (states map[string]string, number float64) {
 	a, err := f.Ask(k, "zones", nil)
--- a/internal/rehearse/zones_test.go
+++ b/internal/rehearse/zones_test.go
@@ -12,7 +12,7 @@
 
 // between starts nine controllers in three zones, with three engines each.
 func between(t *testing.T) *Fleet {
-	f := rehearsal(t, Plan{Controllers: 9, Engines: 9, Zones: 3, Founders: 3, Store: true, Fleet: quick, Between: swiftly, WorkMS: 20, Cores: 4, Room: 64})
+	f := rehearsal(t, Plan{Seconds: []int{4}, Controllers: 9, Engines: 9, Zones: 3, Founders: 3, Store: true, Fleet: quick, Between: swiftly, WorkMS: 20, Cores: 4, Room: 64})
 	settles(t, f, "all join")
 	for z := range 3 {
 		_, err := f.Agreed(20*time.Second, f.ZoneOf(z), "whole")
@@ -145,3 +145,55 @@
 	_, err = f.Agreed(60*time.Second, zone, "whole")
 	require.NoError(t, err)
 }
+
+// A zone that some of its controllers can't reach is not lost: those go elsewhere, the others stay. One that is lost together with the list is
+// not taken for lost by its own word alone; its searches go elsewhere all the same.
+func TestAZoneThatSomeCannotReach(t *testing.T) {
+	f := between(t)
+	load := f.Traffic("t", 2, 20*time.Millisecond)
+	defer load.End()
+	time.Sleep(2 * time.Second)
+	heard := func(from time.Time, some func(k int) bool) (n map[string]int) {
+		n = map[string]int{}
+		for _, a := range load.Between(from, time.Now().Add(-time.Second)) {
+			if some(a.Controller) {
+				n[a.Outcome]++
+			}
+		}
+		return n
+	}
+	good := func(n map[string]int) bool {
+		return n["handled"] > 0 && n["handled"] > 9*(n["denied"]+n["written off"]+n["cut off"])
+	}
+	f.CutZoneForSome("z1", true)
+	_, err := f.Agreed(10*time.Second, "z1", "doubtful")
+	require.NoError(t, err)
+	time.Sleep(2 * time.Second)
+	from := time.Now()
+	time.Sleep(4 * time.Second)
+	states, _ := f.ZoneStates(0)
+	assert.Equal(t, "doubtful", states["z1"])
+	near, far := f.Spilled("t", from, time.Now())
+	t.Logf("one of three can't reach it: %v of its searches, %v of the others', %d near and %d far of all", heard(from, func(k int) bool { return k == 4 }),
+		heard(from, func(k int) bool { return k == 1 || k == 7 }), near, far)
+	assert.True(t, good(heard(from, func(k int) bool { return k == 4 })), "elsewhere there is room")
+	assert.True(t, good(heard(from, func(k int) bool { return k == 1 || k == 7 })))
+	assert.Greater(t, far, 0)
+	f.CutZoneForSome("z1", false)
+	_, err = f.Agreed(20*time.Second, "z1", "whole")
+	require.NoError(t, err)
+
+	f.LoseList()
+	time.Sleep(3 * time.Second)
+	f.CutZone("z1", true)
+	_, err = f.Agreed(15*time.Second, "z1", "doubtful", "lost")
+	require.NoError(t, err)
+	time.Sleep(3 * time.Second)
+	from = time.Now()
+	time.Sleep(4 * time.Second)
+	mine := heard(from, func(k int) bool { return f.ZoneOf(k) == "z1" })
+	states, _ = f.ZoneStates(0)
+	t.Logf("with the list: %s, %v", states["z1"], mine)
+	assert.True(t, good(mine))
+	assert.Equal(t, "whole", states["z0"], "the list that is gone is no sign")
+}
--- a/internal/scout/scout.go
+++ b/internal/scout/scout.go
@@ -222,6 +222,8 @@
 			if data, err := json.Marshal(e.Plan); err == nil {
 				t.seat.Move(council.PlanMotion(e.Plan.Number, data))
 			}
+		case zones.Warn:
+			t.log.Warn("zones: " + e.Text)
 		case zones.Reach:
 			reaches := e.Reaches
 			t.reaches.Store(&reaches)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -34,8 +34,10 @@
 	jobs     map[*job]struct{}
 	stopped  chan struct{}
 	listener net.Listener
+	second   net.Listener // another address of it, which can be cut by itself
+	halfCut  bool
 	mu       sync.Mutex
-	conns    map[net.Conn]struct{}
+	conns    map[net.Conn]bool // whether they came by the second address
 }
 
 // Run is one run of a search.
@@ -87,32 +89,55 @@
 		e.jobs = map[*job]struct{}{}
 		go e.share()
 	}
-	e.listener, e.conns = l, map[net.Conn]struct{}{}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			e.mu.Lock()
-			cut := e.cut
-			if e.conns[c] = struct{}{}; cut {
-				delete(e.conns, c)
-			}
-			e.mu.Unlock()
-			if cut {
-				_ = c.Close()
-				continue
-			}
-			go e.serve(c)
-		}
-	}()
+	if e.second, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return err
+	}
+	e.listener, e.conns = l, map[net.Conn]bool{}
+	go e.accept(l, false)
+	go e.accept(e.second, true)
 	return nil
 }
 
+// accept takes connections; while that way is cut they end at once.
+func (e *Engine) accept(l net.Listener, second bool) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		cut := e.cut || e.halfCut && second
+		if !cut {
+			e.conns[c] = second
+		}
+		e.mu.Unlock()
+		if cut {
+			_ = c.Close()
+			continue
+		}
+		go e.serve(c)
+	}
+}
+
 // Address is where it listens.
 func (e *Engine) Address() string { return e.listener.Addr().String() }
 
+// Second is its other address.
+func (e *Engine) Second() string { return e.second.Addr().String() }
+
+// CutSecond has it out of reach by its other address alone, or in reach again.
+func (e *Engine) CutSecond(cut bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.halfCut = cut
+	for c, second := range e.conns {
+		if cut && second {
+			_ = c.Close()
+			delete(e.conns, c)
+		}
+	}
+}
+
 // Cut has it out of reach, or in reach again: connections end, and new ones end at once. What runs there goes on.
 func (e *Engine) Cut(cut bool) {
 	e.mu.Lock()
@@ -128,6 +153,7 @@
 // Stop ends it and its connections.
 func (e *Engine) Stop() {
 	_ = e.listener.Close()
+	_ = e.second.Close()
 	e.mu.Lock()
 	if e.stopped != nil {
 		close(e.stopped)
--- a/internal/zones/plan.go
+++ b/internal/zones/plan.go
@@ -26,6 +26,8 @@
 	memos map[string]*memo
 	held  []heldUntil
 	Lines []string // why the latest plan is as it is
+
+	careless bool // for tests alone: what is taken from one is another\'s at once
 }
 
 type heldUntil struct {
@@ -49,7 +51,7 @@
 func (p *planner) next(prev *Plan, in *seen) (plan Plan, changed bool) {
 	plan = Plan{Number: prev.Number + 1}
 	p.Lines = p.Lines[:0]
-	p.held = slices.DeleteFunc(p.held, func(h heldUntil) bool { return in.now >= h.until })
+	p.held = slices.DeleteFunc(p.held, func(h heldUntil) bool { return in.now >= h.until || p.careless })
 	for _, name := range p.names(prev, in) {
 		z := Zone{Name: name}
 		if old := prev.zone(name); old != nil {
--- a/internal/zones/watch.go
+++ b/internal/zones/watch.go
@@ -51,6 +51,7 @@
 	Fetch                      // a plan numbered Number is there, which is not known here
 	Propose                    // Plan is to be agreed
 	Reach                      // the decision module is to know Reaches
+	Warn                       // Text, for the log
 )
 
 // Effect is one thing that a watch wants done.
@@ -61,6 +62,7 @@
 	Plan    *Plan
 	Reaches []rules.Reach
 	Number  uint64
+	Text    string
 }
 
 // told is a report as it came.
@@ -112,7 +114,7 @@
 	proposed    uint64
 	proposedAt  float64
 	reaches     []rules.Reach
-	reachAt     float64
+	strange     bool // its own zone has no executors, and never had
 	Counts      Counts
 }
 
@@ -430,7 +432,16 @@
 func (w *Watch) open() {
 	valid := w.valid()
 	var list []rules.Reach
-	for _, name := range w.places() {
+	names := w.places()
+	if strange := len(w.executors) > 0 && !slices.Contains(names, w.zone); strange != w.strange {
+		if w.strange = strange; strange {
+			w.do(Effect{Kind: Warn, Text: "no executor was ever listed in this controller's zone " + w.zone + ": all are taken for near"})
+		}
+	}
+	if w.strange {
+		names = nil // a name that is written otherwise must not shut all doors
+	}
+	for _, name := range names {
 		if name == w.zone {
 			pair, z := w.plan.Pair(name, name), w.plan.zone(name)
 			if pair == nil || z == nil {
--- a/internal/zones/zones_test.go
+++ b/internal/zones/zones_test.go
@@ -341,3 +341,37 @@
 	}
 	assert.Less(t, per[100], 1.5*per[10])
 }
+
+// A controller whose zone is written otherwise than the list has it takes all executors for near, and says so: nothing is denied for it.
+func TestAZoneThatNobodyKnows(t *testing.T) {
+	w := newWorld(t, 2, 2, testBounds())
+	warned := 0
+	x := New("c000", "zO", "r", testBounds())
+	for range 3 {
+		w.now += 300
+		for _, ev := range []*Event{{Kind: Seen, Executors: w.sees(0)}, {Kind: Ticked}} {
+			for _, e := range x.Step(w.now, ev) {
+				if e.Kind == Warn {
+					warned++
+				}
+			}
+		}
+	}
+	assert.Equal(t, 1, warned)
+	assert.Empty(t, x.Reaches())
+}
+
+// Where a leader gives on at once what it takes away, all together may have more than a cap: the check sees that.
+func TestTheCheckSeesPartsGivenOnTooSoon(t *testing.T) {
+	w := calm(t, 4)
+	for k := range w.watches {
+		w.watches[k].planner.careless = true
+	}
+	w.sites[0].up, w.sites[0].listed = 0, 0
+	w.run(6000)
+	for _, k := range []int{9, 6} {
+		w.away[k] = true
+		w.run(2000)
+	}
+	assert.NotEmpty(t, w.over)
+}
