--- a/internal/installation/lookout.go
+++ b/internal/installation/lookout.go
@@ -151,13 +151,16 @@
 		return nil, control.Wrongf("what controllers want is summed up at the one who leads the council; ask %s", cmp.Or(l.fleet.seat.Leader(now), "it, once somebody does"))
 	}
 	name, _ := fields["zone"].(string)
-	lines, err := w.WhatIf(name)
-	if err != nil {
-		return nil, control.Wrongf("%v", err)
-	}
 	var out []any
-	for _, line := range lines {
-		out = append(out, line)
+	for _, peak := range []bool{false, true} {
+		lines, err := w.WhatIf(name, peak)
+		if err != nil {
+			return nil, control.Wrongf("%v", err)
+		}
+		out = append(out, map[bool]string{false: "with what is wanted now:", true: "with the most that was wanted in the last hour, as far as this leader has led:"}[peak])
+		for _, line := range lines {
+			out = append(out, "  "+line)
+		}
 	}
 	return map[string]any{"lines": out}, nil
 }
--- a/internal/zones/plan.go
+++ b/internal/zones/plan.go
@@ -252,7 +252,10 @@
 		share, all := z.share()
 		f := &flows[k]
 		m := p.memos[z.Name]
-		m.wants += steady * (wantsOf(in, z) - m.wants)
+		if !m.fixed {
+			m.wants += steady * (wantsOf(in, z) - m.wants)
+			m.note(in.now)
+		}
 		f.zone, f.room, f.wants = z, in.bounds.Room*z.Cores*p.reach(z, in), m.wants
 		near := f.room * share
 		f.need = max(0, f.wants-near)
--- a/internal/zones/table.go
+++ b/internal/zones/table.go
@@ -1,5 +1,7 @@
 package zones
 
+import "slices"
+
 // input is what a look at a zone comes to.
 type input uint8
 
@@ -53,14 +55,30 @@
 
 // memo is what the leader remembers of a zone besides the plan. A new leader begins with nothing: times begin anew, which is later.
 type memo struct {
-	since  float64 // of the state, or the stage
-	good   float64 // since when there have been good signs alone; 0: there are none
-	lostAt float64 // of the last loss
-	last   input   // what the last looks said
-	times  int     // how often in a row
-	wants  float64 // of its controllers, smoothed
+	since  float64     // of the state, or the stage
+	good   float64     // since when there have been good signs alone; 0: there are none
+	lostAt float64     // of the last loss
+	last   input       // what the last looks said
+	times  int         // how often in a row
+	wants  float64     // of its controllers, smoothed
+	peaks  [60]float64 // most of that, by the minute
+	minute int
+	fixed  bool // what it wants is given, and not seen
 }
 
+// note keeps the most that was wanted in each of the last sixty minutes.
+func (m *memo) note(now float64) {
+	for minute := int(now / 60e3); m.minute < minute; {
+		m.minute = max(m.minute+1, minute-len(m.peaks)+1)
+		m.peaks[m.minute%len(m.peaks)] = 0
+	}
+	k := m.minute % len(m.peaks)
+	m.peaks[k] = max(m.peaks[k], m.wants)
+}
+
+// peak is the most that was wanted in the last hour, as far as this leader has led.
+func (m *memo) peak() float64 { return slices.Max(m.peaks[:]) }
+
 func (l *looked) play(in input) bool {
 	for _, r := range table {
 		if r.state == l.zone.State && r.input == in {
--- a/internal/zones/whatif.go
+++ b/internal/zones/whatif.go
@@ -7,8 +7,9 @@
 )
 
 // WhatIf tells what would follow if a zone, or all zones of a region, were lost now: who goes where, which zone fills first, and for how
-// many threads there would be no room. It is made of the same figures, and by the same rules, as a plan; nothing comes of it.
-func (w *Watch) WhatIf(name string) ([]string, error) {
+// many threads there would be no room. It is made by the same rules as a plan, of what is wanted now or, at the peak, of the most that each zone
+// wanted in the last hour; nothing comes of it.
+func (w *Watch) WhatIf(name string, peak bool) ([]string, error) {
 	plan := Plan{}
 	lost := map[string]bool{}
 	for _, z := range w.plan.Zones {
@@ -21,14 +22,14 @@
 	if len(lost) == 0 {
 		return nil, fmt.Errorf("no zone or region %q", name)
 	}
-	p := planner{memos: map[string]*memo{}}
+	p, before := planner{memos: map[string]*memo{}}, map[string]float64{}
 	in := &seen{now: w.now, unix: w.unix, reports: w.reports(), members: w.members, orders: w.orders, bounds: &w.bounds}
 	for _, z := range plan.Zones {
-		p.memos[z.Name] = &memo{since: w.now, wants: wantsOf(in, &z)}
-	}
-	before := map[string]float64{}
-	for k := range plan.Zones {
-		before[plan.Zones[k].Name] = wantsOf(in, &plan.Zones[k])
+		wants := wantsOf(in, &z)
+		if m := w.planner.memos[z.Name]; peak && m != nil {
+			wants = m.peak()
+		}
+		p.memos[z.Name], before[z.Name] = &memo{since: w.now, wants: wants, fixed: true}, wants
 	}
 	p.grant(&Plan{}, &plan, in)
 	var lines []string
--- a/internal/zones/zones_test.go
+++ b/internal/zones/zones_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -375,3 +376,42 @@
 	}
 	assert.NotEmpty(t, w.over)
 }
+
+// What if: the same figures as a plan's, at what is wanted now and at the last hour's peak; nothing comes of it.
+func TestWhatIf(t *testing.T) {
+	w := calm(t, 4)
+	leader := w.watches[w.leader]
+	for k := range w.sites {
+		w.sites[k].wants = 25
+	}
+	w.run(3000)
+	for k := range w.sites {
+		w.sites[k].wants = 10
+	}
+	w.run(4000)
+	before := w.plan.Number
+	now, err := leader.WhatIf("z0", false)
+	require.NoError(t, err)
+	peak, err := leader.WhatIf("z0", true)
+	require.NoError(t, err)
+	find := func(lines []string, text string) string {
+		for _, line := range lines {
+			if strings.Contains(line, text) {
+				return line
+			}
+		}
+		return ""
+	}
+	assert.Contains(t, find(now, "searches want"), "want 40 threads, 40 find room elsewhere, for 0")
+	assert.Contains(t, find(peak, "searches want"), "want 100 threads")
+	assert.NotContains(t, find(peak, "searches want"), "for 0 there")
+	assert.NotEmpty(t, find(now, "fills first"))
+	assert.NotEmpty(t, find(now, "z0 to z2"))
+	_, err = leader.WhatIf("nowhere", false)
+	assert.Error(t, err)
+	both, err := leader.WhatIf("r", false)
+	require.NoError(t, err)
+	assert.NotEmpty(t, find(both, "z1 alone has executors of kind big"), "a region: nobody is left")
+	assert.Equal(t, before, w.plan.Number)
+	assert.Equal(t, Whole, w.state(0))
+}
