Controllers of a zone lend one another what they do not use of their parts

Need: parts of caps are whole searches, so one controller's is full while a mate's is empty. A lender first has its module use less, sees that no more is out, then lends for a time that the borrower counts from its asking; it does without for longer. Tested with lost and doubled messages and with one cut off: all that may be out stays within the cap.

--- a/internal/scout/scout.go
+++ b/internal/scout/scout.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	seenMS    = 250                   // between two looks at what the module holds
+	seenMS    = 90                    // between two looks at what the module holds: each tick of the desk
 	presentMS = 250                   // between two looks at the view
 	beat      = 50 * time.Millisecond // of the watch
 	knownMS   = 10000                 // for which a sign of work, or a report, is evidence of an executor
@@ -35,6 +35,8 @@
 const (
 	reports   = 'r'
 	announces = 'n'
+	asksLoan  = 'q' // the number, the zone
+	givesLoan = 'l' // the number, the threads, the zone
 )
 
 // Scout joins a watch to a desk, to the carriage and to the council.
@@ -59,13 +61,20 @@
 
 	deaf bool
 
-	reaches atomic.Pointer[[]rules.Reach]
+	reaches atomic.Pointer[reaching]
+	applied uint64 // what the module has, of the desk's goroutine
 	opened  chan struct{}
 
 	counts atomic.Pointer[zones.Counts]
 	plan   atomic.Pointer[zones.Plan]
 }
 
+// reaching is what the module is to know, and its number.
+type reaching struct {
+	list   []rules.Reach
+	number uint64
+}
+
 // New joins one; Begin has it work.
 func New(w *zones.Watch, name string, given rules.Given, d *desk.Desk, c *fleetwire.Carrier, v *members.View, s *seat.Seat, log logrus.FieldLogger) *Scout {
 	t := &Scout{Watch: w, carrier: c, view: v, seat: s, desk: d, log: log, name: name, stop: make(chan struct{}), opened: make(chan struct{}, 1), where: map[uint32]rules.Entry{},
@@ -115,7 +124,9 @@
 	for {
 		select {
 		case <-t.opened:
-			t.desk.Put(desk.Item{Event: rules.Event{Kind: rules.Opened, Reaches: *t.reaches.Load()}})
+			r := t.reaches.Load()
+			t.desk.Put(desk.Item{Event: rules.Event{Kind: rules.Opened, Reaches: r.list}})
+			t.desk.Put(desk.Item{Call: func(float64) { t.applied = r.number }}) // behind it in the queue: the module has it then
 		case <-t.stop:
 			return
 		}
@@ -135,7 +146,7 @@
 		p = *x
 	}
 	f := logrus.Fields{"plan": p.Number, "told": c.Told, "heard": c.Heard, "stale": c.Stale, "malformed": c.Malformed, "proposed": c.Proposed,
-		"plans": c.Plans, "bytes": c.Bytes}
+		"plans": c.Plans, "bytes": c.Bytes, "lent": c.Lent, "borrowed": c.Borrowed}
 	for _, z := range p.Zones {
 		f["zone."+z.Name] = z.State.String()
 	}
@@ -216,6 +227,10 @@
 			t.send(now, e.To, reports, e.Data)
 		case zones.Announce:
 			t.send(now, e.To, announces, binary.AppendUvarint(nil, e.Number))
+		case zones.AskLoan:
+			t.send(now, e.To, asksLoan, append(binary.BigEndian.AppendUint64(nil, e.Number), e.Zone...))
+		case zones.GiveLoan:
+			t.send(now, e.To, givesLoan, append(binary.BigEndian.AppendUint16(binary.BigEndian.AppendUint64(nil, e.Number), uint16(e.Threads)), e.Zone...))
 		case zones.Fetch:
 			t.seat.Fetch(now, t.Watch.Plan().Number)
 		case zones.Propose:
@@ -225,8 +240,7 @@
 		case zones.Warn:
 			t.log.Warn("zones: " + e.Text)
 		case zones.Reach:
-			reaches := e.Reaches
-			t.reaches.Store(&reaches)
+			t.reaches.Store(&reaching{e.Reaches, e.Number})
 			select {
 			case t.opened <- struct{}{}:
 			default: // it is on its way already, and will be as it is then
@@ -250,11 +264,19 @@
 		return
 	}
 	kind, from, rest := data[0], string(data[2:2+int(data[1])]), data[2+int(data[1]):]
-	ev := zones.Event{Kind: zones.Heard, From: from, Data: rest}
-	if kind == announces {
-		n, _ := binary.Uvarint(rest)
-		ev = zones.Event{Kind: zones.Announced, From: from, Number: n}
-	} else if kind != reports {
+	ev := zones.Event{From: from}
+	switch {
+	case kind == reports:
+		ev.Kind, ev.Data = zones.Heard, rest
+	case kind == announces:
+		ev.Kind = zones.Announced
+		ev.Number, _ = binary.Uvarint(rest)
+	case kind == asksLoan && len(rest) > 8 && len(rest) <= 8+mostName:
+		ev.Kind, ev.Number, ev.Zone = zones.LoanAsked, binary.BigEndian.Uint64(rest), string(rest[8:])
+	case kind == givesLoan && len(rest) > 10 && len(rest) <= 10+mostName:
+		ev.Kind, ev.Number, ev.Threads = zones.LoanGiven, binary.BigEndian.Uint64(rest), float64(binary.BigEndian.Uint16(rest[8:]))
+		ev.Zone = string(rest[10:])
+	default:
 		return
 	}
 	t.carrier.TryPost(func(now float64) { t.step(now, &ev) })
@@ -293,7 +315,7 @@
 		}
 		t.seenAt = now
 		beliefs, _ := h.Beliefs()
-		ev := &zones.Event{Kind: zones.Seen, Wants: t.wants, Deaf: t.deaf, Executors: t.executors(beliefs)}
+		ev := &zones.Event{Kind: zones.Seen, Wants: t.wants, Deaf: t.deaf, Applied: t.applied, Executors: t.executors(beliefs)}
 		go t.carrier.Post(func(now float64) { t.step(now, ev) }) // this goroutine must not wait
 	}
 	return out
--- a/internal/simfleet/zones.go
+++ b/internal/simfleet/zones.go
@@ -120,6 +120,7 @@
 	plan    zones.Plan
 	plans   []inForce
 	reaches [][]rules.Reach
+	applied map[int]uint64
 	number  int
 	f       Figures
 	took    [2][]float64
@@ -148,7 +149,7 @@
 
 // PlayBetween plays a zone that is lost and comes back.
 func PlayBetween(b Between) Figures {
-	p := &betweenPlay{Between: b, chance: rand.New(rand.NewPCG(b.Seed, 11)), share: make([]float64, b.Zones), turned: make([]int, b.Zones), wasAt: make([]float64, b.Zones), busy: make([]float64, 2)}
+	p := &betweenPlay{Between: b, applied: map[int]uint64{}, chance: rand.New(rand.NewPCG(b.Seed, 11)), share: make([]float64, b.Zones), turned: make([]int, b.Zones), wasAt: make([]float64, b.Zones), busy: make([]float64, 2)}
 	for k := range b.Executors {
 		p.engines = append(p.engines, &engine{id: uint32(k + 1), zone: k % b.Zones, up: true, since: -simWarm})
 	}
@@ -427,9 +428,12 @@
 	}
 	leader := 1
 	for k := range p.watches {
+		if look%10 == 0 && look%50 != 0 {
+			p.watchStep(k, &zones.Event{Kind: zones.Seen, Executors: p.sees(k), Wants: p.wants[k], Applied: p.applied[k]})
+		}
 		if look%25 == 0 {
 			present := &zones.Event{Kind: zones.Present, Members: list, Leader: fmt.Sprintf("c%03d", leader), Leads: k == leader}
-			seen := &zones.Event{Kind: zones.Seen, Executors: p.sees(k), Wants: p.wants[k]}
+			seen := &zones.Event{Kind: zones.Seen, Executors: p.sees(k), Wants: p.wants[k], Applied: p.applied[k]}
 			if p.Manner == Alone {
 				present.Leader, present.Leads = fmt.Sprintf("c%03d", k), true
 				seen.Wants *= float64(p.Controllers) / float64(p.Zones)
@@ -474,6 +478,14 @@
 			carry(func() {
 				p.watchStep(to, &zones.Event{Kind: zones.Announced, From: fmt.Sprintf("c%03d", k), Number: e.Number})
 			})
+		case zones.AskLoan:
+			carry(func() {
+				p.watchStep(to, &zones.Event{Kind: zones.LoanAsked, From: fmt.Sprintf("c%03d", k), Zone: e.Zone, Number: e.Number})
+			})
+		case zones.GiveLoan:
+			carry(func() {
+				p.watchStep(to, &zones.Event{Kind: zones.LoanGiven, From: fmt.Sprintf("c%03d", k), Zone: e.Zone, Number: e.Number, Threads: e.Threads})
+			})
 		case zones.Fetch:
 			carry(func() { p.planned(k, p.plan) })
 		case zones.Propose:
@@ -490,7 +502,7 @@
 				}
 			})
 		case zones.Reach:
-			p.reaches[k] = e.Reaches
+			p.reaches[k], p.applied[k] = e.Reaches, e.Number
 			p.step(k, &rules.Event{Kind: rules.Opened, Reaches: e.Reaches})
 		}
 	}
--- a/internal/zones/helpers_test.go
+++ b/internal/zones/helpers_test.go
@@ -42,7 +42,9 @@
 	at      []float64
 	loss    float64
 	reaches []map[string]rules.Reach
-	caps    []granted // plans, with when they came into force
+	applied map[int]uint64
+	outs    map[int]map[string]float64 // threads that controllers have out, where a test says so
+	caps    []granted                  // plans, with when they came into force
 	over    []string
 	bytes   int
 }
@@ -53,7 +55,7 @@
 }
 
 func newWorld(t *testing.T, zones, each int, b Bounds) *world {
-	w := &world{t: t, now: 1000, unix: 1, down: map[int]bool{}, away: map[int]bool{}, chance: rand.New(rand.NewPCG(uint64(zones), uint64(each)))}
+	w := &world{t: t, now: 1000, unix: 1, applied: map[int]uint64{}, outs: map[int]map[string]float64{}, down: map[int]bool{}, away: map[int]bool{}, chance: rand.New(rand.NewPCG(uint64(zones), uint64(each)))}
 	for range zones {
 		w.sites = append(w.sites, &site{cores: 100, up: 1, listed: 1, region: "r", kinds: []string{"big"}, hidden: map[int]bool{}})
 	}
@@ -110,7 +112,18 @@
 					w.planned(w.leader)
 				}
 			})
+		case AskLoan:
+			if to := w.index(e.To); to >= 0 {
+				w.send(k, to, func() { w.step(to, &Event{Kind: LoanAsked, From: w.name(k), Zone: e.Zone, Number: e.Number}) })
+			}
+		case GiveLoan:
+			if to := w.index(e.To); to >= 0 {
+				w.send(k, to, func() {
+					w.step(to, &Event{Kind: LoanGiven, From: w.name(k), Zone: e.Zone, Number: e.Number, Threads: e.Threads})
+				})
+			}
 		case Reach:
+			w.applied[k] = e.Number
 			w.reaches[k] = map[string]rules.Reach{}
 			for _, r := range e.Reaches {
 				w.reaches[k][r.Place] = r
@@ -174,7 +187,7 @@
 					Living: !w.down[o] && (w.away[o] == w.away[k] && !w.away[k] || o == k)})
 			}
 			w.step(k, &Event{Kind: Present, Members: list, Leader: w.name(w.leader), Leads: k == w.leader && w.agreed()})
-			w.step(k, &Event{Kind: Seen, Executors: w.sees(k), Wants: w.sites[w.zoneOf[k]].wants, Deaf: w.deaf})
+			w.step(k, &Event{Kind: Seen, Executors: w.sees(k), Wants: w.wants(k), Deaf: w.deaf, Applied: w.applied[k]})
 		}
 		if int(w.now)%1000 == k%20*50 && w.agreed() { // a lease is asked for, and granted by one who leads
 			asked, number := w.now, w.plan.Number
@@ -195,12 +208,23 @@
 			if z == w.zoneOf[k] || w.state(w.zoneOf[k]) != Whole && w.reaches[k] != nil && w.reaches[k][x.Zone].Room > 0 {
 				x.Known, x.Aside = true, !reach
 			}
+			if n == 0 {
+				x.Out = w.outs[k][x.Zone]
+			}
 			list = append(list, x)
 		}
 	}
 	return list
 }
 
+// wants is what a controller's searches want: as its zone's do, unless a test says otherwise.
+func (w *world) wants(k int) float64 {
+	if out := w.outs[k]; out != nil {
+		return out["wants"]
+	}
+	return w.sites[w.zoneOf[k]].wants
+}
+
 // check holds what all may send to each zone against the caps that can be in force: of the plan that is agreed, and of those before it
 // as long as parts of them are valid.
 func (w *world) check() {
--- a/internal/zones/watch.go
+++ b/internal/zones/watch.go
@@ -20,6 +20,8 @@
 	Planned                    // Plan is agreed, and Orders are
 	Confirmed                  // the plan numbered Number was in force after the time At, which is when that was asked
 	Announced                  // the member From says that the plan numbered Number is there
+	LoanAsked                  // the member From asks for a loan of its part of Zone; Number goes back with it
+	LoanGiven                  // the member From lends so many Threads
 	Ticked                     // each 50 ms or so
 )
 
@@ -38,6 +40,9 @@
 	Orders    []Order
 	Number    uint64
 	At        float64
+	Applied   uint64 // Seen: of what the module had been told by then
+	Zone      string
+	Threads   float64
 	Unix      int64 // Ticked: the machine's clock, ms: orders end by it alone
 }
 
@@ -50,8 +55,10 @@
 	Announce                   // Number, a plan's, to the member To
 	Fetch                      // a plan numbered Number is there, which is not known here
 	Propose                    // Plan is to be agreed
-	Reach                      // the decision module is to know Reaches
+	Reach                      // the decision module is to know Reaches; Number comes back as Applied once it does
 	Warn                       // Text, for the log
+	AskLoan                    // Zone and Number to the member To
+	GiveLoan                   // Zone, Number and Threads to the member To
 )
 
 // Effect is one thing that a watch wants done.
@@ -63,6 +70,8 @@
 	Reaches []rules.Reach
 	Number  uint64
 	Text    string
+	Zone    string
+	Threads float64
 }
 
 // told is a report as it came.
@@ -115,15 +124,17 @@
 	proposedAt  float64
 	reaches     []rules.Reach
 	strange     bool // its own zone has no executors, and never had
+	loans       loans
+	gen         uint64 // of what the module was told
 	Counts      Counts
 }
 
 // Counts are what a watch counts.
-type Counts struct{ Told, Heard, Stale, Malformed, Proposed, Plans, Bytes uint64 }
+type Counts struct{ Lent, Borrowed, Told, Heard, Stale, Malformed, Proposed, Plans, Bytes uint64 }
 
 // New gives the watch of a controller.
 func New(name, zone, region string, b Bounds) *Watch {
-	return &Watch{name: name, zone: zone, region: region, bounds: b, children: map[string]*told{}, zonesTold: map[string]*told{}, confirmedAt: math.Inf(-1)}
+	return &Watch{name: name, zone: zone, region: region, bounds: b, children: map[string]*told{}, zonesTold: map[string]*told{}, loans: newLoans(), confirmedAt: math.Inf(-1)}
 }
 
 func (w *Watch) do(e Effect) { w.effects = append(w.effects, e) }
@@ -147,6 +158,14 @@
 	switch ev.Kind {
 	case Seen:
 		w.see(ev)
+		w.lapse()
+		w.weighLoans(ev)
+	case LoanAsked:
+		w.lapse()
+		w.loanAsked(ev)
+	case LoanGiven:
+		w.lapse()
+		w.loanGiven(ev)
 	case Present:
 		w.present(ev)
 	case Heard:
@@ -177,12 +196,14 @@
 		}
 	case Ticked:
 		w.unix = ev.Unix
+		w.lapse()
 		w.report()
 		w.lead()
 		w.announce(false)
 		w.fetch(w.latest)
 		w.open()
 	}
+	w.Counts.Lent, w.Counts.Borrowed = w.loans.Lent, w.loans.Borrowed
 	return w.effects
 }
 
@@ -447,7 +468,7 @@
 			if pair == nil || z == nil {
 				continue // near, and whole
 			}
-			r := rules.Reach{Place: name, Room: math.Floor(pair.part(w.name) * valid)}
+			r := rules.Reach{Place: name, Room: w.room(name, valid)}
 			if z.State == Evacuated && orderOf(w.orders, name, w.unix) != Evacuate && valid == 0 {
 				r.Room = w.bounds.Unit // the order has lapsed, and nobody can agree on what follows: one search at a time
 			}
@@ -460,7 +481,8 @@
 		return
 	}
 	w.reaches = list
-	w.do(Effect{Kind: Reach, Reaches: list})
+	w.gen++
+	w.do(Effect{Kind: Reach, Reaches: list, Number: w.gen})
 }
 
 // places gives all zones that are known here, in order.
@@ -493,7 +515,7 @@
 		return r
 	}
 	way := [2]string{self.Region, z.Region}
-	r.Tier, r.Room = tierOf(self, z), math.Floor(w.plan.Pair(w.zone, name).part(w.name)*valid)
+	r.Tier, r.Room = tierOf(self, z), w.room(name, valid)
 	r.WayMS, r.Least = w.bounds.WayMS[way], w.bounds.Price[way]
 	return r
 }
--- a/internal/zones/zones_test.go
+++ b/internal/zones/zones_test.go
@@ -415,3 +415,94 @@
 	assert.Equal(t, before, w.plan.Number)
 	assert.Equal(t, Whole, w.state(0))
 }
+
+// One controller of a zone wants more of another than its part, its mates less: it borrows, they do without, and all together stay within
+// the cap, also while messages are lost, doubled, and a lender or borrower is cut off.
+func TestPartsAreLent(t *testing.T) {
+	w := calm(t, 8)
+	w.sites[0].up, w.sites[0].listed = 0, 0
+	w.run(6000)
+	had := w.reaches[0]["z1"].Room + w.reaches[0]["z2"].Room
+	require.Greater(t, had, 0.0)
+	for k := range w.watches {
+		if w.zoneOf[k] == 0 {
+			w.outs[k] = map[string]float64{"wants": 0}
+		}
+	}
+	w.outs[0]["wants"] = 40
+	w.outs[3]["wants"] = 3
+	most := 0.0
+	for n := range 100 {
+		for k := range w.outs { // each has out what it wants and may, the first zone first
+			left := w.outs[k]["wants"]
+			for _, z := range []string{"z1", "z2"} {
+				w.outs[k][z] = min(left, w.reaches[k][z].Room)
+				left -= w.outs[k][z]
+			}
+		}
+		w.run(100)
+		most = max(most, w.reaches[0]["z1"].Room+w.reaches[0]["z2"].Room)
+		if n == 40 {
+			w.loss = 0.2
+		}
+		if n == 70 {
+			w.away[6] = true
+		}
+		for _, z := range []string{"z1", "z2"} {
+			out := 0.0
+			for k := range w.outs {
+				out += min(w.outs[k][z], max(w.outs[k][z], 0))
+			}
+			assert.LessOrEqual(t, out, 50.0)
+		}
+	}
+	assert.Greater(t, most, had+3, "it borrowed")
+	assert.NotZero(t, w.watches[0].Counts.Borrowed)
+	w.clean()
+	w.away[0] = true
+	w.run(4000)
+	assert.Empty(t, w.watches[0].loans.got, "a loan ends by itself")
+	w.run(4000)
+	for _, x := range w.watches {
+		assert.Empty(t, x.loans.lent)
+	}
+	w.clean()
+}
+
+// A loan is of what the module is seen not to use: as long as it has more out than what would be left, nothing is lent; what comes twice, late,
+// unasked or from elsewhere counts for nothing.
+func TestLoansRest(t *testing.T) {
+	w := calm(t, 4)
+	x := w.watches[3] // of z0
+	ask := func(from string, nonce uint64) (given float64) {
+		for _, e := range x.Step(w.now, &Event{Kind: LoanAsked, From: from, Zone: "z1", Number: nonce}) {
+			if e.Kind == GiveLoan {
+				given += e.Threads
+			}
+		}
+		return given
+	}
+	seen := func(out float64, applied uint64) {
+		w.outs[3] = map[string]float64{"wants": out, "z1": out}
+		x.Step(w.now, &Event{Kind: Seen, Executors: w.sees(3), Wants: out, Applied: applied})
+	}
+	part := x.plan.Pair("z0", "z1").part("c003")
+	require.GreaterOrEqual(t, part, 3.0)
+	seen(0, x.gen)
+	assert.Zero(t, ask("c000", 1), "it is kept first")
+	assert.Less(t, x.room("z1", 1), part)
+	seen(0, x.gen-1)
+	assert.Zero(t, ask("c000", 2), "the module may not have heard yet")
+	seen(part, x.gen)
+	assert.Zero(t, ask("c000", 3), "it has too much out")
+	seen(0, x.gen)
+	assert.Zero(t, ask("c001", 4), "of another zone")
+	given := ask("c000", 5)
+	assert.Positive(t, given)
+	assert.Zero(t, ask("c000", 5), "it came twice")
+	assert.LessOrEqual(t, x.room("z1", 1)+given, part)
+	assert.Empty(t, x.Step(w.now, &Event{Kind: LoanGiven, From: "c000", Zone: "z1", Number: 77, Threads: 5}), "nobody asked")
+	w.now += 10_000
+	seen(0, x.gen)
+	assert.Zero(t, ask("c000", 6), "its part is not confirmed any more")
+}
