--- a/internal/lab/takeover.go
+++ b/internal/lab/takeover.go
@@ -273,7 +273,7 @@
 	return bytes / keptCopies
 }
 
-// Stories measures what becomes of work in hand in simulated time.
+// Stories measures what becomes of work in hand in simulated time. STORIES sets how many histories are played.
 func Stories(string, string) ([]Figure, error) {
 	var figures []Figure
 	add := func(name string, value float64, unit, op string, want float64) {
@@ -282,8 +282,9 @@
 	a := keeping()
 	add("bytes_a_copy", a, "B", "<=", 1500)
 	add("memory_of_1e5_copies", a*1e5/(1<<20), "MB", "<=", 143)
-	twice, two, without, other, adopted := tales(stories)
-	unit := fmt.Sprintf("of %d histories, %d adopted", stories, adopted)
+	n := number("STORIES", stories)
+	twice, two, without, other, adopted := tales(n)
+	unit := fmt.Sprintf("of %d histories, %d adopted", n, adopted)
 	add("sim_ran_twice", float64(twice), unit, "==", 0)
 	add("sim_two_answers", float64(two), unit, "==", 0)
 	add("sim_without_outcome", float64(without), unit, "==", 0)
