--- a/rules/rules.go
+++ b/rules/rules.go
@@ -194,8 +194,8 @@
 
 // beyond tells whether a place is too far for a search: no room left there, too little gain, too long a way.
 func (g *Gateway) beyond(s *search, o *offering, place string) bool {
-	r := g.reach(o, place)
-	return r != nil && (float64(g.outAt(place)+o.threads) > r.Room || s.earns < r.Least ||
+	r := g.far(o, place)
+	return r != nil && (float64(r.out+o.threads) > r.Room || s.earns < r.Least ||
 		g.now+r.WayMS+s.work/float64(o.threads) > s.until-closingMS)
 }
 
@@ -298,7 +298,7 @@
 		} else if v == notHere {
 			continue
 		}
-		threads, tier := busy+float64(o.threads), g.reach(o, e.place).tier()
+		threads, tier := busy+float64(o.threads), g.far(o, e.place).tier()
 		memory = (memory + g.grant(s, e)) / (e.ram * part)
 		group := s.group
 		if o.holds && g.blind(e) { // controllers that don't see each other's loads spread them
--- a/rules/slab.go
+++ b/rules/slab.go
@@ -292,7 +292,7 @@
 	told       []telling // by controller, at those that add up
 	askAt      float64   // when the list is to be asked for
 	present    float64   // controllers that share the executors, where that is heard
-	reaches    []Reach   // places that are not simply near
+	reaches    []reached // places that are not simply near
 	closing    float64   // when this instance stops; far off unless that is planned
 }
 
@@ -558,6 +558,7 @@
 		g.seen = slices.DeleteFunc(g.seen, func(h holding) bool { return h.executor == x })
 	}
 	g.executors[x].read(g.given, n)
+	g.recountOut()
 	return x
 }
 
@@ -605,6 +606,7 @@
 	}
 	s.fired, s.out = s.fired+1, s.out+1
 	e.out, e.threads, e.memory = e.out+1, e.threads+threads, e.memory+grant
+	g.lent(e.place, threads)
 	return h
 }
 
@@ -635,6 +637,7 @@
 	g.line(h, false)
 	h.out, h.doubt = false, doubt
 	s.out, e.out, e.threads, e.memory = s.out-1, e.out-1, e.threads-h.threads, e.memory-h.grant
+	g.lent(e.place, -h.threads)
 }
 
 // returning counts the searches whose shot was lost or called off and that wait for their next one. Whoever is called off
@@ -691,8 +694,44 @@
 	return false
 }
 
-// reach gives how far a place is for an offering, or nil: it is near.
-func (g *Gateway) reach(o *offering, place string) *Reach {
+// reached is a place that is not simply near, with the threads of this instance's shots there.
+type reached struct {
+	Reach
+	out int
+}
+
+// reach takes over how far places are.
+func (g *Gateway) reach(list []Reach) {
+	g.reaches, g.dirty = g.reaches[:0], true
+	for _, r := range list {
+		g.reaches = append(g.reaches, reached{Reach: r})
+	}
+	g.recountOut()
+}
+
+// recountOut counts what is out at each place: executors may have come, or moved.
+func (g *Gateway) recountOut() {
+	for k := range g.reaches {
+		g.reaches[k].out = 0
+		for x := range g.executors {
+			if g.executors[x].place == g.reaches[k].Place {
+				g.reaches[k].out += g.executors[x].threads
+			}
+		}
+	}
+}
+
+// lent counts threads that went out to a place, or came back.
+func (g *Gateway) lent(place string, threads int) {
+	for k := range g.reaches {
+		if g.reaches[k].Place == place {
+			g.reaches[k].out += threads
+		}
+	}
+}
+
+// far gives how far a place is for an offering, or nil: it is near.
+func (g *Gateway) far(o *offering, place string) *reached {
 	for k := range g.reaches {
 		if r := &g.reaches[k]; r.Place == place && !r.free(o) {
 			return r
@@ -701,23 +740,13 @@
 	return nil
 }
 
-func (r *Reach) tier() int {
+func (r *reached) tier() int {
 	if r == nil {
 		return 0
 	}
 	return r.Tier
 }
 
-// outAt counts the threads of this instance's shots at a place.
-func (g *Gateway) outAt(place string) (n int) {
-	for x := range g.executors {
-		if g.executors[x].place == place {
-			n += g.executors[x].threads
-		}
-	}
-	return n
-}
-
 // free tells whether an offering runs on kinds alone that are free at a place.
 func (r *Reach) free(o *offering) bool {
 	return o.kinds != nil && len(r.Free) > 0 && !slices.ContainsFunc(o.kinds, func(k string) bool { return !slices.Contains(r.Free, k) })
--- a/rules/step.go
+++ b/rules/step.go
@@ -38,7 +38,7 @@
 	case Counted:
 		g.present = ev.Value
 	case Opened:
-		g.reaches, g.dirty = append(g.reaches[:0], ev.Reaches...), true
+		g.reach(ev.Reaches)
 	case Heard:
 		g.heard(ev.FromPeer, ev.Data)
 	}
