Whoever asks for a mark again is told again that it may have run; a word bears its own number

Traced by every word on that mark: a controller asked for a mark that an heir had written off. Its own chair answered in the same step that the number must be higher, so that the words under the first and the second number left in one batch, both with the copy of the later one (owner.go, item: a pointer). Chairs took the first word, told what may have run in the answer to it, and answered the second one, of the same owner, without that (holder.go, register); the owner heeds the answer to its latest number alone. The same follows where the answer to an asking is lost and it asks again. Ruled out: leases, claims, words that come twice. Now a word carries its copy as it was, and an asking that is said again is told again.

--- a/internal/estate/estate_test.go
+++ b/internal/estate/estate_test.go
@@ -529,3 +529,36 @@
 		}
 	}
 }
+
+// Whoever asks for a mark that may have run learns of that, however often it has to ask: the answers to its first asking are lost, and it
+// does not sit there itself. It must not go on as if the mark were new.
+func TestWhatMayHaveRunIsToldEachTime(t *testing.T) {
+	w := newWorld(t, 6, 2, nil)
+	played := 0
+	for n := range 40 {
+		mark := fmt.Sprint("m", n)
+		part, owner, asker := KeyOf(mark, "").Part(), -1, -1
+		for k := range w.ends {
+			if w.ends[k].sat(part) {
+				owner = k
+			} else {
+				asker = k
+			}
+		}
+		id := "a" + mark
+		w.arrive(owner, "mark", id, mark)
+		require.True(t, w.shoot(owner, id))
+		w.end(owner, id, WrittenOff, "")
+		w.tick(300)
+		w.deaf = true
+		w.arrive(asker, "mark", "b"+mark, mark)
+		w.tick(100)
+		w.deaf = false
+		w.tick(600)
+		for _, f := range w.said(asker, Resume, "b"+mark) {
+			played++
+			assert.NotZero(t, f.Prior.At, "it goes on as if it were new")
+		}
+	}
+	assert.NotZero(t, played)
+}
--- a/internal/estate/holder.go
+++ b/internal/estate/holder.go
@@ -207,7 +207,8 @@
 		if it.Copy.Number > k.Number {
 			e.own(k, owner, it.Copy)
 		}
-		return Item{Op: Kept}
+		// Said again, it is told again what was before: the first answer may have been lost.
+		return Item{Op: Kept, Standing: k.Standing, First: k.First, Place: k.Place, Cell: k.Cell}
 	case k.state.open() || k.Standing == Ran && k.Answer != nil:
 		return e.knows(k)
 	case it.Copy.Number <= k.Number:
@@ -312,7 +313,12 @@
 func (e *Estate) own(k *kept, owner Member, c *Copy) {
 	e.unlist(k)
 	k.Copy = *c
-	k.Owner, k.before, k.handed = owner, nil, false
+	if k.Owner = owner; k.handed {
+		k.before, k.handed = nil, false
+	}
+	if b := k.before; b != nil && b.Standing > k.Standing { // its owner may not have heard of that yet
+		k.Standing, k.First, k.Place, k.Cell = b.Standing, b.First, b.Place, b.Cell
+	}
 	e.list(k)
 	e.extend(k)
 	e.save(k)
--- a/internal/estate/owner.go
+++ b/internal/estate/owner.go
@@ -119,20 +119,21 @@
 // item is the last word of a search, as it stands.
 func (e *Estate) item(m *mine) Item {
 	it := Item{Key: m.key, Number: m.Number, Standing: m.Standing, First: m.First, Place: m.Place, Cell: m.Cell, From: m.Owner}
+	as := func() *Copy { c := m.Copy; return &c } // as it is now: a word must not bear the number of a later one in the same step
 	switch m.phase {
 	case asking:
-		it.Op, it.Copy = Register, &m.Copy
+		it.Op, it.Copy = Register, as()
 	case taking:
-		it.Op, it.Copy, it.From = Take, &m.Copy, m.from
+		it.Op, it.Copy, it.From = Take, as(), m.from
 	case having:
 		it.Op = Shoot
 		if m.light && m.tries == 0 {
-			it.Op, it.Copy = Register, &m.Copy
+			it.Op, it.Copy = Register, as()
 		}
 	default:
 		it.Op, it.Outcome, it.Answer = Close, m.Outcome, m.Answer
 		if m.Owner != e.self {
-			it.Copy = &m.Copy // another may have ended it meanwhile as what it had to hold it for
+			it.Copy = as() // another may have ended it meanwhile as what it had to hold it for
 		}
 	}
 	return it
--- a/internal/estate/pace.go
+++ b/internal/estate/pace.go
@@ -6,7 +6,7 @@
 // longer. What is usual is learnt while nothing is adopted, by offering; nothing rests on how long work is in itself. An heir without
 // clients of its own goes by what it adopts.
 const (
-	paceFirst   = 4     // in hand at first: what one executor does beside all else
+	paceFirst   = 8     // in hand at first: what one executor does beside all else
 	paceKnown   = 32    // searches of an offering until it is known how long they take
 	paceSamples = 256   // that are remembered of each: the 99th percentile is the third longest
 	paceOpen    = 4096  // searches under way that are looked at
@@ -107,7 +107,7 @@
 			p.usual[k].weigh()
 		}
 	case p.slow < paceSlow && p.debt < paceSign:
-		p.room = min(p.most, p.room+max(0.25, p.room/32))
+		p.room = min(p.most, p.room+max(1, p.room/8))
 	case now > p.cutAt+paceHoldMS:
 		p.room, p.slow, p.debt, p.cutAt = max(1, p.room/2), 0.5, 0, now
 	}
