--- a/cmd/liftshift-full/zones.go
+++ b/cmd/liftshift-full/zones.go
@@ -44,11 +44,8 @@
 					return err
 				}
 				return show(cmd, a, func(out io.Writer, a map[string]any) {
-					lines, _ := a["lines"].([]any)
-					for _, line := range lines {
-						fmt.Fprintln(out, line)
-					}
-					if len(lines) == 0 {
+					zonesLines(out, a)
+					if lines, _ := a["lines"].([]any); len(lines) == 0 {
 						fmt.Fprintf(out, "this controller makes no plans; %v leads\n", a["leader"])
 					}
 				})
@@ -60,12 +57,7 @@
 				if err != nil {
 					return err
 				}
-				return show(cmd, a, func(out io.Writer, a map[string]any) {
-					lines, _ := a["lines"].([]any)
-					for _, line := range lines {
-						fmt.Fprintln(out, line)
-					}
-				})
+				return show(cmd, a, zonesLines)
 			}},
 		order("evacuate", "30m", "Have nothing new go to a zone, for a time", "  liftshift zones evacuate kurume-2 --for 45m --why \"new switches\" --file office.hcl"),
 		order("hold", "30m", "Have a zone's return not go on, for a time", "  liftshift zones hold kurume-2 --for 10m --file office.hcl"),
@@ -73,6 +65,14 @@
 	return cmd
 }
 
+// zonesLines prints what is said line by line.
+func zonesLines(out io.Writer, a map[string]any) {
+	lines, _ := a["lines"].([]any)
+	for _, line := range lines {
+		fmt.Fprintln(out, line)
+	}
+}
+
 func zonesTable(out io.Writer, a map[string]any) {
 	fmt.Fprintf(out, "plan %v; %v leads the council; this controller holds its lease: %v\n", a["plan"], a["leader"], a["held"])
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
