The last step before a socket sees what changed since an attempt was decided

Cause, read in the code and forced in tests: Fleet.Send put an attempt into bytes at the decision, or Fleet.serve when a connection came up late, and nothing was looked at again. A client that left (its word behind up to 1,024 items), an executor that began to drain, a window for repeats that ran out while a connection came up (connect_ms 250 against a margin of 25): each still got its attempt. An end told twice (full, failed) ended the next attempt of the same request, as its id was kept off the connection only after a call-off (Fleet.answer); for a class that must not be repeated that 'full' proved falsely that nothing ran. A stuck write kept a client's giveUp unread for 2 s a step (pipe.write). Front.Stop cut connections with unread bytes and did not wait (a reset takes the last answers along), and Open() was 0 between the reading of a request and its entry.

Change: attempts become bytes in the connection's own goroutine (link.write), after a look at client, executor, time and lease; what never became bytes is told as never run. Clients that leave are marked at once. Writes take turns with reads. Leave, Done and Stop of the front: nothing is taken after the shutdown, the writing side ends first, the rest is read. An executor whose address a new one has is gone. A bound address is tried again for 5 s. SIGHUP is heard during a stop.

Each has a test in crossings_test.go that fails before.

--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -40,8 +40,12 @@
 	Body     []byte // goes on as it came
 	Client   Client
 	Tag      uint64
+	Gone     *atomic.Bool // set as soon as its client is known to wait no more, before the word of it comes through the queue; nil: nobody may
 }
 
+// Forsaken tells whether its client is known to wait no more.
+func (s *Search) Forsaken() bool { return s.Gone != nil && s.Gone.Load() }
+
 // Shot is one shot as the executors' side gets it.
 type Shot struct {
 	Search   *Search
@@ -50,7 +54,8 @@
 	GrantMB  float64
 	Level    int
 	MaxMS    float64
-	Held     bool // it leaves only at Release
+	By       float64 // clock until which it may leave; 0: any time
+	Held     bool    // it leaves only at Release
 }
 
 // Stopped tells what calling off a shot came to.
@@ -373,6 +378,10 @@
 			d.tally.Stray++
 			return
 		}
+		if ev.Outcome == rules.Superseded && !s.answered && s.Forsaken() { // the word of it still stands in the queue
+			d.answered(s, ledger.Left, nil, 0)
+			d.tally.Left++
+		}
 		if ev.Outcome == rules.Handled && !s.answered {
 			d.conclude(s, ledger.Handled, it.Body, 0, ev.SpentMS)
 			d.tally.Handled++
@@ -584,7 +593,7 @@
 	v := d.happen(Happening{Kind: Firing, Search: &s.Search, Shot: n, Executor: a.Executor})
 	kept := v.holds > 0
 	run, held := d.Executors.Send(Shot{Search: &s.Search, N: n, Executor: a.Executor, GrantMB: s.grant,
-		Level: s.level, MaxMS: s.Until - now, Held: kept})
+		Level: s.level, MaxMS: s.Until - now, By: a.By, Held: kept})
 	s.shots[n] = shot{run: run, executor: a.Executor, sent: now, due: now + held, holds: v.holds, out: true}
 	s.fired, s.out = n+1, s.out+1
 	d.happen(Happening{Kind: Fired, Search: &s.Search, Shot: n, Executor: a.Executor, GrantMB: s.grant})
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -294,3 +295,21 @@
 	d.due()
 	assert.Equal(t, []int{0, 0, 1, 0}, []int{len(d.searches), len(d.spent), len(d.timers), d.Open()})
 }
+
+// A shot that was stopped at the last step, as its client had gone: the module is told that the search is over, before the
+// word of it has come through the queue, and sends it nowhere else.
+func TestAShotStoppedForAClientThatLeftIsTheLast(t *testing.T) {
+	f := &side{}
+	d, one := sent(f, nil)
+	s := d.searches["a"]
+	s.Gone = &atomic.Bool{}
+	s.Gone.Store(true)
+	d.play(end(rules.Superseded))
+	assert.True(t, one.last(rules.Ended).Over)
+	assert.Zero(t, d.Open())
+	d.play(Item{Event: rules.Event{Kind: rules.Left, Search: "a"}, Client: f, Token: 5})
+	assert.Nil(t, one.last(rules.Left), "told once")
+	assert.Equal(t, uint64(1), d.tally.Left)
+	assert.Empty(t, f.did)
+	assert.Len(t, f.sent, 1)
+}
--- a/internal/service/log.go
+++ b/internal/service/log.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"sync/atomic"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -32,6 +33,9 @@
 	}
 }
 
+// lastLines is the longest that the end waits for the log's reader: well within what a planned stop has left.
+const lastLines = 100 * time.Millisecond
+
 // NewLog returns a log on out, and what writes the rest of it at the end.
 func NewLog(out io.Writer) (*logrus.Logger, func()) {
 	l := &lines{out: out, queue: make(chan []byte, logRoom), done: make(chan struct{})}
@@ -43,6 +47,9 @@
 	return log, func() {
 		log.SetOutput(io.Discard)
 		close(l.queue)
-		<-l.done
+		select {
+		case <-l.done:
+		case <-time.After(lastLines): // nobody reads them: the process ends all the same
+		}
 	}
 }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -32,7 +32,7 @@
 	frontLeaves = 700 * time.Millisecond // the front has left by then, and its last search has come
 	longestStop = 3 * time.Second        // the longest hard limit that the stop waits for
 	stopLook    = 10 * time.Millisecond
-	stopSpare   = 100 * time.Millisecond // for the last answers to be written
+	stopSpare   = 300 * time.Millisecond // for the last answers to be written and read: half of it for each
 )
 
 // Run serves until ctx ends, then stops as planned. At each reload it reads the configuration again.
@@ -109,12 +109,19 @@
 	d.Close(clock.Now() + float64(limit-stopSpare)/float64(time.Millisecond))
 	log.WithFields(logrus.Fields{"open": d.Open(), "within": limit}).Info("stop: begun")
 	for time.Since(began) < limit-stopSpare/2 {
-		time.Sleep(stopLook)
-		if time.Since(began) > frontLeaves && d.Open() == 0 && front.Written() {
+		select {
+		case <-time.After(stopLook):
+		case <-reload: // the change log may move once more: what drains meanwhile has to be heard of
+			n = n.reload(feed, beside, log)
+		}
+		if time.Since(began) < frontLeaves {
+			continue
+		}
+		if front.Leave(); d.Open() == 0 && front.Done() {
 			break
 		}
 	}
-	front.Stop()
+	front.Stop(stopSpare / 3)
 	feed.Stop()
 	d.Stop()
 	count("sockets: end")
--- a/internal/wire/changelog.go
+++ b/internal/wire/changelog.go
@@ -147,7 +147,7 @@
 		if c.seq <= f.last {
 			continue
 		}
-		f.fleet.update(c.whole, c.list)
+		c.list = append(c.list, f.fleet.update(c.whole, c.list)...)
 		ev := rules.Event{Kind: rules.Listed, List: rules.Changes, Index: c.index}
 		if c.whole {
 			ev.List = whole
--- /dev/null
+++ b/internal/wire/crossings_test.go
@@ -0,0 +1,266 @@
+package wire
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"liftshift/internal/desk"
+	"liftshift/rules"
+)
+
+// lateFleet has one executor whose connections come up only once the test lets them.
+func lateFleet(t *testing.T) (*Fleet, mailbox, *executor, chan struct{}) {
+	e := standIn(t, "127.0.0.1:0")
+	f, m := fleetOf(t, e.listener.Addr().String(), 15000)
+	up := make(chan struct{}, 10)
+	f.dial = func(network, address string) (net.Conn, error) {
+		<-up
+		return net.Dial(network, address)
+	}
+	return f, m, e, up
+}
+
+// What happens between the decision and the socket is seen at the last step: nothing leaves, and it is told as never sent.
+func TestAShotThatMayNotBeginAnyMoreNeverLeaves(t *testing.T) {
+	for name, cross := range map[string]func(*Fleet, *desk.Shot){
+		"its client has gone": func(_ *Fleet, s *desk.Shot) { s.Search.Gone.Store(true) },
+		"its executor drains": func(f *Fleet, _ *desk.Shot) {
+			f.update(false, []listed{{rules.Entry{Executor: 1, Standing: rules.Leaving}, "s-1", f.machines[1].address}})
+		},
+		"its executor is gone": func(f *Fleet, _ *desk.Shot) { f.update(true, nil) },
+		"a new executor has the address": func(f *Fleet, _ *desk.Shot) {
+			f.update(false, []listed{{rules.Entry{Executor: 2}, "s-2", f.machines[1].address}})
+		},
+		"its time is over": func(*Fleet, *desk.Shot) { time.Sleep(60 * time.Millisecond) },
+	} {
+		f, m, e, up := lateFleet(t)
+		shot := shotOf("a")
+		shot.Search.Gone = &atomic.Bool{}
+		if name == "its time is over" {
+			shot.By = f.clock.Now() + 50
+		}
+		run, _ := f.Send(shot)
+		require.NotNil(t, run)
+		cross(f, &shot)
+		up <- struct{}{}
+		it := m.next(t)
+		assert.Equal(t, []any{rules.Ended, rules.Superseded, false}, []any{it.Event.Kind, it.Event.Outcome, it.Event.Barred}, name)
+		assert.True(t, it.Event.Outcome.NeverRan())
+		assert.Equal(t, desk.Decided, run.CallOff(), name)
+		f.Stop()
+		e.hears(t, "closed") // and nothing before it
+		assert.Empty(t, m, name)
+	}
+}
+
+// A second copy of an end, some ms later, must not pass for the end of the next shot of the same search.
+func TestAnEndToldTwiceEndsNoOtherShot(t *testing.T) {
+	for _, word := range []string{"full", "failed", "moot"} {
+		e := standIn(t, "127.0.0.1:0")
+		f, m := fleetOf(t, e.listener.Addr().String(), 15000)
+		f.Send(shotOf("a"))
+		e.hears(t, "fetch a .*")
+		first := e.conn(t)
+		say(first, "a", word, "-", "")
+		m.next(t)
+		shot := shotOf("a")
+		shot.N = 1
+		f.Send(shot)
+		e.hears(t, "fetch a .*")
+		second := e.conn(t) // not over the first
+		say(first, "a", word, "-", "")
+		say(first, "a", word, "-", "")
+		assert.Eventually(t, func() bool { return f.Strays.Load() == 2 }, 3*time.Second, time.Millisecond)
+		say(second, "a", "data", "-", "x\ty\tz\n")
+		it := m.next(t)
+		assert.Equal(t, []any{rules.Handled, 1}, []any{it.Event.Outcome, it.Event.Shot}, word)
+		assert.Empty(t, m)
+	}
+}
+
+// An executor that reads nothing: what waits behind the bytes it doesn't take never left, and is told so.
+func TestWhatWaitsBehindAStuckWriteNeverRan(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	f, m := fleetOf(t, l.Addr().String(), 15000)
+	f.links, f.connect = 1, time.Minute
+	big := shotOf("big")
+	big.Search.Body = bytes.Repeat([]byte("x"), 32<<20) // more than the system holds for both sides
+	f.Send(big)
+	c, err := l.Accept()
+	require.NoError(t, err)
+	defer c.Close()
+	link := f.machines[1].links[0]
+	require.Eventually(t, func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return link.up && !link.written() && link.open["big"].left
+	}, 3*time.Second, time.Millisecond)
+	second, _ := f.Send(shotOf("b"))
+	assert.Equal(t, desk.Unsent, second.CallOff())
+	third, _ := f.Send(shotOf("c"))
+	require.NotNil(t, third)
+	c.Close()
+	ends := map[string]rules.Outcome{}
+	for range 2 {
+		it := m.next(t)
+		ends[it.Event.Search] = it.Event.Outcome
+	}
+	assert.Equal(t, map[string]rules.Outcome{"big": rules.Severed, "c": rules.Refused}, ends)
+}
+
+// A client that reads nothing is still heard: what it gives up is given up at once, though its answers are stuck.
+func TestAClientThatReadsNothingIsHeard(t *testing.T) {
+	_, m, c, _ := door(t, Doors{})
+	ask(c, look(1, "a"))
+	first := m.next(t).Search
+	ask(c, look(2, "b"))
+	second := m.next(t).Search
+	first.Client.Handled(first.Tag, make([]byte, 24<<20))
+	pipe := first.Client.(*client)
+	require.Eventually(t, func() bool { return !pipe.written() }, 3*time.Second, time.Millisecond)
+	time.Sleep(2 * writeTurn) // into the stuck write
+	began := time.Now()
+	ask(c, `{"jsonrpc":"2.0","method":"giveUp","params":{"req":"b"}}`)
+	it := m.next(t)
+	assert.Equal(t, []any{rules.Left, "b"}, []any{it.Event.Kind, it.Event.Search})
+	assert.True(t, second.Forsaken())
+	assert.Less(t, time.Since(began), clientWrite/2, "not only once the write has failed")
+	assert.False(t, pipe.written(), "it was stuck throughout")
+}
+
+// fullQueue takes nothing until it is let.
+type fullQueue struct {
+	mailbox
+	room chan struct{}
+}
+
+func (q fullQueue) Put(it desk.Item) { <-q.room; q.mailbox.Put(it) }
+
+// All that is open on a connection that ends is marked at once, however long the words of it stand in line.
+func TestTheMarkOfAClientThatLeftWaitsForNoQueue(t *testing.T) {
+	f, m, c, _ := door(t, Doors{})
+	f.queue = fullQueue{m, make(chan struct{})}
+	var open []*desk.Search
+	for id := range 3 {
+		ask(c, look(id+1, fmt.Sprint("a", id)))
+		open = append(open, m.next(t).Search)
+	}
+	c.Close()
+	assert.Eventually(t, func() bool { return open[0].Forsaken() && open[1].Forsaken() && open[2].Forsaken() }, 3*time.Second,
+		time.Millisecond)
+	assert.Empty(t, m)
+	close(f.queue.(fullQueue).room)
+}
+
+// At a planned stop the last answers come whole, also to who has sent something that is not read any more; what comes on an open
+// connection is refused, and a resting one ends without a reset.
+func TestLeavingLosesNoAnswer(t *testing.T) {
+	f, m, c, r := door(t, Doors{})
+	rest, rr := dial(t, f)
+	ask(rest, `{"jsonrpc":"2.0","id":1,"method":"probe"}`)
+	answered(t, rr, `{"jsonrpc":"2.0","id":1,"result":{"fit":false}}`)
+	ask(c, look(1, "a"))
+	s := m.next(t).Search
+	f.Leave()
+	assert.False(t, f.Done())
+	_, err := rr.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	ask(c, look(2, "b"))
+	got, err := readMessage(r, nil)
+	require.NoError(t, err)
+	assert.Contains(t, string(got), `"id":2,"error":{"code":-32008,"message":"this connection takes no more"`)
+	body := bytes.Repeat([]byte("x\ty\tz\n"), 7000)
+	s.Client.Handled(s.Tag, body)
+	ask(c, look(3, "c")) // crosses the end
+	fmt.Fprint(c, "Content-Length: 60000\r\n\r\n")
+	got, err = readMessage(r, nil)
+	for err == nil && !strings.HasPrefix(string(got), `{"jsonrpc":"2.0","id":1,`) {
+		got, err = readMessage(r, nil)
+	}
+	require.NoError(t, err, "no reset took it along")
+	assert.Greater(t, len(got), len(body))
+	for err == nil {
+		_, err = readMessage(r, nil)
+	}
+	assert.ErrorIs(t, err, io.EOF)
+	assert.Empty(t, m)
+	f.Stop(time.Second)
+	assert.True(t, f.Done())
+	_, err = net.Dial("tcp", f.listener.Addr().String())
+	assert.Error(t, err)
+}
+
+// A search is no longer open only once its answer stands in the output: who stops looks at both and must not find neither.
+func TestAnAnswerIsAlwaysSeenByWhoStops(t *testing.T) {
+	f, m, c, r := door(t, Doors{})
+	for n := range 200 {
+		ask(c, look(n+1, fmt.Sprint("a", n)))
+		s := m.next(t).Search
+		require.False(t, f.Done())
+		go s.Client.Denied(s.Tag, 5)
+		for !f.Done() {
+		}
+		_, err := readMessage(r, nil)
+		require.NoError(t, err)
+	}
+}
+
+// A deadline that passed while the process stood still tells nothing: what came meanwhile is read before the connection
+// counts as idle.
+func TestWhatCameDuringAStallIsReadBeforeTheClose(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	there, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer there.Close()
+	here, err := l.Accept()
+	require.NoError(t, err)
+	defer here.Close()
+	idle := errors.New("idle")
+	p := &pipe{conn: here, budget: NewBudget(1), until: func() time.Time { return past }, quiet: func() error { return idle }}
+	_, _ = there.Write([]byte("x"))
+	var b [1]byte
+	require.Eventually(t, func() bool { n, _ := p.Read(b[:]); return n == 1 }, 3*time.Second, time.Millisecond)
+	_, err = p.Read(b[:])
+	assert.ErrorIs(t, err, idle)
+}
+
+// A new executor at an address shows that the one listed there is gone, whatever the list still says of it.
+func TestANewExecutorAtAnAddressDisplacesTheOldOne(t *testing.T) {
+	f, _ := fleetOf(t, "127.0.0.1:9", 15000)
+	old := listed{rules.Entry{Executor: 1}, "s-1", "127.0.0.1:9"}
+	next := listed{rules.Entry{Executor: 2, UpSince: 5}, "s-2", "127.0.0.1:9"}
+	gone := old
+	gone.entry.Standing = rules.Gone
+	assert.Equal(t, []listed{gone}, f.update(false, []listed{next}))
+	assert.Empty(t, f.update(false, []listed{next}), "told once")
+	assert.Empty(t, f.update(true, []listed{next, {rules.Entry{Executor: 3}, "s-3", "127.0.0.1:10"}}))
+	leaving := next
+	leaving.entry.Standing, leaving.entry.Executor, leaving.name = rules.Leaving, 4, "s-4"
+	assert.Empty(t, f.update(false, []listed{leaving}), "one that drains displaces nobody")
+	assert.Contains(t, f.machines, uint32(2))
+}
+
+// A controller that is restarted may find its address still held by the one before it.
+func TestTheAddressMayBeFreeOnlyALittleLater(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	time.AfterFunc(100*time.Millisecond, func() { l.Close() })
+	m := make(mailbox, 1)
+	f, err := NewFront(l.Addr().String(), nil, m, desk.NewClock(), Doors{Answers: NewBudget(1), Bodies: NewBudget(1)}, silentLog())
+	require.NoError(t, err)
+	f.Stop(0)
+}
--- a/internal/wire/executors.go
+++ b/internal/wire/executors.go
@@ -27,7 +27,7 @@
 	mostAnswer   = 64 << 10 // bytes of one answer, all pages
 	columns      = 3        // of a row
 	mostLinedUp  = 1 << 20  // bytes that may line up at one connection
-	mostRetired  = 1024     // ids called off on a connection until it is replaced
+	mostRetired  = 1024     // ids ended on a connection but by their answer, until it is replaced
 	idleShare    = 0.8      // share of the executors' idle time after which a connection is closed here
 	idleLook     = time.Second
 	answerBuffer = 4 << 10
@@ -52,7 +52,8 @@
 	idle    time.Duration // unused connections are closed by then
 	perLink int           // shots on one connection
 	links   int           // most connections, over all executors
-	probe   string        // the word that asks for a sign of life
+	dial    func(network, address string) (net.Conn, error)
+	probe   string // the word that asks for a sign of life
 	reports []string
 
 	mu       sync.Mutex
@@ -68,9 +69,11 @@
 type machine struct {
 	id            uint32
 	name, address string
+	entry         rules.Entry // as it was listed first
 	since         float64
 	links         []*link
 	halted        map[string]float64 // ids called off there within the last apartMS
+	closed        bool               // the list tells that it drains or is gone, or that another has its address
 }
 
 // link is one connection to an executor.
@@ -83,7 +86,8 @@
 	used    time.Time
 	signs   uint64 // messages that came
 	open    map[string]*run
-	ends    map[string]bool // called off here; an answer may still come
+	pending []*run          // of those open: what the goroutine has still to write
+	ends    map[string]bool // ended here but by their answer; another word of that end may still come
 	probes  map[string]uint64
 }
 
@@ -127,6 +131,7 @@
 	have  int
 	size  int
 	held  bool // until Release
+	left  bool // its bytes were handed to the socket
 	event rules.Event
 }
 
@@ -143,21 +148,26 @@
 	if len(reach.Reports) > 0 {
 		probe = "stats"
 	}
-	return &Fleet{probe: probe, reports: reach.Reports, queue: queue, clock: clock, budget: budget, log: log, machines: map[uint32]*machine{},
+	dialer := &net.Dialer{Timeout: millis(reach.ConnectMS), KeepAlive: -1}
+	return &Fleet{dial: dialer.Dial, probe: probe, reports: reach.Reports, queue: queue, clock: clock, budget: budget, log: log, machines: map[uint32]*machine{},
 		all: map[*link]struct{}{}, connect: millis(reach.ConnectMS), idle: millis(reach.IdleMS * idleShare),
 		perLink: max(1, reach.PerLink), links: max(1, reach.Links)}
 }
 
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
-// update takes over what the list says. It comes before the module gets it.
-func (f *Fleet) update(whole bool, list []listed) {
+// update takes over what the list says, and gives what follows from it beside: an executor whose address a new one has is
+// gone, though the list does not say so yet. It comes before the module gets it.
+func (f *Fleet) update(whole bool, list []listed) (displaced []listed) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	kept := map[uint32]bool{}
 	for _, e := range list {
 		kept[e.entry.Executor] = e.entry.Standing != rules.Gone
 		m := f.machines[e.entry.Executor]
+		if m != nil {
+			m.closed = e.entry.Standing != rules.Active
+		}
 		if m != nil && m.name != e.name {
 			f.log.WithFields(logrus.Fields{"one": m.name, "other": e.name}).Error("executor ids collide")
 		}
@@ -168,8 +178,8 @@
 		if e.entry.Standing == rules.Gone {
 			delete(f.machines, e.entry.Executor)
 		} else if m == nil {
-			f.machines[e.entry.Executor] = &machine{id: e.entry.Executor, name: e.name, address: e.address,
-				since: e.entry.UpSince, halted: map[string]float64{}}
+			f.machines[e.entry.Executor] = &machine{id: e.entry.Executor, name: e.name, address: e.address, entry: e.entry,
+				since: e.entry.UpSince, halted: map[string]float64{}, closed: e.entry.Standing != rules.Active}
 		}
 	}
 	for id, m := range f.machines {
@@ -178,6 +188,22 @@
 			delete(f.machines, id)
 		}
 	}
+	for _, e := range list {
+		if m := f.machines[e.entry.Executor]; m == nil || m.closed {
+			continue
+		}
+		for id, m := range f.machines {
+			if m.address == e.address && id != e.entry.Executor && !kept[id] {
+				f.retire(m)
+				delete(f.machines, id)
+				gone := listed{entry: m.entry, name: m.name, address: m.address}
+				gone.entry.Standing = rules.Gone
+				displaced = append(displaced, gone)
+			}
+		}
+	}
+	slices.SortFunc(displaced, func(a, b listed) int { return cmp.Compare(a.entry.Executor, b.entry.Executor) })
+	return displaced
 }
 
 // Stop ends all connections.
@@ -192,6 +218,7 @@
 }
 
 func (f *Fleet) retire(m *machine) {
+	m.closed = true // also for what still waits for a connection to come up
 	for _, l := range m.links {
 		l.leave()
 	}
@@ -244,7 +271,7 @@
 	l := &link{fleet: f, machine: m, used: now, open: map[string]*run{}, ends: map[string]bool{},
 		probes: map[string]uint64{}}
 	l.budget, l.patient, l.most = f.budget, f.connect, mostLinedUp
-	l.quiet, l.until = l.stale, func() time.Time { return time.Now().Add(idleLook) }
+	l.quiet, l.until, l.fill = l.stale, func() time.Time { return time.Now().Add(idleLook) }, l.write
 	m.links = append(m.links, l)
 	f.all[l] = struct{}{}
 	go l.serve()
@@ -288,7 +315,7 @@
 	}
 	l.open[shot.Search.ID] = r
 	r.held = wait > 0 || shot.Held
-	if l.up && !r.held && !l.fetch(r) {
+	if !r.held && !l.lineUp(r) {
 		delete(l.open, shot.Search.ID)
 		l.leave()
 		return nil, 0
@@ -296,28 +323,94 @@
 	return r, wait
 }
 
-// Release sends a shot that was held back, unless it was called off meanwhile.
+// Release lets a shot go that was held back, unless it was called off meanwhile.
 func (r *run) Release() {
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
-	l := r.link
-	if r.held = false; l.up && l.open[r.shot.Search.ID] == r {
+	if r.held && r.link.open[r.shot.Search.ID] == r {
+		r.held = false
+		r.link.lineUp(r) // on a connection that has ended meanwhile it never left: finish tells so
+	}
+}
+
+// lineUp has the goroutine of the link write a shot, or ask for the pages that are missing, once it is up. Nothing is put into
+// bytes before that: what is called off, or may not begin any more, until the socket takes it has surely never run.
+// Called under the fleet's lock.
+func (l *link) lineUp(r *run) bool {
+	l.pending = append(l.pending, r)
+	return !l.up || l.rouse()
+}
+
+// write puts what is pending into bytes. It is the last step before the socket, and the last look at whether an attempt may
+// begin: a shot whose client has gone, whose executor drains, whose time is over, or whose holder lost its right never leaves.
+func (l *link) write() {
+	f := l.fleet
+	f.mu.Lock()
+	if len(l.pending) == 0 || l.busy() {
+		f.mu.Unlock()
+		return
+	}
+	var barred []desk.Item
+	for _, r := range l.pending {
+		if l.open[r.shot.Search.ID] != r {
+			continue // called off
+		}
+		if r.pages != nil {
+			l.more(r)
+			continue
+		}
+		if why, may := f.mayLeave(r); !may {
+			f.Barred.Add(1)
+			delete(l.open, r.shot.Search.ID)
+			ev := r.event
+			ev.Outcome, ev.Barred = rules.Superseded, why == lawless
+			barred = append(barred, desk.Item{Event: ev})
+			continue
+		}
 		l.fetch(r)
 	}
+	clear(l.pending)
+	l.pending = l.pending[:0]
+	l.settle()
+	f.mu.Unlock()
+	for _, it := range barred {
+		f.queue.Put(it) // not under the lock
+	}
 }
 
-// put writes a shot, or asks for the pages that are missing; called under the fleet's lock.
-func (l *link) put(r *run) bool {
-	if r.pages == nil {
-		return l.fetch(r)
+// bar is why a shot may not leave.
+type bar uint8
+
+const (
+	forsaken bar = iota + 1 // its client has gone
+	closed                  // its executor takes nothing new
+	late                    // the time until which it may leave is over
+	lawless                 // this controller may not act at this moment
+)
+
+// mayLeave looks once more, now that nothing stands between a shot and the socket, at what may have changed since it was decided: a
+// connection can come up late, and a process can sleep in between. Called under the fleet's lock.
+func (f *Fleet) mayLeave(r *run) (why bar, may bool) {
+	switch s := r.shot.Search; {
+	case s.Forsaken():
+		return forsaken, false
+	case r.link.machine.closed:
+		return closed, false
+	case r.shot.By > 0 && f.clock.Now() > r.shot.By:
+		return late, false
+	case r.shot.Held && f.Gate != nil && !f.Gate():
+		return lawless, false
 	}
-	ok := true
+	return 0, true
+}
+
+// more asks for the pages that are missing; called under the fleet's lock.
+func (l *link) more(r *run) {
 	for k := 1; k < len(r.pages); k++ {
 		if r.pages[k] == nil {
-			ok = l.say("more", r.shot.Search.ID, strconv.Itoa(k)) && ok
+			l.say("more", r.shot.Search.ID, strconv.Itoa(k))
 		}
 	}
-	return ok
 }
 
 // move asks for the rest of an answer over another connection, once: the search has run, and its pages are lost only
@@ -333,7 +426,7 @@
 	}
 	r.link, r.moved, r.signs = to, true, to.signs
 	to.open[r.shot.Search.ID] = r
-	if to.up && !to.put(r) {
+	if !to.lineUp(r) {
 		delete(to.open, r.shot.Search.ID)
 		to.leave()
 		return false
@@ -342,18 +435,9 @@
 	return true
 }
 
-// fetch writes a shot; called under the fleet's lock. One that was held is looked at once more, now that nothing stands between it and
-// the socket: a process that slept since it was let go must not send it.
-func (l *link) fetch(r *run) bool {
+// fetch puts a shot into bytes; called under the fleet's lock.
+func (l *link) fetch(r *run) {
 	s := r.shot.Search
-	if r.shot.Held && l.fleet.Gate != nil && !l.fleet.Gate() {
-		l.fleet.Barred.Add(1)
-		delete(l.open, s.ID)
-		ev := r.event
-		ev.Outcome, ev.Barred = rules.Superseded, true
-		go l.fleet.queue.Put(desk.Item{Event: ev}) // not under the lock
-		return true
-	}
 	l.used, r.signs = time.Now(), l.signs
 	list := make([]byte, 0, 128)
 	list = append(append(list, "profile="...), s.Offering...)
@@ -365,7 +449,7 @@
 		list = strconv.AppendInt(append(list, ",mb="...), int64(math.Ceil(r.shot.GrantMB)), 10)
 	}
 	list = strconv.AppendInt(append(list, ",nice="...), int64(r.shot.Level), 10)
-	return l.push(func(b []byte) []byte { return appendArray(b, "fetch", s.ID, string(list), string(s.Body)) })
+	r.left = l.push(func(b []byte) []byte { return appendArray(b, "fetch", s.ID, string(list), string(s.Body)) })
 }
 
 func (l *link) say(words ...string) bool {
@@ -384,7 +468,7 @@
 	}
 	delete(l.open, id)
 	defer l.settle()
-	if r.held || !l.up && r.pages == nil {
+	if !r.left && r.pages == nil {
 		return desk.Unsent
 	}
 	if r.pages != nil { // only pages are still under way
@@ -398,21 +482,28 @@
 			delete(l.machine.halted, other)
 		}
 	}
-	l.ends[id], l.machine.halted[id] = true, now
+	l.machine.halted[id] = now
+	l.ended(id)
 	// It may be the connection that is lost, not the executor: it gets nothing new, unless others still hear there.
-	if len(l.open) == 0 || l.signs == r.signs || len(l.ends) >= mostRetired {
+	if len(l.open) == 0 || l.signs == r.signs {
 		l.leaving = true
 	}
 	return desk.Halted
 }
 
+// ended keeps an id off this connection: what still comes for it here would pass for the next shot's.
+func (l *link) ended(id string) {
+	l.ends[id] = true
+	l.leaving = l.leaving || len(l.ends) >= mostRetired
+}
+
 // Relevel changes the level of a shot that runs.
 func (r *run) Relevel(level int) {
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
 	l := r.link
 	r.shot.Level = level
-	if l.up && !r.held && l.open[r.shot.Search.ID] == r && r.pages == nil {
+	if r.left && l.open[r.shot.Search.ID] == r && r.pages == nil {
 		l.say("renice", r.shot.Search.ID, strconv.Itoa(level))
 	}
 }
@@ -478,7 +569,7 @@
 func (l *link) serve() {
 	f := l.fleet
 	f.Dials.Add(1)
-	conn, err := (&net.Dialer{Timeout: f.connect, KeepAlive: -1}).Dial("tcp", l.machine.address)
+	conn, err := f.dial("tcp", l.machine.address)
 	if err != nil {
 		f.Failed.Add(1)
 		l.finish(rules.Refused)
@@ -486,11 +577,6 @@
 	}
 	f.mu.Lock()
 	l.conn, l.up = conn, true
-	for _, r := range l.runs() {
-		if !r.held && !l.put(r) {
-			break
-		}
-	}
 	tags := make([]string, 0, len(l.probes))
 	for tag := range l.probes {
 		tags = append(tags, tag)
@@ -532,7 +618,7 @@
 	l.machine.links = slices.DeleteFunc(l.machine.links, func(o *link) bool { return o == l })
 	runs := l.runs()
 	for _, r := range runs {
-		if l.up && !r.held && l.signs == r.signs {
+		if r.left && l.signs == r.signs {
 			f.tell(r.kind, true)
 		}
 	}
@@ -543,13 +629,14 @@
 	slices.Sort(tokens)
 	clear(l.open)
 	clear(l.probes)
+	l.pending = nil
 	runs = slices.DeleteFunc(runs, l.move)
 	f.mu.Unlock()
 	for _, r := range runs {
 		if r.event.Outcome = as; r.pages != nil {
 			r.event.Outcome = rules.Severed // it ran, whatever became of the second connection
-		} else if r.held {
-			r.event.Outcome = rules.Refused // it never left
+		} else if !r.left {
+			r.event.Outcome = rules.Refused // no byte of it did
 		}
 		f.queue.Put(desk.Item{Event: r.event})
 	}
@@ -611,10 +698,7 @@
 	if r != nil && l.signs == r.signs+1 {
 		f.tell(r.kind, false)
 	}
-	if r == nil {
-		if word != "news" && word != "page" {
-			delete(l.ends, id)
-		}
+	if r == nil { // an end told twice keeps its id off this connection all the same: it may be told a third time
 		f.Strays.Add(1)
 		return it, false, nil
 	}
@@ -622,6 +706,7 @@
 	case end:
 		r.event.Outcome, r.event.Report = outcome, a.report
 		delete(l.open, id)
+		l.ended(id) // its second copy, some ms later, must not end the next shot of this id
 		return desk.Item{Event: r.event}, true, nil
 	case word == "news":
 		kind := notes[a.remark]
@@ -636,7 +721,7 @@
 		}
 		r.pages = make([][]byte, a.pages)
 		r.event.Report, r.event.SpentMS, r.event.UsedMB = a.report, a.spent, a.used
-		l.put(r)
+		l.more(r)
 		a.page = 0
 	case word == "data", word == "page" && r.pages == nil:
 		f.Strays.Add(1) // a second copy, or nothing that was asked for: the good answer still counts
--- a/internal/wire/feed_test.go
+++ b/internal/wire/feed_test.go
@@ -58,8 +58,8 @@
 }
 
 func event(seq int, name, status string) string {
-	return fmt.Sprintf(`{"seq":%d,"results":[{"seq":%d,"fleet":{"endpoints":[{"name":"%s","address":"127.0.0.1:9",`+
-		`"status":"%s"}]}}]}`, seq, seq, name, status)
+	return fmt.Sprintf(`{"seq":%d,"results":[{"seq":%d,"fleet":{"endpoints":[{"name":"%s","address":"127.0.0.1:%d",`+
+		`"status":"%s"}]}}]}`, seq, seq, name, 9+len(name)*100+int(name[len(name)-1]), status)
 }
 
 // Bad pages are asked for again from the last good number, and each event is applied once.
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -9,6 +9,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -26,10 +27,13 @@
 	clientWhole  = 2 * time.Second // for the first message, and for each from its first byte on, to come whole
 	clientQuiet  = 5 * time.Second // without a message, with nothing open; usual clients close after 4 s
 	clientLook   = 15 * time.Second
+	clientFresh  = time.Second            // since something was written: within it the other side may not have read all, and a reset would take it along
 	mostFaults   = 64                     // messages of a connection that can't be used, until it is ended
 	lastBytes    = 256 << 10              // read and dropped behind the last answer, so that a reset doesn't overtake it
 	lastWords    = 200 * time.Millisecond // the longest that this takes
 	acceptAgain  = 50 * time.Millisecond
+	bindPatience = 5 * time.Second // half of the time in which a restarted controller has to be ready
+	stopLook     = 2 * time.Millisecond
 	clientBuffer = 4 << 10
 	clientKernel = 128 << 10 // bytes that the system holds for one that doesn't read
 )
@@ -58,6 +62,7 @@
 
 	mu      sync.Mutex
 	clients map[*client]struct{}
+	leaving bool // takes nothing more
 
 	Accepted, Bad, LostFraming, Pauses, Full, Silent, GaveWay atomic.Uint64
 }
@@ -74,6 +79,9 @@
 func NewFront(listen string, offerings map[string]Offering, queue Queue, clock desk.Clock,
 	doors Doors, log logrus.FieldLogger) (*Front, error) {
 	l, err := net.Listen("tcp", listen)
+	for began := time.Now(); errors.Is(err, syscall.EADDRINUSE) && time.Since(began) < bindPatience; l, err = net.Listen("tcp", listen) {
+		time.Sleep(acceptAgain) // the one before it under this address may still be ending
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -126,6 +134,9 @@
 		c.quiet, c.until = c.stale, c.patience
 		f.mu.Lock()
 		f.clients[c] = struct{}{}
+		if f.leaving { // accepted as the listener closed
+			c.retire()
+		}
 		f.mu.Unlock()
 		go c.serve()
 	}
@@ -151,29 +162,58 @@
 	return true
 }
 
-// Stop accepts no more and ends what is still connected.
-func (f *Front) Stop() {
+// Leave takes nothing more: it accepts no connection and ends each that has nothing open, after what was written last; on
+// the others what still comes is refused, and they end with their last answer.
+func (f *Front) Leave() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.leaving {
+		return
+	}
+	f.leaving = true
 	close(f.stopped)
 	_ = f.listener.Close()
+	for c := range f.clients {
+		c.retire()
+	}
+}
+
+// Stop leaves, and waits until all connections have ended; after patience they are cut off.
+func (f *Front) Stop(patience time.Duration) {
+	f.Leave()
+	for began, cut := time.Now(), false; f.endAll(cut) > 0 && !cut; time.Sleep(stopLook) {
+		cut = time.Since(began) > patience
+	}
+}
+
+// endAll has every connection end, once all is written or at once, and tells how many there still were.
+func (f *Front) endAll(atOnce bool) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c := range f.clients {
-		c.end(true)
+		c.end(atOnce)
 	}
+	return len(f.clients)
 }
 
-// Written tells whether every answer has been written.
-func (f *Front) Written() bool {
+// Done tells whether nothing is open, and every answer has been written.
+func (f *Front) Done() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c := range f.clients {
-		if !c.written() {
+		if !c.done() {
 			return false
 		}
 	}
 	return true
 }
 
+func (c *client) done() bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return len(c.open) == 0 && c.written()
+}
+
 func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
 
 // client is one connection of a client.
@@ -197,24 +237,40 @@
 	id   []byte
 	req  string
 	held int
+	gone *atomic.Bool // its client waits no more
 }
 
 // serve is the goroutine of a connection.
 func (c *client) serve() {
 	f := c.front
 	err := c.listen(bufio.NewReaderSize(&c.pipe, clientBuffer))
-	if errors.Is(err, errMalformed) {
+	switch {
+	case errors.Is(err, errMalformed):
 		c.last(err)
+	case errors.Is(err, errClosed) && time.Since(c.spoke) < clientFresh:
+		c.bidFarewell()
 	}
 	c.close()
+	c.forsake()
 	f.mu.Lock()
 	delete(f.clients, c)
 	f.mu.Unlock()
+	<-f.places
+}
+
+// forsake lets all that is open go: nothing more is answered here, and nothing begins for it from now on.
+func (c *client) forsake() {
 	for _, r := range c.leave() {
-		f.bodies.give(r.held)
-		f.queue.Put(desk.Item{Event: rules.Event{Kind: rules.Left, Search: r.req}, Client: c, Token: r.tag})
+		c.drop(r)
 	}
-	<-f.places
+}
+
+// drop tells that nobody waits for a search any more. What is on its way to an executor sees the mark at its last step,
+// however much stands in the queue before the word.
+func (c *client) drop(r pending) {
+	r.gone.Store(true)
+	c.front.bodies.give(r.held)
+	c.front.queue.Put(desk.Item{Event: rules.Event{Kind: rules.Left, Search: r.req}, Client: c, Token: r.tag})
 }
 
 // leave takes out what is open: nothing more is answered here.
@@ -223,9 +279,23 @@
 	defer c.lock.Unlock()
 	left := c.open
 	c.open, c.left = nil, true
+	for _, r := range left {
+		r.gone.Store(true) // all at once: the first word may have to wait for room in the queue
+	}
 	return left
 }
 
+// retire takes no more and ends once nothing is open.
+func (c *client) retire() {
+	c.lock.Lock()
+	c.left = true
+	open := len(c.open)
+	c.lock.Unlock()
+	if open == 0 {
+		c.end(false)
+	}
+}
+
 // last ends a connection whose framing is lost, or that sends nothing but what can't be used: all that is open on
 // it fails at once, so that nobody waits, and no answer is written behind the error.
 func (c *client) last(why error) {
@@ -234,25 +304,21 @@
 		f.log.WithField("why", why).Warn("front: framing lost")
 	}
 	for _, r := range c.leave() {
-		f.bodies.give(r.held)
-		f.queue.Put(desk.Item{Event: rules.Event{Kind: rules.Left, Search: r.req}, Client: c, Token: r.tag})
+		c.drop(r)
 		c.push(func(b []byte) []byte { return appendError(b, r.id, fault{codeFailed, "framing lost"}, 0) })
 	}
 	c.push(func(b []byte) []byte { return appendError(b, nil, fault{codeParse, "framing lost"}, 0) })
 	c.end(false)
 	var scrap [clientBuffer]byte
-	if _, err := c.Read(scrap[:]); !errors.Is(err, errClosed) {
-		return
-	}
-	if tcp, ok := c.conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
-		_ = tcp.SetReadDeadline(time.Now().Add(lastWords))
-		for read := 0; read < lastBytes; {
-			n, err := tcp.Read(scrap[:])
-			if err != nil {
-				return
-			}
-			read += n
+	for read := 0; read < lastBytes; { // until all is written
+		n, err := c.Read(scrap[:])
+		if errors.Is(err, errClosed) {
+			c.bidFarewell()
+		}
+		if err != nil {
+			return
 		}
+		read += n
 	}
 }
 
@@ -279,7 +345,7 @@
 		c.front.Silent.Add(1)
 		return malformed("no whole message within %v", clientWhole)
 	case c.due.IsZero() && len(c.open) == 0 && now.After(c.seen.Add(clientQuiet)):
-		c.left = true // a message that crosses the close is not taken
+		c.left = true
 		return errClosed
 	}
 	return nil
@@ -406,7 +472,7 @@
 	if offering.Labelled && a.mark == "" {
 		return &fault{codeParams, "opkey is missing"}
 	}
-	r := pending{id: slices.Clone(m.id), req: a.req, held: len(a.body)}
+	r := pending{id: slices.Clone(m.id), req: a.req, held: len(a.body), gone: &atomic.Bool{}}
 	if wrong = c.enter(&r); wrong != nil {
 		return wrong
 	}
@@ -415,7 +481,7 @@
 	}
 	group, schema, _ := tablesOf(a.body)
 	f.queue.Take(&desk.Search{ID: a.req, Offering: m.method, Key: a.key, Mark: a.mark, Group: group, NeedMB: a.ram,
-		WorkMS: a.work, Until: now + a.timeout, Repeat: a.repeat, Body: a.body, Client: c, Tag: r.tag,
+		WorkMS: a.work, Until: now + a.timeout, Repeat: a.repeat, Body: a.body, Client: c, Tag: r.tag, Gone: r.gone,
 		Team: a.team, From: c.from, Schema: schema, Waits: a.waits})
 	return nil
 }
@@ -428,7 +494,9 @@
 	switch {
 	case slices.ContainsFunc(c.open, func(o pending) bool { return string(o.id) == string(r.id) }):
 		return &fault{codeRequest, "id is open"}
-	case c.left, len(c.open) >= mostOpen, f.mostHeld > 0 && f.queue.Open() >= f.mostHeld, !f.bodies.take(r.held):
+	case c.left:
+		return &fault{codeDenied, "this connection takes no more"}
+	case len(c.open) >= mostOpen, f.mostHeld > 0 && f.queue.Open() >= f.mostHeld, !f.bodies.take(r.held):
 		f.Full.Add(1)
 		return &fault{codeDenied, "too much is open here"}
 	}
@@ -450,8 +518,8 @@
 	}
 	c.lock.Unlock()
 	if k >= 0 {
-		c.front.bodies.give(r.held)
-		c.front.queue.Put(desk.Item{Event: rules.Event{Kind: rules.Left, Search: r.req}, Client: c, Token: r.tag})
+		c.drop(r)
+		c.settle()
 	}
 	if m.id != nil && string(m.id) != string(r.id) {
 		c.push(func(b []byte) []byte {
@@ -470,9 +538,20 @@
 	}
 	r := c.open[k]
 	c.open = slices.Delete(c.open, k, k+1)
+	c.push(func(b []byte) []byte { return write(b, r.id) }) // under the lock: who sees it open no more sees its answer
 	c.lock.Unlock()
 	c.front.bodies.give(r.held)
-	c.push(func(b []byte) []byte { return write(b, r.id) })
+	c.settle()
+}
+
+// settle ends a connection that takes no more and has had its last answer.
+func (c *client) settle() {
+	c.lock.Lock()
+	over := c.left && len(c.open) == 0
+	c.lock.Unlock()
+	if over {
+		c.end(false)
+	}
 }
 
 // Waits tells how long an open search will wait.
--- a/internal/wire/front_test.go
+++ b/internal/wire/front_test.go
@@ -31,7 +31,7 @@
 		doors, silentLog())
 	require.NoError(t, err)
 	go f.Run()
-	t.Cleanup(f.Stop)
+	t.Cleanup(func() { f.Stop(0) })
 	c, r := dial(t, f)
 	return f, m, c, r
 }
--- a/internal/wire/pipe.go
+++ b/internal/wire/pipe.go
@@ -49,22 +49,30 @@
 func (b *Budget) give(n int) { b.held.Add(int64(-n)) }
 
 // pipe is a connection whose one goroutine reads and writes: Read first writes what has lined up, and is woken
-// out of its wait when more does. A write that doesn't get through in time ends the pipe.
+// out of its wait when more does. While the other side takes nothing, it goes on reading in between, so that a word of
+// that side is heard however little it reads itself. A write on which nothing gets through in time ends the pipe.
 type pipe struct {
 	conn    net.Conn
 	budget  *Budget
 	patient time.Duration    // for a write
 	quiet   func() error     // asked when nothing came until then: why to end, if so
 	until   func() time.Time // how long to wait for something to come
+	fill    func()           // called before each look at what has lined up: adds what is written only at the last step; nil: nothing
 
 	mu      sync.Mutex
 	out     []byte
 	spare   []byte
 	most    int // bytes that may line up here
 	reading bool
+	roused  bool // since the last look at what has lined up
 	writing bool
 	ended   bool // lines up no more, and ends once all is written
 	cut     bool // ends at once
+
+	taken []byte    // out of out, by the goroutine; what of it is not yet written stands from done on
+	done  int       //
+	moved time.Time // when a step of it got through last, or when it was taken
+	spoke time.Time // when the last byte was written
 }
 
 var past = time.Unix(1, 0)
@@ -92,6 +100,14 @@
 	return true
 }
 
+// rouse has the goroutine look anew at what is to be written; false if the pipe has ended.
+func (p *pipe) rouse() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wake()
+	return !p.ended
+}
+
 // end lets the pipe end, at once or when all that has lined up is written.
 func (p *pipe) end(atOnce bool) {
 	p.mu.Lock()
@@ -102,12 +118,16 @@
 
 // wake gets the goroutine out of its wait; called under the lock.
 func (p *pipe) wake() {
+	p.roused = true
 	if p.reading {
 		p.reading = false
 		_ = p.conn.SetReadDeadline(past)
 	}
 }
 
+// busy tells whether bytes that were taken still wait for the other side; only the pipe's own goroutine calls it.
+func (p *pipe) busy() bool { return p.taken != nil }
+
 // written tells whether nothing waits to be written.
 func (p *pipe) written() bool {
 	p.mu.Lock()
@@ -120,22 +140,40 @@
 	for {
 		until := p.until()
 		p.mu.Lock()
+		p.roused = false
+		p.mu.Unlock()
+		if p.fill != nil {
+			p.fill()
+		}
+		p.mu.Lock()
+		if !p.writing && len(p.out) > 0 && !p.cut {
+			p.taken, p.done, p.moved, p.writing = p.out, 0, time.Now(), true
+			p.out, p.spare = p.spare[:0], nil
+		}
 		switch {
 		case p.cut:
 			p.mu.Unlock()
 			return 0, errClosed
-		case len(p.out) > 0:
-			out := p.out
-			p.out, p.spare, p.writing = p.spare[:0], nil, true
+		case p.writing:
 			p.mu.Unlock()
-			if err := p.write(out); err != nil {
+			stuck, err := p.write()
+			if err != nil {
 				return 0, err
 			}
-			continue
+			if !stuck {
+				continue
+			}
+			p.mu.Lock()
+			until = time.Now().Add(writeTurn)
 		case p.ended:
 			p.mu.Unlock()
 			return 0, errClosed
 		}
+		if p.roused && !p.writing || p.cut { // since the look above
+			p.mu.Unlock()
+			continue
+		}
+		stuck := p.writing
 		_ = p.conn.SetReadDeadline(until)
 		p.reading = true
 		p.mu.Unlock()
@@ -150,34 +188,61 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return 0, err
 		}
-		if !woken {
-			if err := p.quiet(); err != nil {
-				return 0, err
-			}
+		if woken || stuck {
+			continue
+		}
+		// A deadline that passed while this process stood still tells nothing: what came meanwhile is read first.
+		if n := p.glance(b); n > 0 {
+			return n, nil
+		}
+		if err := p.quiet(); err != nil {
+			return 0, err
 		}
 	}
 }
 
-// keepRoom is the size of an output buffer that is worth keeping, writeStep what has to get through in the time
-// for a write: a slow reader is no dead one.
+// glance reads what is there already.
+func (p *pipe) glance(b []byte) int {
+	_ = p.conn.SetReadDeadline(time.Now().Add(glanceTime))
+	n, _ := p.conn.Read(b)
+	return n
+}
+
 const (
-	keepRoom  = 16 << 10
-	writeStep = 16 << 10
+	keepRoom   = 16 << 10              // size of an output buffer that is worth keeping
+	writeStep  = 16 << 10              // what is written at a time
+	writeTurn  = 20 * time.Millisecond // for a write, then for a read, while the other side takes nothing: a fifth of what a notice may take
+	glanceTime = time.Millisecond
 )
 
-func (p *pipe) write(out []byte) (err error) {
-	for at := 0; at < len(out) && err == nil; at += writeStep {
-		_ = p.conn.SetWriteDeadline(time.Now().Add(p.patient))
-		_, err = p.conn.Write(out[at:min(len(out), at+writeStep)])
+// write writes what was taken, as far as that goes; stuck if the other side takes no more for now.
+func (p *pipe) write() (stuck bool, err error) {
+	for p.done < len(p.taken) {
+		_ = p.conn.SetWriteDeadline(time.Now().Add(writeTurn))
+		n, err := p.conn.Write(p.taken[p.done:min(len(p.taken), (p.done/writeStep+1)*writeStep)])
+		now := time.Now()
+		if p.done += n; n > 0 {
+			p.spoke = now
+		}
+		if err == nil { // a whole step: a slow reader is no dead one, one that takes a byte at a time is
+			p.moved = now
+		}
+		switch {
+		case err == nil:
+		case !errors.Is(err, os.ErrDeadlineExceeded) || now.Sub(p.moved) > p.patient:
+			return false, err // close gives back what is left
+		default:
+			return true, nil
+		}
 	}
-	p.budget.give(len(out))
+	p.budget.give(len(p.taken))
 	p.mu.Lock()
-	p.writing = false
-	if cap(out) <= keepRoom {
-		p.spare = out[:0]
+	if p.writing = false; cap(p.taken) <= keepRoom {
+		p.spare = p.taken[:0]
 	}
+	p.taken = nil
 	p.mu.Unlock()
-	return err
+	return false, nil
 }
 
 // close ends the connection and gives back what had lined up.
@@ -185,11 +250,30 @@
 	_ = p.conn.Close()
 	p.mu.Lock()
 	p.ended, p.cut = true, true
-	p.budget.give(len(p.out))
-	p.out, p.spare = nil, nil
+	p.budget.give(len(p.out) + len(p.taken))
+	p.out, p.spare, p.taken = nil, nil, nil
 	p.mu.Unlock()
 }
 
+// bidFarewell ends the writing side and reads, and drops, what still comes, for a limited time: a close over unread bytes
+// resets the connection, and what was written last goes with it. Only the pipe's own goroutine calls it, once all is
+// written.
+func (p *pipe) bidFarewell() {
+	tcp, ok := p.conn.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil {
+		return
+	}
+	var scrap [clientBuffer]byte
+	_ = tcp.SetReadDeadline(time.Now().Add(lastWords))
+	for read := 0; read < lastBytes; {
+		n, err := tcp.Read(scrap[:])
+		if err != nil {
+			return
+		}
+		read += n
+	}
+}
+
 // readBody reads n bytes in steps, so that a claimed length alone takes no memory; into room, as far as that goes.
 func readBody(r io.Reader, n int, room []byte) ([]byte, error) {
 	const step = 4 << 10
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -175,7 +175,7 @@
 		return never
 	}
 	for first := range g.doubts(s) { // what may have run, under this mark
-		if o.effect != "labelled" || g.now > first.At+o.window-closingMS {
+		if o.effect != "labelled" || g.now > g.latest(s) {
 			return never
 		}
 		if o.scope == "zone" && first.Place != e.place || o.scope == "cell" && first.Cell != e.cell {
@@ -192,6 +192,16 @@
 	return yes
 }
 
+// latest is the clock by which a shot of s must have begun, wherever it waits before: later its client has
+// its answer, or what drops its repeats may have forgotten it.
+func (g *Gateway) latest(s *search) float64 {
+	by := s.until - closingMS
+	for first := range g.doubts(s) {
+		by = min(by, first.At+g.offerings[s.offering].window-closingMS)
+	}
+	return by
+}
+
 // beyond tells whether a place is too far for a search: no room left there, too little gain, too long a way.
 func (g *Gateway) beyond(s *search, o *offering, place string) bool {
 	r := g.far(o, place)
@@ -406,7 +416,7 @@
 // fire sends the shot placed, at the top level.
 func (g *Gateway) fire(i int) {
 	s, e := &g.slab.places[i], &g.executors[g.target]
-	o := &g.offerings[s.offering]
+	o, by := &g.offerings[s.offering], g.latest(s)
 	s.p, s.quanta, s.level = pTop, 0, topLevel
 	if s.start > 0 && !o.holds { // past its budget while others wait: the paper's static p0 (3.2)
 		s.p, s.level = min(s.start, pTop), levelOf(min(s.start, pTop))
@@ -421,7 +431,7 @@
 		g.held = append(g.held, holding{s.group, g.target, math.Inf(1)})
 	}
 	g.terms(s)
-	g.do(Action{Kind: Send, Search: s.id, Executor: e.id})
+	g.do(Action{Kind: Send, Search: s.id, Executor: e.id, By: by})
 }
 
 // terms names the memory and the level of s; what a deployment doesn't heed does no harm.
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -143,6 +143,13 @@
 	}
 }
 
+// A repeat leaves within the window in which it is dropped, also where it waits for a connection in between.
+func TestARepeatNamesTheLastMomentAtWhichItMayLeave(t *testing.T) {
+	g := gateway(2, Given{"offering.1.window_ms": 700.0})
+	assert.Equal(t, 8975.0, take(g, 1000, "a", "mark")[1].By, "the first is bound by its client alone")
+	assert.Equal(t, 1000.0+700-closingMS, ended(g, 1100, "a", 0, Severed)[1].By)
+}
+
 func TestNothingNewToADrainingExecutor(t *testing.T) {
 	g := gateway(1, nil)
 	g.Step(1000, &Event{Kind: Listed, Entries: []Entry{{Executor: 1, Kind: "big", Standing: Leaving}}}, nil)
--- a/rules/types.go
+++ b/rules/types.go
@@ -217,6 +217,7 @@
 	GrantMB  float64
 	Level    int
 	AfterMS  float64
+	By       float64 // Send: clock after which it must not begin any more
 	Token    uint64
 	Text     string
 	Peer     int
