The parts of a cold executor's budget add up, whatever each controller sends

Cause, found by playing thirty and three hundred modules that send all they may and hear of no other: warmEnough gave each kind of request a rota of its own over the whole budget, and weighed each at its kind's mean.

Change: one part a controller for all kinds together, weighed by the estimate of each request: an even part where that holds the largest kind, else half of the budget in pieces for the largest kind and half in pieces for the smallest. The sum is the budget; its margin goes from 0.6 to 0.8 of what is allowed.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -54,7 +54,7 @@
 	badInARow   = 5    // failures in a row that set aside, as breaks hit good ones too; one, after a return
 	errorsMost  = 2    // errors after which a search itself is at fault: a third executor would say the same
 	restMS      = 300  // ms that an executor is left alone after it refused
-	coldMargin  = 0.6  // part of the cold budget that is used: what a search weighs is a guess
+	coldMargin  = 0.8  // part of the cold budget that all use together: what a search weighs is a guess
 	fade        = 0.1  // weight of the newest figure in fading means
 	learnt      = 0.02 // weight of one answer's true cost: estimates are wrong by offering, and that stays
 	seenMS      = 2000 // ms that a load met once is taken to go on: a part of what loads take
@@ -186,7 +186,7 @@
 		return notNow
 	}
 	if !among(o.kinds, e.kind) || !among(o.places, e.place) || e.standing != Active || e.state == aside ||
-		g.now < e.coldUntil && !g.warmEnough(o, e) || g.beyond(s, o, e.place) {
+		g.now < e.coldUntil && !g.warmEnough(s.work, e) || g.beyond(s, o, e.place) {
 		return notHere
 	}
 	return yes
@@ -218,16 +218,35 @@
 		g.given.Num("ration_share", 0)*float64(g.takes.count())
 }
 
-// warmEnough tells whether a search fits this controller's part of what a cold executor may be sent, at its
-// least capacity. Where a part is less than a search, only some controllers have a turn there.
-func (g *Gateway) warmEnough(o *offering, e *executor) bool {
-	length := g.given.Num("fall_ms", 2000)
-	e.coldSent.forget(g.now-length-beatMS, 0)
-	budget := coldMargin * g.given.Num("fall_multiple", 1) * g.given.Num("cold_from", 0.1) * e.cores * length
+// warmEnough tells whether a search of so much work fits this controller's part of what a cold executor may
+// be sent, at its least capacity. The parts of all controllers add up to the budget, whatever each sends.
+func (g *Gateway) warmEnough(work float64, e *executor) bool {
+	e.coldSent.forget(g.now-g.given.Num("fall_ms", 2000)-beatMS, 0)
+	return e.coldSent.total()+work <= g.coldPart(e)
+}
+
+// coldPart is that part, in ms of work. Where an even one holds no search of the largest kind, half of the
+// budget is dealt in pieces for these, half in pieces for the smallest kind, each to one controller.
+func (g *Gateway) coldPart(e *executor) (part float64) {
+	budget := coldMargin * g.given.Num("fall_multiple", 1) * g.given.Num("cold_from", 0.1) * e.cores *
+		g.given.Num("fall_ms", 2000)
 	n := max(1, g.given.Num("controllers", 1))
-	turns := max(1, min(n, math.Floor(budget/max(1, o.usual))))
 	turn := math.Mod(g.given.Num("slot", 0)+float64(e.id), n)
-	return turn < turns && e.coldSent.total()+o.usual <= budget/turns
+	sizes := [2]float64{math.Inf(1), 0}
+	for k := range g.offerings {
+		if usual := g.offerings[k].usual; usual > 0 {
+			sizes = [2]float64{min(sizes[0], usual), max(sizes[1], usual)}
+		}
+	}
+	if sizes[1] <= budget/n {
+		return budget / n
+	}
+	for _, size := range sizes {
+		if turns := max(1, min(n, math.Floor(budget/2/size))); turn < turns {
+			part += budget / 2 / turns
+		}
+	}
+	return part
 }
 
 // mayDeny is the one place that decides whether a search may be denied: a new try must do no harm.
@@ -425,7 +444,7 @@
 	e.owed, e.owedAt = g.owed(e)+s.work, g.now
 	e.seen, e.seenMemory = e.seen+float64(o.threads), e.seenMemory+g.grant(s, e)
 	if g.now < e.coldUntil {
-		e.coldSent.add(g.now, o.usual)
+		e.coldSent.add(g.now, s.work)
 	}
 	if o.holds {
 		g.held = append(g.held, holding{s.group, g.target, math.Inf(1)})
