--- a/rules/rules.go
+++ b/rules/rules.go
@@ -54,7 +54,7 @@
 	badInARow   = 5    // failures in a row that set aside, as breaks hit good ones too; one, after a return
 	errorsMost  = 2    // errors after which a search itself is at fault: a third executor would say the same
 	restMS      = 300  // ms that an executor is left alone after it refused
-	coldMargin  = 0.8  // part of the cold budget that all use together: what a search weighs is a guess
+	coldMargin  = 0.8  // part of the cold budget that all use together: what is usual is learnt by each alone
 	fade        = 0.1  // weight of the newest figure in fading means
 	learnt      = 0.02 // weight of one answer's true cost: estimates are wrong by offering, and that stays
 	seenMS      = 2000 // ms that a load met once is taken to go on: a part of what loads take
@@ -186,7 +186,7 @@
 		return notNow
 	}
 	if !among(o.kinds, e.kind) || !among(o.places, e.place) || e.standing != Active || e.state == aside ||
-		g.now < e.coldUntil && !g.warmEnough(s.work, e) || g.beyond(s, o, e.place) {
+		g.now < e.coldUntil && !g.warmEnough(o, e) || g.beyond(s, o, e.place) {
 		return notHere
 	}
 	return yes
@@ -218,11 +218,11 @@
 		g.given.Num("ration_share", 0)*float64(g.takes.count())
 }
 
-// warmEnough tells whether a search of so much work fits this controller's part of what a cold executor may
-// be sent, at its least capacity. The parts of all controllers add up to the budget, whatever each sends.
-func (g *Gateway) warmEnough(work float64, e *executor) bool {
+// warmEnough tells whether a search fits this part of what a cold executor may be sent at its least capacity;
+// it weighs what is usual. The parts of all controllers add up to the budget, whatever each of them sends.
+func (g *Gateway) warmEnough(o *offering, e *executor) bool {
 	e.coldSent.forget(g.now-g.given.Num("fall_ms", 2000)-beatMS, 0)
-	return e.coldSent.total()+work <= g.coldPart(e)
+	return e.coldSent.total()+o.usual <= g.coldPart(e)
 }
 
 // coldPart is that part, in ms of work. Where an even one holds no search of the largest kind, half of the
@@ -444,7 +444,7 @@
 	e.owed, e.owedAt = g.owed(e)+s.work, g.now
 	e.seen, e.seenMemory = e.seen+float64(o.threads), e.seenMemory+g.grant(s, e)
 	if g.now < e.coldUntil {
-		e.coldSent.add(g.now, s.work)
+		e.coldSent.add(g.now, o.usual)
 	}
 	if o.holds {
 		g.held = append(g.held, holding{s.group, g.target, math.Inf(1)})
