Which connection an attempt takes is decided in a package of its own, without I/O

One thing is new: where as many connections are out as there may be, an idle one at another executor gives way to an executor's first; before, that executor was told as refusing, which sets it aside where a controller sees little of it.

--- a/internal/wire/crossings_test.go
+++ b/internal/wire/crossings_test.go
@@ -264,3 +264,29 @@
 	require.NoError(t, err)
 	f.Stop(0)
 }
+
+// Idle connections to some executors must not keep others from having their first: that is no fault of theirs.
+func TestAnIdleConnectionGivesWayToAFirstOne(t *testing.T) {
+	e, other := standIn(t, "127.0.0.1:0"), standIn(t, "127.0.0.1:0")
+	f, m := fleetOf(t, e.listener.Addr().String(), 15000)
+	f.update(false, []listed{{rules.Entry{Executor: 2}, "s-2", other.listener.Addr().String()}})
+	for range f.links {
+		f.Send(shotOf(fmt.Sprint("a", len(f.all))))
+		e.hears(t, "fetch .*")
+	}
+	shot := shotOf("b")
+	shot.Executor = 2
+	run, _ := f.Send(shot)
+	assert.Nil(t, run, "none is idle")
+	for k := range f.links {
+		say(e.conn(t), fmt.Sprint("a", k), "data", "-", "")
+		m.next(t)
+	}
+	run, _ = f.Send(shot)
+	assert.NotNil(t, run)
+	other.hears(t, "fetch b .*")
+	e.hears(t, "closed")
+	f.Stop()
+	run, _ = f.Send(shotOf("c"))
+	assert.Nil(t, run, "nothing begins after the end")
+}
--- a/internal/wire/executors.go
+++ b/internal/wire/executors.go
@@ -20,6 +20,7 @@
 
 	"liftshift/internal/desk"
 	"liftshift/internal/given"
+	"liftshift/internal/pool"
 	"liftshift/rules"
 )
 
@@ -33,8 +34,6 @@
 	idleShare    = 0.8      // share of the executors' idle time after which a connection is closed here
 	idleLook     = time.Second
 	answerBuffer = 4 << 10
-	spareLinks   = 4   // one connection in so many is kept for executors that have none yet
-	fatesRoom    = 256 // shots that fates count before both counts are halved: some seconds' worth
 
 	// apartMS is the least time between calling a shot off and sending its search to the same executor again. Both
 	// go over connections of their own, which overtake one another, and a call-off that comes last ends the new shot,
@@ -63,7 +62,9 @@
 	machines map[uint32]*machine
 	all      map[*link]struct{} // connections, those of executors that are gone included
 	seq      uint64
-	fates    [2]fate // of shots on new connections, and on used ones
+	fates    pool.Fates
+	conns    []pool.Conn // scratch of pick
+	retired  []int
 
 	Strays, Malformed, Dials, Failed, Moved, Barred atomic.Uint64
 }
@@ -94,33 +95,6 @@
 	probes  map[string]uint64
 }
 
-// fate counts shots on connections of a kind, and those of them that a break ended before any message came.
-type fate struct{ shots, lost int }
-
-const (
-	onNew = iota
-	onUsed
-)
-
-// tell counts a shot; called under the fleet's lock.
-func (f *Fleet) tell(kind int, lost bool) {
-	if f.fates[kind].shots++; lost {
-		f.fates[kind].lost++
-	}
-	if f.fates[kind].shots >= fatesRoom {
-		for k := range f.fates {
-			f.fates[k].shots, f.fates[k].lost = f.fates[k].shots/2, f.fates[k].lost/2
-		}
-	}
-}
-
-// wary tells that used connections break under shots more often than new ones. They are tried again once that is so
-// long ago that it counts for nothing.
-func (f *Fleet) wary() bool {
-	u, n := f.fates[onUsed], f.fates[onNew]
-	return u.lost*max(1, n.shots) > n.lost*max(1, u.shots)
-}
-
 // run is a shot on a link.
 type run struct {
 	fleet *Fleet
@@ -128,7 +102,7 @@
 	shot  desk.Shot
 	seq   uint64
 	signs uint64 // of the link, when it went out
-	kind  int    // of connection
+	used  bool   // its connection had carried others
 	moved bool   // its connection was lost between pages: the rest comes over another
 	pages [][]byte
 	have  int
@@ -246,36 +220,27 @@
 	}
 }
 
-// pick gives a connection that a shot of id may take, or makes one; nil if there can't be one more. What shares a
-// connection is lost with it: as long as there may be more of them, each shot and each probe has one to itself.
-// Only past that they share, the least loaded first.
+// pick gives the connection that an attempt of id takes, by package pool, or makes one; nil if there can't be one more.
+// Where all there may be are out, the one that has been idle for longest, at another executor, gives way to a first one.
 func (f *Fleet) pick(m *machine, id string) *link {
 	now := time.Now()
-	var alone, least *link
+	f.conns = f.conns[:0]
 	for _, l := range m.links {
-		if !l.leaving && l.up && len(l.open) == 0 && len(l.probes) == 0 && now.Sub(l.used) > f.idle {
-			l.leave() // the other side may be about to close it
-		}
-		// An id called off here goes out on another connection: its late answer would pass for the new one's.
-		if l.leaving || len(l.open) >= f.perLink || l.open[id] != nil || l.ends[id] {
-			continue
-		}
-		if len(l.open)+len(l.probes) == 0 {
-			if alone == nil || l.used.After(alone.used) {
-				alone = l // used last: the others may close as idle
-			}
-		} else if least == nil || len(l.open)+len(l.probes) < len(least.open)+len(least.probes) {
-			least = l
-		}
+		f.conns = append(f.conns, pool.Conn{Up: l.up, Leaving: l.leaving, Barred: l.open[id] != nil || l.ends[id],
+			Open: len(l.open), Probes: len(l.probes), IdleMS: float64(now.Sub(l.used)) / float64(time.Millisecond)})
 	}
-	scarce := len(f.all) >= f.links-f.links/spareLinks
-	if alone != nil && (scarce || !f.wary()) {
-		return alone
+	limits := pool.Limits{PerConn: f.perLink, Most: f.links, IdleMS: float64(f.idle) / float64(time.Millisecond)}
+	k, retired := limits.Pick(f.conns, len(f.all), &f.fates, f.retired[:0])
+	f.retired = retired
+	links := m.links[:len(m.links):len(m.links)]
+	for _, k := range retired {
+		links[k].leave()
 	}
-	if alone != nil {
-		alone.leave() // it is not used again while used ones break
-	} else if scarce && least != nil || len(f.all) >= f.links {
-		return least
+	if k >= 0 {
+		return links[k]
+	}
+	if k == pool.None && (f.links == 0 || !f.giveWay()) {
+		return nil
 	}
 	l := &link{fleet: f, machine: m, used: now, open: map[string]*run{}, ends: map[string]bool{},
 		probes: map[string]uint64{}}
@@ -287,6 +252,20 @@
 	return l
 }
 
+// giveWay ends the connection that has been idle for longest, if there is one. It counts until it has ended, which is at once.
+func (f *Fleet) giveWay() bool {
+	var oldest *link
+	for l := range f.all {
+		if l.up && !l.leaving && len(l.open)+len(l.probes) == 0 && (oldest == nil || l.used.Before(oldest.used)) {
+			oldest = l
+		}
+	}
+	if oldest != nil {
+		oldest.leave()
+	}
+	return oldest != nil
+}
+
 // stale tells that a link has been unused for long.
 func (l *link) stale() error {
 	l.fleet.mu.Lock()
@@ -320,7 +299,7 @@
 	r := &run{fleet: f, link: l, shot: shot, seq: f.seq}
 	r.event = rules.Event{Kind: rules.Ended, Search: shot.Search.ID, Shot: shot.N}
 	if l.signs > 0 {
-		r.kind = onUsed
+		r.used = true
 	}
 	l.open[shot.Search.ID] = r
 	r.held = wait > 0 || shot.Held
@@ -368,11 +347,13 @@
 			l.more(r)
 			continue
 		}
-		if why, may := f.mayLeave(r); !may {
+		last := pool.Last{Forsaken: r.shot.Search.Forsaken(), Closed: l.machine.closed, NowMS: f.clock.Now(), ByMS: r.shot.By,
+			Lawless: r.shot.Held && f.Gate != nil && !f.Gate()}
+		if why := last.Bar(); why != 0 {
 			f.Barred.Add(1)
 			delete(l.open, r.shot.Search.ID)
 			ev := r.event
-			ev.Outcome, ev.Barred = rules.Superseded, why == lawless
+			ev.Outcome, ev.Barred = rules.Superseded, why == pool.Lawless
 			barred = append(barred, desk.Item{Event: ev})
 			continue
 		}
@@ -387,32 +368,6 @@
 	}
 }
 
-// bar is why a shot may not leave.
-type bar uint8
-
-const (
-	forsaken bar = iota + 1 // its client has gone
-	closed                  // its executor takes nothing new
-	late                    // the time until which it may leave is over
-	lawless                 // this controller may not act at this moment
-)
-
-// mayLeave looks once more, now that nothing stands between a shot and the socket, at what may have changed since it was decided: a
-// connection can come up late, and a process can sleep in between. Called under the fleet's lock.
-func (f *Fleet) mayLeave(r *run) (why bar, may bool) {
-	switch s := r.shot.Search; {
-	case s.Forsaken():
-		return forsaken, false
-	case r.link.machine.closed:
-		return closed, false
-	case r.shot.By > 0 && f.clock.Now() > r.shot.By:
-		return late, false
-	case r.shot.Held && f.Gate != nil && !f.Gate():
-		return lawless, false
-	}
-	return 0, true
-}
-
 // more asks for the pages that are missing; called under the fleet's lock.
 func (l *link) more(r *run) {
 	for k := 1; k < len(r.pages); k++ {
@@ -628,7 +583,7 @@
 	runs := l.runs()
 	for _, r := range runs {
 		if r.left && l.signs == r.signs {
-			f.tell(r.kind, true)
+			f.fates.Tell(r.used, true)
 		}
 	}
 	var tokens []uint64
@@ -705,7 +660,7 @@
 	}
 	r := l.open[id]
 	if r != nil && l.signs == r.signs+1 {
-		f.tell(r.kind, false)
+		f.fates.Tell(r.used, false)
 	}
 	if r == nil { // an end told twice keeps its id off this connection all the same: it may be told a third time
 		f.Strays.Add(1)
--- a/internal/wire/executors_test.go
+++ b/internal/wire/executors_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"liftshift/internal/desk"
+	"liftshift/internal/pool"
 	"liftshift/rules"
 )
 
@@ -221,23 +222,8 @@
 	assert.Equal(t, rules.Severed, m.next(t).Event.Outcome)
 }
 
-// While used connections break under shots more often than new ones, shots take new ones, and come back in time.
-func TestShotsAvoidTheKindOfConnectionThatBreaks(t *testing.T) {
-	f := &Fleet{}
-	assert.False(t, f.wary())
-	for range 30 {
-		f.tell(onNew, false)
-		f.tell(onUsed, false)
-	}
-	f.tell(onNew, true)
-	assert.False(t, f.wary())
-	f.tell(onUsed, true)
-	f.tell(onUsed, true)
-	assert.True(t, f.wary())
-	for n := 0; f.wary(); n++ {
-		f.tell(onNew, false)
-		require.Less(t, n, 4*fatesRoom)
-	}
+// A break is counted by whether its connection had carried others.
+func TestBreaksAreCountedByKindOfConnection(t *testing.T) {
 	e := standIn(t, "127.0.0.1:0")
 	f, m := fleetOf(t, e.listener.Addr().String(), 15000)
 	f.Send(shotOf("a"))
@@ -249,7 +235,7 @@
 	e.hears(t, "fetch b .*")
 	c.Close()
 	assert.Equal(t, rules.Severed, m.next(t).Event.Outcome)
-	assert.Equal(t, []fate{{1, 0}, {1, 1}}, f.fates[:])
+	assert.Equal(t, pool.Fates{New: pool.Fate{Attempts: 1}, Used: pool.Fate{Attempts: 1, Lost: 1}}, f.fates)
 }
 
 // Bytes may be spoilt where every length still fits.
