The ration counts an attempt until its connection, at the latest, had come up

Read in the code: extras and takes were dated at the decision, while an attempt begins as late as connect_ms after it.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -218,11 +218,12 @@
 		g.now+r.WayMS+s.work/float64(o.threads) > s.until-closingMS)
 }
 
-// rationLeft tells whether one more shot beyond a search's first, besides those coming, is in the ration.
+// rationLeft tells whether one more shot beyond a search's first, besides those coming, is in the ration. A
+// shot may begin as late as its connection comes up, and what has come in by now then counts no longer.
 func (g *Gateway) rationLeft(coming int) bool {
-	length := g.given.Num("ration_span_ms", 0)
-	g.extras.forget(g.now-length-beatMS, 0)
-	g.takes.forget(g.now-length, 0)
+	length, late := g.given.Num("ration_span_ms", 0), g.given.Num("connect_ms", 0)
+	g.extras.forget(g.now-length-late-beatMS, 0)
+	g.takes.forget(g.now-length+late, 0)
 	return length == 0 || float64(g.extras.count()+coming+1) <= g.given.Num("ration_floor", 0)+
 		g.given.Num("ration_share", 0)*float64(g.takes.count())
 }
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -237,6 +237,12 @@
 	assert.True(t, g.rationLeft(0), "a tenth of ten")
 	g.now = 11025
 	assert.False(t, g.rationLeft(0), "the first was taken too long ago")
+	for late, left := range map[float64]bool{0: true, 250: false} {
+		g = gateway(1, Given{"ration_span_ms": 10000.0, "ration_floor": 1.0, "connect_ms": late})
+		g.extras.add(1000, 1)
+		g.now = 11100 // that one may have begun only now, as its connection came up
+		assert.Equal(t, left, g.rationLeft(0))
+	}
 }
 
 func TestShotsLeft(t *testing.T) {
