What a controller sent a cold executor before it was started again counts as its whole part

A controller killed and started within the window in which a cold executor's budget counts (fall_ms) had forgotten what it had sent, and could send its part twice. Until that window is over it sends no cold executor anything.

--- a/rules/helpers_test.go
+++ b/rules/helpers_test.go
@@ -25,6 +25,7 @@
 // gateway is an instance at 1000 ms that knows the executors 1 to n.
 func gateway(n int, more Given) *Gateway {
 	g := New(7, given(more))
+	g.began = -1e6 // long ago
 	var list []Entry
 	for i := range n {
 		list = append(list, Entry{Executor: uint32(i + 1), Place: "here", Kind: "big"})
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -230,9 +230,11 @@
 
 // warmEnough tells whether a search fits this part of what a cold executor may be sent at its least capacity;
 // it weighs what is usual. The parts of all controllers add up to the budget, whatever each of them sends.
+// What this one sent before it was started again is not known, and counts as its whole part.
 func (g *Gateway) warmEnough(o *offering, e *executor) bool {
-	e.coldSent.forget(g.now-g.given.Num("fall_ms", 2000)-beatMS, 0)
-	return e.coldSent.total()+o.usual <= g.coldPart(e)
+	since := g.now - g.given.Num("fall_ms", 2000) - beatMS
+	e.coldSent.forget(since, 0)
+	return since >= g.began && e.coldSent.total()+o.usual <= g.coldPart(e)
 }
 
 // coldPart is that part, in ms of work. Where an even one holds no search of the largest kind, half of the
--- a/rules/slab.go
+++ b/rules/slab.go
@@ -295,6 +295,7 @@
 	unheard    float64   // the last word of the list, where it is out of reach; 0: it is not, or nobody tells
 	present    float64   // controllers that share the executors, where that is heard
 	reaches    []reached // places that are not simply near
+	began      float64   // when this instance started
 	closing    float64   // when this instance stops; far off unless that is planned
 }
 
--- a/rules/step.go
+++ b/rules/step.go
@@ -5,6 +5,7 @@
 	g.now, g.out = now, out
 	switch ev.Kind {
 	case Began:
+		g.began = now
 		g.do(Action{Kind: Wake, AfterMS: beatMS})
 	case Listed:
 		g.list(ev)
