A cold executor's budget is used to nine tenths, as what is usual is learnt more steadily

Each controller's figure for what is usual of a kind was a fading mean of about ten requests, which scatters by a quarter and more; it is the mean of the first fifty now, then fades over fifty.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -54,7 +54,7 @@
 	badInARow   = 5    // failures in a row that set aside, as breaks hit good ones too; one, after a return
 	errorsMost  = 2    // errors after which a search itself is at fault: a third executor would say the same
 	restMS      = 300  // ms that an executor is left alone after it refused
-	coldMargin  = 0.8  // part of the cold budget that all use together: what is usual is learnt by each alone
+	coldMargin  = 0.9  // part of the cold budget that all use together: what is usual is learnt by each alone
 	fade        = 0.1  // weight of the newest figure in fading means
 	learnt      = 0.02 // weight of one answer's true cost: estimates are wrong by offering, and that stays
 	seenMS      = 2000 // ms that a load met once is taken to go on: a part of what loads take
@@ -126,8 +126,8 @@
 		s.work *= o.worked / o.estimated
 	}
 	s.work, s.until = cmp.Or(max(0, s.work), o.usual, 1), min(s.until, g.closing)
-	o.usual = cmp.Or(o.usual, s.work)
-	o.usual += fade * (s.work - o.usual)
+	o.taken++
+	o.usual += max(learnt, 1/o.taken) * (s.work - o.usual)
 	s.due = g.now + o.due + o.stretch*s.work/float64(o.threads)
 	g.asks = min(asksSaved, g.asks+asksPerTake)
 	if g.dirty = true; ev.Barred { // a repeat of it could not be told after a crash
--- a/rules/slab.go
+++ b/rules/slab.go
@@ -208,6 +208,7 @@
 	kinds, places       []string
 
 	usual     float64 // usual work, ms
+	taken     float64 // searches that it was learnt from
 	slow      float64 // running time over work per thread, lately
 	memory    float64 // memory to grant for each MB estimated
 	worked    float64 // work told by answers, fading
@@ -460,6 +461,7 @@
 			for j := range facts {
 				if ok && facts[j].name == name {
 					*facts[j].of(&g.offerings[k]) = f.Value
+					g.offerings[k].taken = 1 / learnt
 				}
 			}
 		}
