--- a/rules/rules.go
+++ b/rules/rules.go
@@ -55,6 +55,7 @@
 	errorsMost  = 2    // errors after which a search itself is at fault: a third executor would say the same
 	restMS      = 300  // ms that an executor is left alone after it refused
 	coldMargin  = 0.9  // part of the cold budget that all use together: what is usual is learnt by each alone
+	coldLarge   = 0.8  // part of that which a single search may take: the rest keeps warming it up
 	fade        = 0.1  // weight of the newest figure in fading means
 	learnt      = 0.02 // weight of one answer's true cost: estimates are wrong by offering, and that stays
 	seenMS      = 2000 // ms that a load met once is taken to go on: a part of what loads take
@@ -237,26 +238,29 @@
 	return since >= g.began && e.coldSent.total()+o.usual <= g.coldPart(e)
 }
 
-// coldPart is that part, in ms of work. Where an even one holds no search of the largest kind, half of the
-// budget is dealt in pieces for these, half in pieces for the smallest kind, each to one controller.
+// coldPart is that part, in ms of work. Where an even one holds no search of the largest kind, about half of
+// the budget is dealt in pieces for these, the rest in pieces for the smallest kind, each to one controller.
 func (g *Gateway) coldPart(e *executor) (part float64) {
 	budget := coldMargin * g.given.Num("fall_multiple", 1) * g.given.Num("cold_from", 0.1) * e.cores *
 		g.given.Num("fall_ms", 2000)
 	n := max(1, g.given.Num("controllers", 1))
 	turn := math.Mod(g.given.Num("slot", 0)+float64(e.id), n)
-	sizes := [2]float64{math.Inf(1), 0}
+	least, most := math.Inf(1), 0.0
 	for k := range g.offerings {
 		if usual := g.offerings[k].usual; usual > 0 {
-			sizes = [2]float64{min(sizes[0], usual), max(sizes[1], usual)}
+			least, most = min(least, usual), max(most, usual)
 		}
 	}
-	if sizes[1] <= budget/n {
+	if most <= budget/n {
 		return budget / n
 	}
-	for _, size := range sizes {
-		if turns := max(1, min(n, math.Floor(budget/2/size))); turn < turns {
-			part += budget / 2 / turns
-		}
+	large, piece := max(1, min(n, math.Floor(budget/2/most))), min(most, coldLarge*budget)
+	if turn < large {
+		part = piece
+	}
+	budget -= large * piece
+	if small := max(1, min(n, math.Floor(budget/least))); turn < small {
+		part += budget / small
 	}
 	return part
 }
