--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -292,7 +292,7 @@
 	ok := true
 	switch name {
 	case "Handle":
-		ev.Search = value
+		ev.Request = value
 	case "TableGroup":
 		ev.Group, err = token(value)
 	case "Table":
@@ -308,7 +308,7 @@
 	case "Estimate":
 		ev.WorkMS, err = millis(value)
 	case "N":
-		ev.Shot, err = whole(value)
+		ev.Attempt, err = whole(value)
 	case "Executor":
 		ev.Executor, err = executor(value)
 	case "Code":
@@ -456,28 +456,28 @@
 	num := func(name string, n int64) { b = strconv.AppendInt(append(append(b, '\t'), name...), n, 10) }
 	text := func(name, s string) { b = append(append(append(b, '\t'), name...), s...) }
 	name := [...]string{rules.Send: "ASSIGN", rules.Terms: "RESOURCES", rules.CallOff: "CALL_OFF",
-		rules.Deny: "TURN_AWAY", rules.WriteOff: "REPORT_FAILURE", rules.Wake: "SLEEP", rules.Probe: "PROBE",
+		rules.Deny: "TURN_AWAY", rules.Fail: "REPORT_FAILURE", rules.Wake: "SLEEP", rules.Probe: "PROBE",
 		rules.Listen: "LISTEN", rules.Log: "LOG", rules.Tell: "SHARE"}[a.Kind]
 	b = append(b, name...)
 	num("I=", int64(instance))
 	switch a.Kind {
 	case rules.Send:
-		text("Handle=", a.Search)
+		text("Handle=", a.Request)
 		num("Executor=", int64(a.Executor))
 	case rules.Terms:
-		text("Handle=", a.Search)
+		text("Handle=", a.Request)
 		b = strconv.AppendFloat(append(b, "\tGrantMb="...), a.GrantMB, 'f', -1, 64)
 		num("Prio=", int64(a.Level))
 	case rules.CallOff:
-		text("Handle=", a.Search)
-		num("N=", int64(a.Shot))
+		text("Handle=", a.Request)
+		num("N=", int64(a.Attempt))
 	case rules.Deny:
-		text("Handle=", a.Search)
+		text("Handle=", a.Request)
 		if a.AfterMS > 0 {
 			num("ComeBack=", int64(a.AfterMS*usPerMS))
 		}
-	case rules.WriteOff:
-		text("Handle=", a.Search)
+	case rules.Fail:
+		text("Handle=", a.Request)
 	case rules.Wake:
 		num("Delay=", int64(math.Ceil(a.AfterMS*usPerMS)))
 		num("KeyBack=", int64(a.Token))
--- a/internal/benchwire/benchwire_test.go
+++ b/internal/benchwire/benchwire_test.go
@@ -47,13 +47,13 @@
 	assert.NoError(t, err)
 	assert.Equal(t, uint64(12), seq)
 	assert.Equal(t, 1.5, h.now)
-	assert.Equal(t, rules.Event{Kind: rules.Taken, Search: "t/b", Group: 11, Key: "91f0", Offering: "look", NeedMB: 384,
+	assert.Equal(t, rules.Event{Kind: rules.Taken, Request: "t/b", Group: 11, Key: "91f0", Offering: "look", NeedMB: 384,
 		Until: 8652.25, WorkMS: 12}, h.events[0])
 	assert.Equal(t, uint64(77), h.events[1].Token)
 	v := h.events[2]
 	assert.Equal(t, []any{rules.Handled, 18.5, true, 17.0, 384.0, uint32(5), []float64{1, 0.5}},
 		[]any{v.Outcome, v.TookMS, v.Over, v.SpentMS, v.UsedMB, v.Executor, v.Report})
-	assert.Equal(t, rules.Event{Kind: rules.Noted, Search: "t/b", Shot: 1, Note: rules.Waits, Value: 2}, h.events[3])
+	assert.Equal(t, rules.Event{Kind: rules.Noted, Request: "t/b", Attempt: 1, Note: rules.Waits, Value: 2}, h.events[3])
 }
 
 func TestBanksAreReusedWithinABatch(t *testing.T) {
@@ -112,12 +112,12 @@
 
 func TestActions(t *testing.T) {
 	for want, a := range map[string]rules.Action{
-		"ASSIGN\tI=3\tHandle=t/b\tExecutor=7\n":            {Kind: rules.Send, Search: "t/b", Executor: 7},
-		"RESOURCES\tI=3\tHandle=t/b\tGrantMb=64\tPrio=2\n": {Kind: rules.Terms, Search: "t/b", GrantMB: 64, Level: 2},
-		"CALL_OFF\tI=3\tHandle=t/b\tN=1\n":                 {Kind: rules.CallOff, Search: "t/b", Shot: 1},
-		"TURN_AWAY\tI=3\tHandle=t/b\tComeBack=2500\n":      {Kind: rules.Deny, Search: "t/b", AfterMS: 2.5},
-		"TURN_AWAY\tI=3\tHandle=t/b\n":                     {Kind: rules.Deny, Search: "t/b"},
-		"REPORT_FAILURE\tI=3\tHandle=t/b\n":                {Kind: rules.WriteOff, Search: "t/b"},
+		"ASSIGN\tI=3\tHandle=t/b\tExecutor=7\n":            {Kind: rules.Send, Request: "t/b", Executor: 7},
+		"RESOURCES\tI=3\tHandle=t/b\tGrantMb=64\tPrio=2\n": {Kind: rules.Terms, Request: "t/b", GrantMB: 64, Level: 2},
+		"CALL_OFF\tI=3\tHandle=t/b\tN=1\n":                 {Kind: rules.CallOff, Request: "t/b", Attempt: 1},
+		"TURN_AWAY\tI=3\tHandle=t/b\tComeBack=2500\n":      {Kind: rules.Deny, Request: "t/b", AfterMS: 2.5},
+		"TURN_AWAY\tI=3\tHandle=t/b\n":                     {Kind: rules.Deny, Request: "t/b"},
+		"REPORT_FAILURE\tI=3\tHandle=t/b\n":                {Kind: rules.Fail, Request: "t/b"},
 		"SLEEP\tI=3\tDelay=20000\tKeyBack=0\n":             {Kind: rules.Wake, AfterMS: 20},
 		"PROBE\tI=3\tExecutor=7\n":                         {Kind: rules.Probe, Executor: 7},
 		"LISTEN\tI=3\tActive=1\n":                          {Kind: rules.Listen},
--- a/internal/desk/await_test.go
+++ b/internal/desk/await_test.go
@@ -12,11 +12,11 @@
 	"liftshift/rules"
 )
 
-// asker is a desk whose first part has search a wait, and which then hears what follows.
+// asker is a desk whose first part has request a wait, and which then hears what follows.
 func asker(f *side, at map[HappeningKind][]Follow) (d *Desk, one *script, heard *[]HappeningKind) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	one = &script{on: map[rules.EventKind][]rules.Action{rules.Taken: {{Kind: rules.Terms, Search: "a", GrantMB: 64, Level: 3}, {Kind: rules.Send, Search: "a", Executor: 7}}}}
+	one = &script{on: map[rules.EventKind][]rules.Action{rules.Taken: {{Kind: rules.Terms, Request: "a", GrantMB: 64, Level: 3}, {Kind: rules.Send, Request: "a", Executor: 7}}}}
 	d = New(NewClock(), one, log)
 	d.Executors, d.ProbeMS = f, 250
 	heard = &[]HappeningKind{}
@@ -25,13 +25,13 @@
 		return append(out, at[h.Kind]...)
 	}))
 	d.open.Add(1)
-	d.play(Item{Event: rules.Event{Kind: rules.Taken}, Search: search0(d, f)})
+	d.play(Item{Event: rules.Event{Kind: rules.Taken}, Request: search0(d, f)})
 	return d, one, heard
 }
 
 var awaits = []Follow{{Kind: Await}}
 
-func TestASearchAwaitsWhatOthersSay(t *testing.T) {
+func TestARequestAwaitsWhatOthersSay(t *testing.T) {
 	for name, c := range map[string]struct {
 		follow Follow
 		did    []string
@@ -68,13 +68,13 @@
 	}
 }
 
-func TestAClientLeavesWhileItsSearchAwaits(t *testing.T) {
+func TestAClientLeavesWhileItsRequestAwaits(t *testing.T) {
 	f := &side{}
 	d, one, heard := asker(f, map[HappeningKind][]Follow{Arriving: awaits})
 	d.open.Add(1)
-	d.play(Item{Event: rules.Event{Kind: rules.Taken}, Search: search0(d, f)})
+	d.play(Item{Event: rules.Event{Kind: rules.Taken}, Request: search0(d, f)})
 	assert.Equal(t, []string{"written off"}, f.did, "its id came twice")
-	d.play(Item{Event: rules.Event{Kind: rules.Left, Search: "a"}, Client: f, Token: 5})
+	d.play(Item{Event: rules.Event{Kind: rules.Left, Request: "a"}, Client: f, Token: 5})
 	assert.Equal(t, Departed, (*heard)[len(*heard)-1])
 	assert.Zero(t, d.Open())
 	d.Follow([]Follow{{Kind: Resume, ID: "a"}})
@@ -82,7 +82,7 @@
 	assert.Nil(t, one.last(rules.Taken))
 }
 
-func TestAShotLeavesOnceAllPartsLetItGo(t *testing.T) {
+func TestAnAttemptLeavesOnceAllPartsLetItGo(t *testing.T) {
 	f := &side{}
 	d, _, _ := asker(f, map[HappeningKind][]Follow{Firing: {{Kind: Hold}, {Kind: Hold}}})
 	require.Len(t, f.sent, 1)
@@ -103,12 +103,12 @@
 	d.Follow([]Follow{{Kind: LetGo, ID: "a", Outcome: ledger.Handled, Body: []byte("rows")}})
 	assert.Equal(t, []string{"handled"}, f.did)
 	assert.Zero(t, d.Open())
-	assert.Empty(t, d.searches)
+	assert.Empty(t, d.requests)
 	d.Follow([]Follow{{Kind: LetGo, ID: "a", Outcome: ledger.Denied}})
 	assert.Len(t, f.did, 1, "once")
 }
 
-func TestASearchIsAdoptedAndDismissed(t *testing.T) {
+func TestARequestIsAdoptedAndDismissed(t *testing.T) {
 	f := &side{stopped: Halted}
 	d, one, heard := asker(f, map[HappeningKind][]Follow{Arriving: {{Kind: Await}, {Kind: Settle, ID: "a", Outcome: ledger.Denied}}})
 	*heard = nil
--- a/internal/desk/budgets.go
+++ b/internal/desk/budgets.go
@@ -10,15 +10,15 @@
 // Budgets decide who is offered to the module next. Their methods are called by the desk's goroutine alone and never wait.
 type Budgets interface {
 	Step(now float64, ev *budget.Event) []budget.Effect
-	Whose(s *Search) string // the team of a search
+	Whose(s *Request) string // the team of a request
 	Listed(now float64, list rules.ListKind, entries []rules.Entry) []budget.Effect
-	Wait(now float64, id string) (startMS, endMS float64) // of a search that waits; below 0: not known
+	Wait(now float64, id string) (startMS, endMS float64) // of a request that waits; below 0: not known
 	Tell(now float64) []parts.Message                     // what other controllers are to hear
 	Heard(now float64, from int, data []byte) []parts.Message
 	Changed(now float64, each func(id string, startMS, endMS float64)) // figures that changed much, of those that asked
 }
 
-// Waiter is a client that can be told how long its searches will wait. Below 0: not known.
+// Waiter is a client that can be told how long its requests will wait. Below 0: not known.
 type Waiter interface {
 	Waits(tag uint64, startMS, endMS float64)
 }
@@ -30,7 +30,7 @@
 
 // Hear tells the budgets, in their own words.
 func (b budgeting) Hear(now float64, h *Happening, out []Follow) []Follow {
-	switch s := h.Search; h.Kind {
+	switch s := h.Request; h.Kind {
 	case Entered:
 		out = append(out, Follow{Kind: Detain})
 		out = Offers(out, b.Step(now, &budget.Event{Kind: budget.Asked, ID: s.ID, Team: b.Whose(s), Offering: s.Offering, WorkMS: s.WorkMS,
@@ -48,7 +48,7 @@
 	case Closed:
 		out = Offers(out, b.Step(now, &budget.Event{Kind: budget.Closed, ID: s.ID, SpentMS: h.SpentMS, Handled: h.Outcome == ledger.Handled}))
 	case Denying:
-		// When its search would have begun, where that is known and no longer than may be told.
+		// When its request would have begun, where that is known and no longer than may be told.
 		if start, _ := b.Wait(now, s.ID); h.AfterMS > 0 && start > 0 {
 			out = append(out, Follow{Kind: ComeBack, AfterMS: min(start, 2*h.AfterMS)})
 		}
--- a/internal/desk/budgets_test.go
+++ b/internal/desk/budgets_test.go
@@ -22,7 +22,7 @@
 	p.told = append(p.told, *ev)
 	return p.wants[ev.Kind]
 }
-func (p *purse) Whose(s *Search) string { return "team of " + s.Team }
+func (p *purse) Whose(s *Request) string { return "team of " + s.Team }
 func (p *purse) Listed(float64, rules.ListKind, []rules.Entry) []budget.Effect {
 	return p.wants[budget.Sized]
 }
@@ -51,10 +51,10 @@
 func (t *told) Tell(_ int, data []byte)            { t.data = data }
 func (t *told) Waits(_ uint64, start, end float64) { t.waits = append(t.waits, start, end) }
 
-// lined is a desk with budgets where search a stands in line.
+// lined is a desk with budgets where request a stands in line.
 func lined(p *purse, f *told, on map[rules.EventKind][]rules.Action) (*Desk, *script) {
 	d, one := sent(&f.side, on)
-	d.play(end(rules.Handled)) // the search that is there already
+	d.play(end(rules.Handled)) // the request that is there already
 	f.side.did, f.side.sent, one.told = nil, nil, nil
 	d.spent = map[string]struct{}{}
 	d.Peers = f
@@ -62,12 +62,12 @@
 	d.open.Add(1)
 	s := search0(d, &f.side)
 	s.Client, s.Team, s.Waits, s.Key = f, "x", true, "k"
-	d.play(Item{Event: rules.Event{Kind: rules.Taken}, Search: s})
+	d.play(Item{Event: rules.Event{Kind: rules.Taken}, Request: s})
 	return d, one
 }
 
-// A search stands in line until it is offered; the module then gets it with what the budgets say, and they hear all of it.
-func TestASearchReachesTheModuleOnceItIsOffered(t *testing.T) {
+// A request stands in line until it is offered; the module then gets it with what the budgets say, and they hear all of it.
+func TestARequestReachesTheModuleOnceItIsOffered(t *testing.T) {
 	p, f := &purse{wait: 50, wants: map[budget.EventKind][]budget.Effect{budget.Ticked: {{Kind: budget.Offer, ID: "a", Start: 500, Grant: 0.7}},
 		budget.Sent: {{Kind: budget.Press, ID: "a", Start: 500}, {Kind: budget.Offer, ID: "a"}, {Kind: budget.Offer, ID: "gone"}}}}, &told{}
 	d, one := lined(p, f, nil)
@@ -77,7 +77,7 @@
 	assert.Equal(t, []float64{50, 60}, f.waits)
 	d.tick()
 	ev := one.last(rules.Taken)
-	assert.Equal(t, []any{"a", 500.0, 0.7, false, false}, []any{ev.Search, ev.Start, ev.Part, ev.Now, ev.Barred})
+	assert.Equal(t, []any{"a", 500.0, 0.7, false, false}, []any{ev.Request, ev.Start, ev.Part, ev.Now, ev.Barred})
 	assert.Len(t, f.sent, 1)
 	assert.Equal(t, []float64{50, 60, 77, 88}, f.waits, "told again while it waited")
 	assert.Equal(t, 500.0, one.last(rules.Pressed).Start)
@@ -85,30 +85,30 @@
 	d.play(end(rules.Handled))
 	assert.Equal(t, []budget.EventKind{budget.Asked, budget.Ticked, budget.Sent, budget.ShotEnded, budget.Closed}, p.kinds())
 	assert.True(t, p.told[4].Handled)
-	assert.Empty(t, d.searches)
+	assert.Empty(t, d.requests)
 	d.offer(&Follow{Kind: Press, ID: "a", Start: 500}) // it crosses the answer
 	assert.Equal(t, []string{"handled"}, f.did)
 }
 
 // What the module gives back stands in line again; a client that leaves meanwhile is forgotten, and a denial names the wait.
 func TestWhatIsGivenBackStandsInLine(t *testing.T) {
-	back := map[rules.EventKind][]rules.Action{rules.Taken: {{Kind: rules.Back, Search: "a"}}}
+	back := map[rules.EventKind][]rules.Action{rules.Taken: {{Kind: rules.Back, Request: "a"}}}
 	p, f := &purse{wants: map[budget.EventKind][]budget.Effect{budget.Ticked: {{Kind: budget.Offer, ID: "a", Now: true}}}}, &told{}
 	d, one := lined(p, f, nil)
 	one.on = back
 	d.tick()
 	assert.True(t, one.last(rules.Taken).Now)
-	assert.True(t, d.searches["a"].inLine)
+	assert.True(t, d.requests["a"].inLine)
 	assert.Equal(t, budget.Back, p.told[len(p.told)-1].Kind)
-	one.on = map[rules.EventKind][]rules.Action{rules.Taken: {{Kind: rules.Deny, Search: "a", AfterMS: 400}}}
+	one.on = map[rules.EventKind][]rules.Action{rules.Taken: {{Kind: rules.Deny, Request: "a", AfterMS: 400}}}
 	p.wait = 300
 	d.tick()
 	assert.Equal(t, []string{"denied"}, f.did)
-	assert.Empty(t, d.searches)
+	assert.Empty(t, d.requests)
 	d, _ = lined(p, f, nil)
-	d.play(Item{Event: rules.Event{Kind: rules.Left, Search: "a"}, Client: f, Token: 5})
+	d.play(Item{Event: rules.Event{Kind: rules.Left, Request: "a"}, Client: f, Token: 5})
 	assert.Equal(t, budget.Closed, p.told[len(p.told)-1].Kind)
-	assert.Empty(t, d.searches)
+	assert.Empty(t, d.requests)
 	assert.Zero(t, d.Open())
 }
 
@@ -131,7 +131,7 @@
 	assert.False(t, d.Do(func(float64) {}))
 }
 
-// lender is a shot whose memory can be changed.
+// lender is an attempt whose memory can be changed.
 type lender struct {
 	side
 	mb []float64
@@ -139,13 +139,13 @@
 
 func (l *lender) Regrant(mb float64) { l.mb = append(l.mb, mb) }
 
-func TestTheMemoryOfAShotThatRunsIsChangedWhereThatCanBe(t *testing.T) {
+func TestTheMemoryOfAnAttemptThatRunsIsChangedWhereThatCanBe(t *testing.T) {
 	f := &side{}
-	d, _ := sent(f, map[rules.EventKind][]rules.Action{rules.Pressed: {{Kind: rules.Terms, Search: "a", GrantMB: 32, Level: 3}}})
+	d, _ := sent(f, map[rules.EventKind][]rules.Action{rules.Pressed: {{Kind: rules.Terms, Request: "a", GrantMB: 32, Level: 3}}})
 	l := &lender{}
-	d.searches["a"].shots[0].run = l
-	d.play(Item{Event: rules.Event{Kind: rules.Pressed, Search: "a"}})
-	d.play(Item{Event: rules.Event{Kind: rules.Pressed, Search: "a"}})
+	d.requests["a"].attempts[0].run = l
+	d.play(Item{Event: rules.Event{Kind: rules.Pressed, Request: "a"}})
+	d.play(Item{Event: rules.Event{Kind: rules.Pressed, Request: "a"}})
 	assert.Equal(t, []float64{32}, l.mb, "once, and its level stays")
 	assert.Empty(t, l.did)
 }
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -1,4 +1,4 @@
-// Package desk keeps what is in memory: the open searches and their shots, the timers, the decision module and
+// Package desk keeps what is in memory: the open requests and their attempts, the timers, the decision module and
 // its clock. One goroutine owns all of it (Run); socket code reaches it through Put alone, and what it asks of
 // the sockets in turn only lines up there, so that it never waits for one.
 package desk
@@ -15,15 +15,15 @@
 	"liftshift/rules"
 )
 
-// Client is who gets the answer of a search. Tag is the client's own name for it.
+// Client is who gets the answer of a request. Tag is the client's own name for it.
 type Client interface {
 	Handled(tag uint64, body []byte)
 	Denied(tag uint64, afterMS float64)
-	WrittenOff(tag uint64)
+	Failed(tag uint64)
 }
 
-// Search is what a front hands over.
-type Search struct {
+// Request is what a front hands over.
+type Request struct {
 	ID       string
 	Offering string
 	Key      string // of order
@@ -44,11 +44,11 @@
 }
 
 // Forsaken tells whether its client is known to wait no more.
-func (s *Search) Forsaken() bool { return s.Gone != nil && s.Gone.Load() }
+func (s *Request) Forsaken() bool { return s.Gone != nil && s.Gone.Load() }
 
-// Shot is one shot as the executors' side gets it.
-type Shot struct {
-	Search   *Search
+// Attempt is one attempt as the executors' side gets it.
+type Attempt struct {
+	Request  *Request
 	N        int
 	Executor uint32
 	GrantMB  float64
@@ -58,7 +58,7 @@
 	Held     bool    // it leaves only at Release
 }
 
-// Stopped tells what calling off a shot came to.
+// Stopped tells what calling off an attempt came to.
 type Stopped uint8
 
 // What calling off comes to.
@@ -68,7 +68,7 @@
 	Decided                // its end is in the queue already
 )
 
-// Run is a shot under way. Its methods never wait. One that was held back goes out at Release.
+// Run is an attempt under way. Its methods never wait. One that was held back goes out at Release.
 type Run interface {
 	Release()
 	CallOff() Stopped
@@ -78,10 +78,10 @@
 // Regranter is a Run whose memory can be changed while it is under way; not every protocol can.
 type Regranter interface{ Regrant(mb float64) }
 
-// Executors carries shots and probes. Its methods never wait; ends come back through Put. A nil Run
+// Executors carries attempts and probes. Its methods never wait; ends come back through Put. A nil Run
 // means that there was no way to send; one held back is to be released so many ms later.
 type Executors interface {
-	Send(shot Shot) (run Run, heldMS float64)
+	Send(shot Attempt) (run Run, heldMS float64)
 	Probe(executor uint32, token uint64) bool
 	Unanswered(executor uint32, token uint64) // a probe that nobody waits for any more
 	Holds(executor uint32) Holding
@@ -89,9 +89,9 @@
 
 // Holding is what the sockets have of one executor, to compare with what the module believes.
 type Holding struct {
-	Name               string // empty: not listed
-	Shots, Connections int
-	QuietMS            float64 // since anything was written or read; below 0: no connection
+	Name                  string // empty: not listed
+	Attempts, Connections int
+	QuietMS               float64 // since anything was written or read; below 0: no connection
 }
 
 // believer is a module that tells what it holds of executors.
@@ -107,15 +107,15 @@
 
 // Item is one thing in the queue: an event for the module, and what belongs to it.
 type Item struct {
-	Event  rules.Event
-	Search *Search // Taken
-	Body   []byte  // Ended: the answer
-	Client Client  // Left: who left
-	Token  uint64  // Probed: which probe; Left: the tag of the search
-	Note   any     // for the part whose it is
-	Ask    *Question
-	Call   func(now float64) // for the operators' tools: looks at what the desk's goroutine owns, and must not wait
-	at     float64
+	Event   rules.Event
+	Request *Request // Taken
+	Body    []byte   // Ended: the answer
+	Client  Client   // Left: who left
+	Token   uint64   // Probed: which probe; Left: the tag of the request
+	Note    any      // for the part whose it is
+	Ask     *Question
+	Call    func(now float64) // for the operators' tools: looks at what the desk's goroutine owns, and must not wait
+	at      float64
 
 	resumed bool // Taken: it has awaited what others say, or was adopted
 }
@@ -127,10 +127,10 @@
 	stoodMS   = 50    // ms by which a timer is late only if the whole controller stood still
 )
 
-// mostShots is the room for shots of one search; the module never sends more.
-const mostShots = 8
+// mostShots is the room for attempts of one request; the module never sends more.
+const mostAttempts = 8
 
-type shot struct {
+type attempt struct {
 	run      Run
 	executor uint32
 	sent     float64
@@ -139,12 +139,12 @@
 	out      bool
 }
 
-type search struct {
-	Search
+type request struct {
+	Request
 	prior    rules.Prior // what may have run under its mark
 	barred   bool
 	inLine   bool // the module does not have it yet
-	shots    [mostShots]shot
+	attempts [mostAttempts]attempt
 	fired    int
 	out      int
 	level    int
@@ -159,7 +159,7 @@
 	Peers     Peers
 	List      List
 	ProbeMS   float64     // how long a probe is waited for
-	Gate      func() bool // asked at the last step before a shot that was held leaves; nil: it may
+	Gate      func() bool // asked at the last step before an attempt that was held leaves; nil: it may
 
 	clock    Clock
 	one      rules.Instance
@@ -167,10 +167,10 @@
 	queue    chan Item
 	stop     chan struct{}
 	done     chan struct{}
-	searches map[string]*search
-	awaiting map[string]*Search  // that wait for what others say
-	spent    map[string]struct{} // ids of searches that are over, until their hard limit: ids are always new
-	free     []*search
+	requests map[string]*request
+	awaiting map[string]*Request // that wait for what others say
+	spent    map[string]struct{} // ids of requests that are over, until their hard limit: ids are always new
+	free     []*request
 	timers   timers
 	probes   map[uint32]uint64 // the probe out at each executor
 	token    uint64
@@ -178,7 +178,7 @@
 	actions  []rules.Action
 	tally    Tally
 	offers   []Follow // what parts offer, in order
-	parts    []Part   // beside the module; none: it gets every search as it comes, and a crash forgets all
+	parts    []Part   // beside the module; none: it gets every request as it comes, and a crash forgets all
 	follows  []Follow
 	beliefs  []rules.Belief
 	figures  []rules.Figure
@@ -188,7 +188,7 @@
 // New returns a Desk for one instance of the module.
 func New(clock Clock, one rules.Instance, log logrus.FieldLogger) *Desk {
 	return &Desk{clock: clock, one: one, log: log, queue: make(chan Item, queueRoom), stop: make(chan struct{}),
-		done: make(chan struct{}), searches: map[string]*search{}, awaiting: map[string]*Search{}, spent: map[string]struct{}{}, probes: map[uint32]uint64{}}
+		done: make(chan struct{}), requests: map[string]*request{}, awaiting: map[string]*Request{}, spent: map[string]struct{}{}, probes: map[uint32]uint64{}}
 }
 
 // Put lines up an item; it waits while the queue is full.
@@ -211,13 +211,13 @@
 	}
 }
 
-// Open tells how many searches have been taken and not answered, those still in the queue included.
+// Open tells how many requests have been taken and not answered, those still in the queue included.
 func (d *Desk) Open() int { return int(d.open.Load()) }
 
-// Take lines up a search.
-func (d *Desk) Take(s *Search) {
+// Take lines up a request.
+func (d *Desk) Take(s *Request) {
 	d.open.Add(1)
-	d.Put(Item{Event: rules.Event{Kind: rules.Taken}, Search: s})
+	d.Put(Item{Event: rules.Event{Kind: rules.Taken}, Request: s})
 }
 
 // Close tells the module that this controller stops: all that has been taken must be answered by then.
@@ -283,7 +283,7 @@
 		case wakes:
 			d.play(Item{Event: rules.Event{Kind: rules.Rang, Token: t.token}, at: t.at})
 		case limits:
-			d.expire(t.search)
+			d.expire(t.request)
 		case releases:
 			t.run.Release()
 		case probes:
@@ -350,25 +350,25 @@
 
 func (d *Desk) hand(it Item) {
 	ev := &it.Event
-	var s *search
+	var s *request
 	switch ev.Kind {
 	case rules.Taken:
-		if s = d.take(it.Search, ev, it.resumed); s == nil {
+		if s = d.take(it.Request, ev, it.resumed); s == nil {
 			return
 		}
-		if d.happen(Happening{Kind: Entered, Search: &s.Search}).detain {
+		if d.happen(Happening{Kind: Entered, Request: &s.Request}).detain {
 			s.inLine = true
 			return
 		}
 	case rules.Left:
-		if in := d.awaiting[ev.Search]; in != nil && in.Client == it.Client && in.Tag == it.Token {
-			delete(d.awaiting, ev.Search)
+		if in := d.awaiting[ev.Request]; in != nil && in.Client == it.Client && in.Tag == it.Token {
+			delete(d.awaiting, ev.Request)
 			d.open.Add(-1)
 			d.tally.Left++
-			d.happen(Happening{Kind: Departed, Search: in})
+			d.happen(Happening{Kind: Departed, Request: in})
 			return
 		}
-		if s = d.searches[ev.Search]; s == nil || s.Client != it.Client || s.Tag != it.Token || s.answered {
+		if s = d.requests[ev.Request]; s == nil || s.Client != it.Client || s.Tag != it.Token || s.answered {
 			return
 		}
 		d.answered(s, ledger.Left, nil, 0)
@@ -394,7 +394,7 @@
 		}
 		delete(d.probes, ev.Executor)
 	case rules.Noted:
-		if s = d.searches[ev.Search]; s == nil || ev.Shot >= s.fired || !s.shots[ev.Shot].out {
+		if s = d.requests[ev.Request]; s == nil || ev.Attempt >= s.fired || !s.attempts[ev.Attempt].out {
 			d.tally.Stray++
 			return
 		}
@@ -422,22 +422,22 @@
 	}
 }
 
-// take enters a search. One whose id is still known gets a failure: the first of that id goes on. That holds for an
-// id given back or answered, too, up to its hard limit: run anew, each copy would count as a further shot.
-func (d *Desk) take(in *Search, ev *rules.Event, resumed bool) *search {
+// take enters a request. One whose id is still known gets a failure: the first of that id goes on. That holds for an
+// id given back or answered, too, up to its hard limit: run anew, each copy would count as a further attempt.
+func (d *Desk) take(in *Request, ev *rules.Event, resumed bool) *request {
 	_, spent := d.spent[in.ID]
 	if !resumed {
 		d.tally.Taken++
-		if len(d.parts) > 0 && d.searches[in.ID] == nil && d.awaiting[in.ID] == nil && !spent && d.awaits(in) {
+		if len(d.parts) > 0 && d.requests[in.ID] == nil && d.awaiting[in.ID] == nil && !spent && d.awaits(in) {
 			return nil
 		}
 	}
-	if d.searches[in.ID] == nil && d.awaiting[in.ID] == nil {
-		v := d.happen(Happening{Kind: Came, Search: in, Prior: ev.Prior})
+	if d.requests[in.ID] == nil && d.awaiting[in.ID] == nil {
+		v := d.happen(Happening{Kind: Came, Request: in, Prior: ev.Prior})
 		if v.answer != nil {
 			d.told(in, v.answer)
 			if resumed {
-				d.happen(Happening{Kind: Closed, Search: in, Outcome: v.answer.Outcome, Body: v.answer.Body})
+				d.happen(Happening{Kind: Closed, Request: in, Outcome: v.answer.Outcome, Body: v.answer.Body})
 			}
 			return nil
 		}
@@ -446,70 +446,70 @@
 			ev.Prior = v.prior
 		}
 	}
-	if spent || d.searches[in.ID] != nil || d.awaiting[in.ID] != nil {
-		in.Client.WrittenOff(in.Tag)
+	if spent || d.requests[in.ID] != nil || d.awaiting[in.ID] != nil {
+		in.Client.Failed(in.Tag)
 		d.open.Add(-1)
 		d.tally.Twice++
 		if resumed {
-			d.happen(Happening{Kind: Closed, Search: in, Outcome: ledger.WrittenOff})
+			d.happen(Happening{Kind: Closed, Request: in, Outcome: ledger.WrittenOff})
 		}
 		return nil
 	}
-	var s *search
+	var s *request
 	if n := len(d.free); n > 0 {
 		s, d.free = d.free[n-1], d.free[:n-1]
 	} else {
-		s = &search{}
+		s = &request{}
 	}
-	*s = search{Search: *in}
-	d.searches[in.ID] = s
+	*s = request{Request: *in}
+	d.requests[in.ID] = s
 	s.prior, s.barred = ev.Prior, ev.Barred
-	ev.Search, ev.Offering, ev.Group, ev.Key, ev.NeedMB = in.ID, in.Offering, in.Group, in.Key, in.NeedMB
+	ev.Request, ev.Offering, ev.Group, ev.Key, ev.NeedMB = in.ID, in.Offering, in.Group, in.Key, in.NeedMB
 	ev.WorkMS, ev.Until, ev.Repeat = in.WorkMS, in.Until, in.Repeat
-	d.timers.push(timer{at: in.Until, what: limits, search: in.ID})
+	d.timers.push(timer{at: in.Until, what: limits, request: in.ID})
 	return s
 }
 
-// awaits tells whether a search waits for what others say, or has been answered by that already.
-func (d *Desk) awaits(in *Search) bool {
+// awaits tells whether a request waits for what others say, or has been answered by that already.
+func (d *Desk) awaits(in *Request) bool {
 	d.awaiting[in.ID] = in // what follows may be said at once
-	if d.happen(Happening{Kind: Arriving, Search: in}).await || d.awaiting[in.ID] == nil {
+	if d.happen(Happening{Kind: Arriving, Request: in}).await || d.awaiting[in.ID] == nil {
 		return true
 	}
 	delete(d.awaiting, in.ID)
 	return false
 }
 
-// settle books the end of a shot; nil if that has ended before.
-func (d *Desk) settle(ev *rules.Event) *search {
-	s := d.searches[ev.Search]
-	if s == nil || ev.Shot >= s.fired || !s.shots[ev.Shot].out {
+// settle books the end of an attempt; nil if that has ended before.
+func (d *Desk) settle(ev *rules.Event) *request {
+	s := d.requests[ev.Request]
+	if s == nil || ev.Attempt >= s.fired || !s.attempts[ev.Attempt].out {
 		return nil
 	}
-	h := &s.shots[ev.Shot]
+	h := &s.attempts[ev.Attempt]
 	h.out, s.out, h.run = false, s.out-1, nil
 	ev.Executor, ev.TookMS = h.executor, d.clock.Now()-h.sent
 	d.tally.Ends[ev.Outcome]++
-	d.happen(Happening{Kind: ShotOver, Search: &s.Search, Shot: ev.Shot, Unrun: ev.Outcome.NeverRan()})
+	d.happen(Happening{Kind: ShotOver, Request: &s.Request, Attempt: ev.Attempt, Unrun: ev.Outcome.NeverRan()})
 	return s
 }
 
-func (d *Desk) answered(s *search, as ledger.Outcome, body []byte, spentMS float64) {
+func (d *Desk) answered(s *request, as ledger.Outcome, body []byte, spentMS float64) {
 	if check.That(!s.answered, "a search is answered once") {
 		s.answered = true
 		d.open.Add(-1)
-		d.happen(Happening{Kind: Closed, Search: &s.Search, Outcome: as, Body: body, SpentMS: spentMS})
+		d.happen(Happening{Kind: Closed, Request: &s.Request, Outcome: as, Body: body, SpentMS: spentMS})
 	}
 }
 
-// release forgets a search that is answered and has no shot out.
-func (d *Desk) release(s *search) {
-	if s.answered && !s.ending && s.out == 0 && d.searches[s.ID] == s {
-		delete(d.searches, s.ID)
+// release forgets a request that is answered and has no attempt out.
+func (d *Desk) release(s *request) {
+	if s.answered && !s.ending && s.out == 0 && d.requests[s.ID] == s {
+		delete(d.requests, s.ID)
 		if d.clock.Now() < s.Until { // its timer is still to come
 			d.spent[s.ID] = struct{}{}
 		}
-		*s = search{}
+		*s = request{}
 		d.free = append(d.free, s)
 	}
 }
@@ -540,7 +540,7 @@
 		d.log.WithField("says", a.Text).Info("module")
 		return
 	}
-	s := d.searches[a.Search]
+	s := d.requests[a.Request]
 	if !check.That(s != nil, "the module names open searches") {
 		return
 	}
@@ -549,12 +549,12 @@
 		d.send(now, s, a)
 	case rules.Back:
 		s.inLine = true
-		d.happen(Happening{Kind: GivenBack, Search: &s.Search})
+		d.happen(Happening{Kind: GivenBack, Request: &s.Request})
 	case rules.Terms:
 		if s.grant != a.GrantMB {
 			s.grant = a.GrantMB
 			for k := range s.fired {
-				if r, ok := s.shots[k].run.(Regranter); ok {
+				if r, ok := s.attempts[k].run.(Regranter); ok {
 					r.Regrant(a.GrantMB)
 				}
 			}
@@ -562,41 +562,41 @@
 		if s.level != a.Level {
 			s.level = a.Level
 			for k := range s.fired {
-				if s.shots[k].run != nil {
-					s.shots[k].run.Relevel(a.Level)
+				if s.attempts[k].run != nil {
+					s.attempts[k].run.Relevel(a.Level)
 				}
 			}
 		}
 	case rules.CallOff:
-		if a.Shot < s.fired && s.shots[a.Shot].out {
-			d.halt(s, a.Shot, rules.Recalled)
+		if a.Attempt < s.fired && s.attempts[a.Attempt].out {
+			d.halt(s, a.Attempt, rules.Recalled)
 		}
-	case rules.Deny, rules.WriteOff:
+	case rules.Deny, rules.Fail:
 		if s.answered {
 			return
 		}
 		if a.Kind == rules.Deny {
 			d.tally.Denied++
-			d.conclude(s, ledger.Denied, nil, d.happen(Happening{Kind: Denying, Search: &s.Search, AfterMS: a.AfterMS}).afterMS, 0)
+			d.conclude(s, ledger.Denied, nil, d.happen(Happening{Kind: Denying, Request: &s.Request, AfterMS: a.AfterMS}).afterMS, 0)
 		} else {
-			d.tally.WrittenOff++
+			d.tally.Failed++
 			d.conclude(s, ledger.WrittenOff, nil, 0, 0)
 		}
 	}
 }
 
-func (d *Desk) send(now float64, s *search, a *rules.Action) {
-	if !check.That(s.fired < mostShots && !s.answered, "shots go out for open searches alone") {
+func (d *Desk) send(now float64, s *request, a *rules.Action) {
+	if !check.That(s.fired < mostAttempts && !s.answered, "shots go out for open searches alone") {
 		return
 	}
 	n := s.fired
-	v := d.happen(Happening{Kind: Firing, Search: &s.Search, Shot: n, Executor: a.Executor})
+	v := d.happen(Happening{Kind: Firing, Request: &s.Request, Attempt: n, Executor: a.Executor})
 	kept := v.holds > 0
-	run, held := d.Executors.Send(Shot{Search: &s.Search, N: n, Executor: a.Executor, GrantMB: s.grant,
+	run, held := d.Executors.Send(Attempt{Request: &s.Request, N: n, Executor: a.Executor, GrantMB: s.grant,
 		Level: s.level, MaxMS: s.Until - now, By: a.By, Held: kept})
-	s.shots[n] = shot{run: run, executor: a.Executor, sent: now, due: now + held, holds: v.holds, out: true}
+	s.attempts[n] = attempt{run: run, executor: a.Executor, sent: now, due: now + held, holds: v.holds, out: true}
 	s.fired, s.out = n+1, s.out+1
-	d.happen(Happening{Kind: Fired, Search: &s.Search, Shot: n, Executor: a.Executor, GrantMB: s.grant})
+	d.happen(Happening{Kind: Fired, Request: &s.Request, Attempt: n, Executor: a.Executor, GrantMB: s.grant})
 	if run == nil {
 		d.end(s, n, rules.Refused)
 	} else if v.forbid {
@@ -608,12 +608,12 @@
 	}
 }
 
-// halt calls a shot off and lines up its end, unless that is on its way.
-func (d *Desk) halt(s *search, n int, as rules.Outcome) {
-	if s.shots[n].run == nil {
+// halt calls an attempt off and lines up its end, unless that is on its way.
+func (d *Desk) halt(s *request, n int, as rules.Outcome) {
+	if s.attempts[n].run == nil {
 		return // its end stands in line
 	}
-	switch s.shots[n].run.CallOff() {
+	switch s.attempts[n].run.CallOff() {
 	case Halted:
 		d.end(s, n, as)
 	case Unsent:
@@ -621,15 +621,15 @@
 	}
 }
 
-func (d *Desk) end(s *search, n int, as rules.Outcome) {
-	s.shots[n].run = nil
-	d.later = append(d.later, Item{Event: rules.Event{Kind: rules.Ended, Search: s.ID, Shot: n, Outcome: as}})
+func (d *Desk) end(s *request, n int, as rules.Outcome) {
+	s.attempts[n].run = nil
+	d.later = append(d.later, Item{Event: rules.Event{Kind: rules.Ended, Request: s.ID, Attempt: n, Outcome: as}})
 }
 
-// expire ends the shots of a search whose hard limit has come: silence shows by then at the latest.
+// expire ends the attempts of a request whose hard limit has come: silence shows by then at the latest.
 func (d *Desk) expire(id string) {
 	delete(d.spent, id)
-	s := d.searches[id]
+	s := d.requests[id]
 	if s == nil || d.clock.Now() < s.Until {
 		return
 	}
@@ -637,7 +637,7 @@
 		d.tally.Late++
 	}
 	for n := range s.fired {
-		if s.shots[n].out {
+		if s.attempts[n].out {
 			d.halt(s, n, rules.TimedOut)
 		}
 	}
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -44,12 +44,12 @@
 	stopped Stopped
 	held    float64
 	refuse  bool
-	sent    []Shot
+	sent    []Attempt
 	did     []string
 	body    string
 }
 
-func (f *side) Send(s Shot) (Run, float64) {
+func (f *side) Send(s Attempt) (Run, float64) {
 	f.sent = append(f.sent, s)
 	if f.refuse {
 		return nil, 0
@@ -59,38 +59,38 @@
 func (f *side) Release()                   { f.did = append(f.did, "release") }
 func (f *side) Probe(uint32, uint64) bool  { f.did = append(f.did, "probe"); return !f.refuse }
 func (f *side) Unanswered(uint32, uint64)  { f.did = append(f.did, "unanswered") }
-func (f *side) Holds(uint32) Holding       { return Holding{Name: "s-7", Shots: 2} }
+func (f *side) Holds(uint32) Holding       { return Holding{Name: "s-7", Attempts: 2} }
 func (f *side) CallOff() Stopped           { f.did = append(f.did, "off"); return f.stopped }
 func (f *side) Relevel(int)                { f.did = append(f.did, "level") }
 func (f *side) Handled(_ uint64, b []byte) { f.did, f.body = append(f.did, "handled"), string(b) }
 func (f *side) Denied(uint64, float64)     { f.did = append(f.did, "denied") }
-func (f *side) WrittenOff(uint64)          { f.did = append(f.did, "written off") }
+func (f *side) Failed(uint64)              { f.did = append(f.did, "written off") }
 
-// sent is a desk whose module has sent search a to executor 7 at level 3.
+// sent is a desk whose module has sent request a to executor 7 at level 3.
 func sent(f *side, on map[rules.EventKind][]rules.Action) (*Desk, *script) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	one := &script{on: map[rules.EventKind][]rules.Action{rules.Taken: {
-		{Kind: rules.Terms, Search: "a", GrantMB: 64, Level: 3}, {Kind: rules.Send, Search: "a", Executor: 7}}}}
+		{Kind: rules.Terms, Request: "a", GrantMB: 64, Level: 3}, {Kind: rules.Send, Request: "a", Executor: 7}}}}
 	for k, v := range on {
 		one.on[k] = v
 	}
 	d := New(NewClock(), one, log)
 	d.Executors, d.ProbeMS = f, 250
 	d.open.Add(1)
-	d.play(Item{Event: rules.Event{Kind: rules.Taken}, Search: search0(d, f)})
+	d.play(Item{Event: rules.Event{Kind: rules.Taken}, Request: search0(d, f)})
 	return d, one
 }
 
-func search0(d *Desk, f *side) *Search {
-	return &Search{ID: "a", Offering: "look", Until: d.clock.Now() + 1000, Client: f, Tag: 5}
+func search0(d *Desk, f *side) *Request {
+	return &Request{ID: "a", Offering: "look", Until: d.clock.Now() + 1000, Client: f, Tag: 5}
 }
 
 func end(o rules.Outcome) Item {
-	return Item{Event: rules.Event{Kind: rules.Ended, Search: "a", Outcome: o}, Body: []byte("rows")}
+	return Item{Event: rules.Event{Kind: rules.Ended, Request: "a", Outcome: o}, Body: []byte("rows")}
 }
 
-func TestASearchIsSentHandledAndForgotten(t *testing.T) {
+func TestARequestIsSentHandledAndForgotten(t *testing.T) {
 	f := &side{}
 	d, one := sent(f, nil)
 	assert.Equal(t, []any{uint32(7), 64.0, 3, 0}, []any{f.sent[0].Executor, f.sent[0].GrantMB, f.sent[0].Level, f.sent[0].N})
@@ -101,13 +101,13 @@
 	assert.True(t, ev.Over)
 	assert.Equal(t, uint32(7), ev.Executor)
 	assert.Zero(t, d.Open())
-	assert.Empty(t, d.searches)
+	assert.Empty(t, d.requests)
 	d.play(end(rules.Handled)) // nothing is answered twice
 	assert.Equal(t, []string{"handled"}, f.did)
 	assert.Equal(t, uint64(1), d.tally.Stray)
 }
 
-func TestAShotHeldBackIsReleasedInItsTime(t *testing.T) {
+func TestAnAttemptHeldBackIsReleasedInItsTime(t *testing.T) {
 	f := &side{held: 40}
 	d, _ := sent(f, nil)
 	d.due()
@@ -120,11 +120,11 @@
 	assert.Equal(t, []string{"release"}, f.did)
 }
 
-// An answer that is in the queue when its shot is called off counts, as long as nothing was answered.
+// An answer that is in the queue when its attempt is called off counts, as long as nothing was answered.
 func TestAnAnswerOnItsWayGoesBeforeACallOff(t *testing.T) {
 	f := &side{stopped: Decided}
-	d, one := sent(f, map[rules.EventKind][]rules.Action{rules.Noted: {{Kind: rules.CallOff, Search: "a"}}})
-	d.play(Item{Event: rules.Event{Kind: rules.Noted, Search: "a"}})
+	d, one := sent(f, map[rules.EventKind][]rules.Action{rules.Noted: {{Kind: rules.CallOff, Request: "a"}}})
+	d.play(Item{Event: rules.Event{Kind: rules.Noted, Request: "a"}})
 	assert.Nil(t, one.last(rules.Ended), "its end comes by itself")
 	d.play(end(rules.Handled))
 	assert.Equal(t, []string{"off", "handled"}, f.did)
@@ -133,26 +133,26 @@
 func TestWhatACallOffComesTo(t *testing.T) {
 	for stopped, want := range map[Stopped]rules.Outcome{Halted: rules.Recalled, Unsent: rules.Superseded} {
 		f := &side{stopped: stopped}
-		d, one := sent(f, map[rules.EventKind][]rules.Action{rules.Noted: {{Kind: rules.CallOff, Search: "a"},
-			{Kind: rules.Terms, Search: "a", Level: 1}}}) // terms for a shot whose end stands in line
-		d.play(Item{Event: rules.Event{Kind: rules.Noted, Search: "a"}})
+		d, one := sent(f, map[rules.EventKind][]rules.Action{rules.Noted: {{Kind: rules.CallOff, Request: "a"},
+			{Kind: rules.Terms, Request: "a", Level: 1}}}) // terms for an attempt whose end stands in line
+		d.play(Item{Event: rules.Event{Kind: rules.Noted, Request: "a"}})
 		assert.Equal(t, want, one.last(rules.Ended).Outcome)
 		assert.Equal(t, []string{"off"}, f.did)
 	}
 }
 
-func TestAShotThatCannotGoOutIsRefused(t *testing.T) {
+func TestAnAttemptThatCannotGoOutIsRefused(t *testing.T) {
 	_, one := sent(&side{refuse: true}, nil)
 	assert.Equal(t, rules.Refused, one.last(rules.Ended).Outcome)
 }
 
-// Silence shows by the hard limit: the shot is told as timed out, whoever forgot to look.
+// Silence shows by the hard limit: the attempt is told as timed out, whoever forgot to look.
 func TestSilenceShowsByTheHardLimit(t *testing.T) {
 	f := &side{}
 	d, one := sent(f, nil)
 	d.expire("a")
 	assert.Nil(t, one.last(rules.Ended), "not before it")
-	d.searches["a"].Until = d.clock.Now() - 1
+	d.requests["a"].Until = d.clock.Now() - 1
 	d.expire("a")
 	assert.Equal(t, rules.TimedOut, one.last(rules.Ended).Outcome)
 	assert.Equal(t, uint64(1), d.tally.Late)
@@ -160,37 +160,37 @@
 
 func TestDeniedOnceAndNothingAfter(t *testing.T) {
 	f := &side{}
-	d, _ := sent(f, map[rules.EventKind][]rules.Action{rules.Noted: {{Kind: rules.Deny, Search: "a"},
-		{Kind: rules.CallOff, Search: "a"}}})
-	d.play(Item{Event: rules.Event{Kind: rules.Noted, Search: "a"}})
+	d, _ := sent(f, map[rules.EventKind][]rules.Action{rules.Noted: {{Kind: rules.Deny, Request: "a"},
+		{Kind: rules.CallOff, Request: "a"}}})
+	d.play(Item{Event: rules.Event{Kind: rules.Noted, Request: "a"}})
 	d.play(end(rules.Handled))
 	assert.Equal(t, []string{"denied", "off"}, f.did)
 	assert.Zero(t, d.Open())
 }
 
-func TestAClientEndsItsOwnSearchesAlone(t *testing.T) {
+func TestAClientEndsItsOwnRequestsAlone(t *testing.T) {
 	f := &side{}
 	d, one := sent(f, nil)
-	d.play(Item{Event: rules.Event{Kind: rules.Left, Search: "a"}, Client: &side{}, Token: 5})
-	d.play(Item{Event: rules.Event{Kind: rules.Left, Search: "a"}, Client: f, Token: 4})
+	d.play(Item{Event: rules.Event{Kind: rules.Left, Request: "a"}, Client: &side{}, Token: 5})
+	d.play(Item{Event: rules.Event{Kind: rules.Left, Request: "a"}, Client: f, Token: 4})
 	assert.Nil(t, one.last(rules.Left))
-	d.play(Item{Event: rules.Event{Kind: rules.Left, Search: "a"}, Client: f, Token: 5})
+	d.play(Item{Event: rules.Event{Kind: rules.Left, Request: "a"}, Client: f, Token: 5})
 	assert.NotNil(t, one.last(rules.Left))
 	assert.Zero(t, d.Open())
 }
 
-func TestAnIDThatIsOpenIsWrittenOffTheSecondTime(t *testing.T) {
+func TestAnIDThatIsOpenIsFailedTheSecondTime(t *testing.T) {
 	f, other := &side{}, &side{}
 	d, _ := sent(f, nil)
 	s := search0(d, other)
 	d.open.Add(1)
-	d.play(Item{Event: rules.Event{Kind: rules.Taken}, Search: s})
+	d.play(Item{Event: rules.Event{Kind: rules.Taken}, Request: s})
 	assert.Equal(t, []string{"written off"}, other.did)
 	assert.Equal(t, 1, d.Open())
 	assert.Len(t, f.sent, 1)
 	d.play(end(rules.Handled))
 	d.open.Add(1)
-	d.play(Item{Event: rules.Event{Kind: rules.Taken}, Search: search0(d, other)})
+	d.play(Item{Event: rules.Event{Kind: rules.Taken}, Request: search0(d, other)})
 	assert.Len(t, f.sent, 1, "nor once the first is over: its shot would be a further one")
 	assert.Len(t, d.spent, 1)
 	d.expire("a")
@@ -266,8 +266,8 @@
 	assert.Regexp(t, `belief aside=true .*executor=s-7 .*id=7 open=2 out=3`, text.String())
 }
 
-// Ids are always new: nothing is kept of a search past its hard limit, however it ended.
-func TestNothingIsKeptOfSearchesThatAreOver(t *testing.T) {
+// Ids are always new: nothing is kept of a request past its hard limit, however it ended.
+func TestNothingIsKeptOfRequestsThatAreOver(t *testing.T) {
 	f := &side{stopped: Halted}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -277,37 +277,37 @@
 		s := search0(d, f)
 		s.ID, s.Until = fmt.Sprint("a", n), d.clock.Now()+200
 		d.open.Add(1)
-		d.play(Item{Event: rules.Event{Kind: rules.Taken}, Search: s})
-		d.act(d.clock.Now(), &rules.Action{Kind: rules.Send, Search: s.ID, Executor: uint32(n)})
+		d.play(Item{Event: rules.Event{Kind: rules.Taken}, Request: s})
+		d.act(d.clock.Now(), &rules.Action{Kind: rules.Send, Request: s.ID, Executor: uint32(n)})
 		switch n % 3 {
 		case 0:
-			d.play(Item{Event: rules.Event{Kind: rules.Ended, Search: s.ID, Outcome: rules.Handled}})
+			d.play(Item{Event: rules.Event{Kind: rules.Ended, Request: s.ID, Outcome: rules.Handled}})
 		case 1:
-			d.play(Item{Event: rules.Event{Kind: rules.Left, Search: s.ID}, Client: f, Token: s.Tag})
-			d.act(d.clock.Now(), &rules.Action{Kind: rules.CallOff, Search: s.ID})
+			d.play(Item{Event: rules.Event{Kind: rules.Left, Request: s.ID}, Client: f, Token: s.Tag})
+			d.act(d.clock.Now(), &rules.Action{Kind: rules.CallOff, Request: s.ID})
 			d.rest()
 		default:
-			d.act(d.clock.Now(), &rules.Action{Kind: rules.Deny, Search: s.ID})
+			d.act(d.clock.Now(), &rules.Action{Kind: rules.Deny, Request: s.ID})
 		}
 	}
 	time.Sleep(250 * time.Millisecond) // all hard limits go by
 	d.timers.push(timer{at: d.clock.Now() + 1e6, what: tallies})
 	d.due()
-	assert.Equal(t, []int{0, 0, 1, 0}, []int{len(d.searches), len(d.spent), len(d.timers), d.Open()})
+	assert.Equal(t, []int{0, 0, 1, 0}, []int{len(d.requests), len(d.spent), len(d.timers), d.Open()})
 }
 
-// A shot that was stopped at the last step, as its client had gone: the module is told that the search is over, before the
+// An attempt that was stopped at the last step, as its client had gone: the module is told that the request is over, before the
 // word of it has come through the queue, and sends it nowhere else.
-func TestAShotStoppedForAClientThatLeftIsTheLast(t *testing.T) {
+func TestAnAttemptStoppedForAClientThatLeftIsTheLast(t *testing.T) {
 	f := &side{}
 	d, one := sent(f, nil)
-	s := d.searches["a"]
+	s := d.requests["a"]
 	s.Gone = &atomic.Bool{}
 	s.Gone.Store(true)
 	d.play(end(rules.Superseded))
 	assert.True(t, one.last(rules.Ended).Over)
 	assert.Zero(t, d.Open())
-	d.play(Item{Event: rules.Event{Kind: rules.Left, Search: "a"}, Client: f, Token: 5})
+	d.play(Item{Event: rules.Event{Kind: rules.Left, Request: "a"}, Client: f, Token: 5})
 	assert.Nil(t, one.last(rules.Left), "told once")
 	assert.Equal(t, uint64(1), d.tally.Left)
 	assert.Empty(t, f.did)
--- a/internal/desk/memory.go
+++ b/internal/desk/memory.go
@@ -12,7 +12,7 @@
 	WantsBeliefs(now float64) bool
 }
 
-// Question asks what became of a search, by its id or its mark. Reply is called by the desk's goroutine and must not wait.
+// Question asks what became of a request, by its id or its mark. Reply is called by the desk's goroutine and must not wait.
 type Question struct {
 	ID, Mark string
 	Reply    func(ledger.Effect)
@@ -31,13 +31,13 @@
 // Hear tells the memory, in its own words.
 func (r remembering) Hear(now float64, h *Happening, out []Follow) []Follow {
 	var ev ledger.Event
-	switch s := h.Search; h.Kind {
+	switch s := h.Request; h.Kind {
 	case Came:
 		ev = ledger.Event{Kind: ledger.Taken, ID: s.ID, Mark: s.Mark, Offering: s.Offering, Until: s.Until, Prior: h.Prior}
 	case Firing:
-		ev = ledger.Event{Kind: ledger.Fired, ID: s.ID, Shot: h.Shot, Executor: h.Executor}
+		ev = ledger.Event{Kind: ledger.Fired, ID: s.ID, Shot: h.Attempt, Executor: h.Executor}
 	case ShotOver:
-		ev = ledger.Event{Kind: ledger.ShotEnded, ID: s.ID, Shot: h.Shot, Unrun: h.Unrun}
+		ev = ledger.Event{Kind: ledger.ShotEnded, ID: s.ID, Shot: h.Attempt, Unrun: h.Unrun}
 	case Closed:
 		ev = ledger.Event{Kind: ledger.Closed, ID: s.ID, Outcome: h.Outcome, Body: h.Body}
 	case ListNews:
@@ -70,9 +70,9 @@
 		case ledger.Hold:
 			out = append(out, Follow{Kind: Hold})
 		case ledger.Release:
-			out = append(out, Follow{Kind: Release, ID: e.ID, Shot: e.Shot})
+			out = append(out, Follow{Kind: Release, ID: e.ID, Attempt: e.Shot})
 		case ledger.Refuse:
-			f := Follow{Kind: Withhold, ID: e.ID, Shot: e.Shot}
+			f := Follow{Kind: Withhold, ID: e.ID, Attempt: e.Shot}
 			if h.Kind == Firing { // its record could not even be lined up
 				f.Kind = Forbid
 			}
@@ -88,7 +88,7 @@
 	return out
 }
 
-// Remembers tells whether a part can say what became of searches.
+// Remembers tells whether a part can say what became of requests.
 func (d *Desk) Remembers() bool {
 	for _, p := range d.parts {
 		if _, ok := p.(remembering); ok {
@@ -98,17 +98,17 @@
 	return false
 }
 
-// told answers a search by what is on record.
-func (d *Desk) told(in *Search, f *Follow) {
+// told answers a request by what is on record.
+func (d *Desk) told(in *Request, f *Follow) {
 	reply(in, f.Outcome, f.Body, f.AfterMS)
 	d.open.Add(-1)
 	d.tally.Told++
 }
 
-// withhold ends a shot whose record can't be made to last. It never left, and no other may leave now.
+// withhold ends an attempt whose record can't be made to last. It never left, and no other may leave now.
 func (d *Desk) withhold(id string, n int) {
-	s := d.searches[id]
-	if s == nil || n >= s.fired || s.shots[n].run == nil {
+	s := d.requests[id]
+	if s == nil || n >= s.fired || s.attempts[n].run == nil {
 		return
 	}
 	before := len(d.later)
--- a/internal/desk/seam.go
+++ b/internal/desk/seam.go
@@ -14,16 +14,16 @@
 // HappeningKind tells what happens.
 type HappeningKind uint8
 
-// What happens to a search, in this order; then what happens besides.
+// What happens to a request, in this order; then what happens besides.
 const (
 	Arriving  HappeningKind = iota // first of all: a part may have it Await what others say; then it is on its own until Resume or Settle
 	Departed                       // the client of one that awaits has left
 	Came                           // before it is entered, with the Prior that is known: a part may Answer or Admit it
 	Entered                        // before the module has it: a part may Detain it
-	Firing                         // a shot is about to be made: a part may Hold or Forbid it
+	Firing                         // an attempt is about to be made: a part may Hold or Forbid it
 	Fired                          // it has been made, and may be on its way
 	ShotOver                       // it has its outcome
-	GivenBack                      // the module does not have the search any more
+	GivenBack                      // the module does not have the request any more
 	Denying                        // it is being denied: a part may say when to ComeBack
 	Ending                         // it is about to be answered: a part may KeepBack the answer until LetGo
 	Closed                         // it has its final answer, or its client left
@@ -39,8 +39,8 @@
 // Happening is one thing that happens. Only the fields of its kind are set.
 type Happening struct {
 	Kind     HappeningKind
-	Search   *Search // of what happens to one
-	Shot     int
+	Request  *Request // of what happens to one
+	Attempt  int
 	Executor uint32 // Firing
 	GrantMB  float64
 	Unrun    bool           // ShotOver: the outcome proves that it never ran
@@ -78,8 +78,8 @@
 	Forbid                     // Firing: it must not leave, and no other may now
 	ComeBack                   // Denying: after AfterMS
 	Mine                       // Letter, Inquiry
-	Release                    // Shot of ID leaves
-	Withhold                   // Shot of ID must not leave
+	Release                    // Attempt of ID leaves
+	Withhold                   // Attempt of ID must not leave
 	Recall                     // Event is for the module
 	Offer                      // the module gets ID, to start at Start with Part of its memory; Barred: to be denied; Now: or given back
 	Press                      // ID is held under Start
@@ -91,7 +91,7 @@
 type Follow struct {
 	Kind    FollowKind
 	ID      string
-	Shot    int
+	Attempt int
 	Prior   rules.Prior
 	Barred  bool
 	Outcome ledger.Outcome
@@ -105,7 +105,7 @@
 	StartMS float64
 	EndMS   float64
 	Event   rules.Event
-	New     *Search
+	New     *Request
 	Ask     *Question
 }
 
@@ -173,7 +173,7 @@
 		case Resume:
 			if in := d.awaiting[f.ID]; in != nil {
 				delete(d.awaiting, f.ID)
-				d.later = append(d.later, Item{Event: rules.Event{Kind: rules.Taken, Prior: f.Prior, Barred: f.Barred}, Search: in, resumed: true})
+				d.later = append(d.later, Item{Event: rules.Event{Kind: rules.Taken, Prior: f.Prior, Barred: f.Barred}, Request: in, resumed: true})
 			}
 		case Settle:
 			if in := d.awaiting[f.ID]; in != nil {
@@ -182,10 +182,10 @@
 			}
 		case Adopt:
 			d.open.Add(1)
-			d.later = append(d.later, Item{Event: rules.Event{Kind: rules.Taken, Prior: f.Prior}, Search: f.New, resumed: true})
+			d.later = append(d.later, Item{Event: rules.Event{Kind: rules.Taken, Prior: f.Prior}, Request: f.New, resumed: true})
 		case Dismiss:
-			if s := d.searches[f.ID]; s != nil {
-				d.later = append(d.later, Item{Event: rules.Event{Kind: rules.Left, Search: f.ID}, Client: s.Client, Token: s.Tag})
+			if s := d.requests[f.ID]; s != nil {
+				d.later = append(d.later, Item{Event: rules.Event{Kind: rules.Left, Request: f.ID}, Client: s.Client, Token: s.Tag})
 			}
 		case LetGo:
 			d.letGo(f)
@@ -198,9 +198,9 @@
 		case Mine:
 			v.mine = true
 		case Release:
-			d.let(f.ID, f.Shot)
+			d.let(f.ID, f.Attempt)
 		case Withhold:
-			d.withhold(f.ID, f.Shot)
+			d.withhold(f.ID, f.Attempt)
 		case Recall:
 			d.later = append(d.later, Item{Event: f.Event})
 		case Offer, Press:
@@ -213,9 +213,9 @@
 	}
 }
 
-// foretell tells a client that asked for it how long its search waits.
+// foretell tells a client that asked for it how long its request waits.
 func (d *Desk) foretell(f *Follow) {
-	s := d.searches[f.ID]
+	s := d.requests[f.ID]
 	if s == nil || s.answered || s.fired > 0 || !s.Waits {
 		return
 	}
@@ -226,7 +226,7 @@
 
 // offer hands the module what was in line, or tells it that one is held down, or no more.
 func (d *Desk) offer(o *Follow) {
-	s := d.searches[o.ID]
+	s := d.requests[o.ID]
 	if s == nil || s.answered {
 		return // it has gone meanwhile
 	}
@@ -236,22 +236,22 @@
 			return
 		}
 		s.inLine = false
-		d.step(&rules.Event{Kind: rules.Taken, Search: s.ID, Offering: s.Offering, Group: s.Group, Key: s.Key, NeedMB: s.NeedMB,
+		d.step(&rules.Event{Kind: rules.Taken, Request: s.ID, Offering: s.Offering, Group: s.Group, Key: s.Key, NeedMB: s.NeedMB,
 			WorkMS: s.WorkMS, Until: s.Until, Repeat: s.Repeat, Prior: s.prior, Barred: s.barred || o.Barred, Start: o.Start,
 			Part: o.Part, Now: o.Now})
 	case Press:
-		d.step(&rules.Event{Kind: rules.Pressed, Search: s.ID, Start: o.Start, Part: o.Part})
+		d.step(&rules.Event{Kind: rules.Pressed, Request: s.ID, Start: o.Start, Part: o.Part})
 	}
 	d.release(s)
 }
 
-// let lets a shot leave whose record lasts, unless its connection asks for more time.
+// let lets an attempt leave whose record lasts, unless its connection asks for more time.
 func (d *Desk) let(id string, n int) {
-	s := d.searches[id]
-	if s == nil || n >= s.fired || s.shots[n].run == nil {
+	s := d.requests[id]
+	if s == nil || n >= s.fired || s.attempts[n].run == nil {
 		return // it was called off meanwhile
 	}
-	h := &s.shots[n]
+	h := &s.attempts[n]
 	if h.holds--; h.holds > 0 {
 		return // another part holds it still
 	}
@@ -278,9 +278,9 @@
 	d.rest()
 }
 
-// ask answers a question about a search. One that is open here has no outcome yet, whatever is on record.
+// ask answers a question about a request. One that is open here has no outcome yet, whatever is on record.
 func (d *Desk) ask(q *Question) {
-	if q.ID != "" && d.searches[q.ID] != nil && !d.searches[q.ID].answered {
+	if q.ID != "" && d.requests[q.ID] != nil && !d.requests[q.ID].answered {
 		q.Reply(ledger.Effect{Outcome: ledger.Open})
 		return
 	}
@@ -299,39 +299,39 @@
 	q.Reply(ledger.Effect{})
 }
 
-// conclude gives a search its final answer, unless a part keeps that back: then it is given at LetGo.
-func (d *Desk) conclude(s *search, as ledger.Outcome, body []byte, afterMS, spentMS float64) {
-	if d.happen(Happening{Kind: Ending, Search: &s.Search, Outcome: as, Body: body}).keep {
+// conclude gives a request its final answer, unless a part keeps that back: then it is given at LetGo.
+func (d *Desk) conclude(s *request, as ledger.Outcome, body []byte, afterMS, spentMS float64) {
+	if d.happen(Happening{Kind: Ending, Request: &s.Request, Outcome: as, Body: body}).keep {
 		s.ending = true
 		d.open.Add(1) // until it is let go
 	} else if as == ledger.Handled {
 		s.Client.Handled(s.Tag, body)
 	} else {
-		reply(&s.Search, as, body, afterMS)
+		reply(&s.Request, as, body, afterMS)
 	}
 	d.answered(s, as, body, spentMS)
 }
 
-// letGo gives the answer that was kept back, or what has become of the search instead.
+// letGo gives the answer that was kept back, or what has become of the request instead.
 func (d *Desk) letGo(f *Follow) {
-	s := d.searches[f.ID]
+	s := d.requests[f.ID]
 	if s == nil || !s.ending {
 		return
 	}
 	s.ending = false
 	d.open.Add(-1)
-	reply(&s.Search, f.Outcome, f.Body, f.AfterMS)
+	reply(&s.Request, f.Outcome, f.Body, f.AfterMS)
 	d.release(s)
 }
 
-// reply tells a client how its search ended.
-func reply(s *Search, as ledger.Outcome, body []byte, afterMS float64) {
+// reply tells a client how its request ended.
+func reply(s *Request, as ledger.Outcome, body []byte, afterMS float64) {
 	switch {
 	case as == ledger.Handled && body != nil:
 		s.Client.Handled(s.Tag, body)
 	case as == ledger.Denied:
 		s.Client.Denied(s.Tag, afterMS)
 	default:
-		s.Client.WrittenOff(s.Tag)
+		s.Client.Failed(s.Tag)
 	}
 }
--- a/internal/desk/tally.go
+++ b/internal/desk/tally.go
@@ -13,19 +13,19 @@
 
 // Tally counts what went by. Times are milliseconds.
 type Tally struct {
-	Taken, Handled, Denied, WrittenOff, Left uint64
-	Late                                     uint64 // not answered by their hard limit
-	Twice                                    uint64 // searches under an id that was still open
-	Told                                     uint64 // answered by what is on record
-	Stray                                    uint64 // ends and notes of shots that had ended
-	Probes                                   uint64
-	Ends                                     [rules.Superseded + 1]uint64
+	Taken, Handled, Denied, Failed, Left uint64
+	Late                                 uint64 // not answered by their hard limit
+	Twice                                uint64 // requests under an id that was still open
+	Told                                 uint64 // answered by what is on record
+	Stray                                uint64 // ends and notes of attempts that had ended
+	Probes                               uint64
+	Ends                                 [rules.Superseded + 1]uint64
 
 	items, steps        uint64
 	waitSum, waitMost   float64
 	stepSum, stepMost   float64
 	waitsLong, stepLong uint64
-	holds               uint64 // shots that were held until what must last did
+	holds               uint64 // attempts that were held until what must last did
 	holdSum             float64
 }
 
@@ -55,7 +55,7 @@
 // tell logs the counters; the times start anew with each line.
 func (d *Desk) tell(line string) {
 	t := &d.tally
-	f := logrus.Fields{"taken": t.Taken, "handled": t.Handled, "denied": t.Denied, "written_off": t.WrittenOff,
+	f := logrus.Fields{"taken": t.Taken, "handled": t.Handled, "denied": t.Denied, "written_off": t.Failed,
 		"left": t.Left, "late": t.Late, "twice": t.Twice, "told": t.Told, "stray": t.Stray, "probes": t.Probes, "open": d.Open(), "spent": len(d.spent), "queue": len(d.queue),
 		"wait_ms": t.waitSum / float64(max(1, t.items)), "wait_most_ms": t.waitMost, "waits_long": t.waitsLong,
 		"step_ms": t.stepSum / float64(max(1, t.steps)), "step_most_ms": t.stepMost, "steps_long": t.stepLong,
@@ -76,7 +76,7 @@
 	t.items, t.steps, t.waitSum, t.waitMost, t.stepSum, t.stepMost, t.waitsLong, t.stepLong = 0, 0, 0, 0, 0, 0, 0, 0
 }
 
-// compare logs what the module believes of each executor beside what the sockets have. Shots may differ by ends that
+// compare logs what the module believes of each executor beside what the sockets have. Attempts may differ by ends that
 // stand in the queue, no further.
 func (d *Desk) compare() {
 	one, ok := d.one.(believer)
@@ -85,7 +85,7 @@
 	}
 	for _, b := range one.Beliefs(d.clock.Now(), nil) {
 		has := d.Executors.Holds(b.Executor)
-		d.log.WithFields(logrus.Fields{"executor": has.Name, "id": b.Executor, "out": b.Out, "open": has.Shots,
+		d.log.WithFields(logrus.Fields{"executor": has.Name, "id": b.Executor, "out": b.Out, "open": has.Attempts,
 			"connections": has.Connections, "quiet_ms": math.Round(has.QuietMS), "threads": b.Threads, "bad": b.Bad, "standing": b.Standing,
 			"aside": b.Aside, "cold": b.Cold, "heard_ms": math.Round(b.HeardMS), "report_ms": math.Round(b.ReportMS)}).Info("belief")
 	}
--- a/internal/desk/timers.go
+++ b/internal/desk/timers.go
@@ -22,9 +22,9 @@
 
 const (
 	wakes    alarm = iota // the module asked for it
-	limits                // the hard limit of a search
+	limits                // the hard limit of a request
 	probes                // an unanswered probe counts as missed
-	releases              // a shot held back goes out
+	releases              // an attempt held back goes out
 	tallies               // counters are due in the log
 	ticks                 // the memory looks at its own
 )
@@ -33,7 +33,7 @@
 	at       float64
 	what     alarm
 	token    uint64
-	search   string
+	request  string
 	executor uint32
 	run      Run
 }
--- a/internal/estate/helpers_test.go
+++ b/internal/estate/helpers_test.go
@@ -188,7 +188,7 @@
 func (w *world) balance() {
 	for k, e := range w.ends {
 		c := e.Counts()
-		require.Equal(w.t, c.Held, c.Settled+c.Adopted+c.WrittenOff+c.Dropped+c.Open, "n%d: %+v", k, c)
+		require.Equal(w.t, c.Held, c.Settled+c.Adopted+c.Failed+c.Dropped+c.Open, "n%d: %+v", k, c)
 	}
 }
 
--- a/internal/estate/holder.go
+++ b/internal/estate/holder.go
@@ -347,7 +347,7 @@
 
 func (e *Estate) countEnd(k *kept) {
 	if k.Outcome == WrittenOff {
-		e.counts.WrittenOff++
+		e.counts.Failed++
 	} else {
 		e.counts.Settled++
 	}
--- a/internal/estate/types.go
+++ b/internal/estate/types.go
@@ -266,10 +266,10 @@
 
 // Counts are what the estate counts. Held = Settled + Adopted + WrittenOff + Dropped + Open.
 type Counts struct {
-	Held, Settled, Adopted, WrittenOff, Dropped, Open uint64 // copies here, by what became of them
-	Registered, Waited, Told, Refused, Withheld       uint64 // searches of one's own clients
-	Claims, Taken, TakenDone, Late                    uint64 // what this one inherited
-	Alone                                             uint64 // shots that left without the others
-	Words, Lost, Pulled                               uint64
-	Copies, Mine, Waiting                             int
+	Held, Settled, Adopted, Failed, Dropped, Open uint64 // copies here, by what became of them
+	Registered, Waited, Told, Refused, Withheld   uint64 // searches of one's own clients
+	Claims, Taken, TakenDone, Late                uint64 // what this one inherited
+	Alone                                         uint64 // shots that left without the others
+	Words, Lost, Pulled                           uint64
+	Copies, Mine, Waiting                         int
 }
--- a/internal/installation/budgets.go
+++ b/internal/installation/budgets.go
@@ -49,7 +49,7 @@
 }
 
 // Whose tells the team of a search.
-func (t *teams) Whose(s *desk.Search) string {
+func (t *teams) Whose(s *desk.Request) string {
 	t.seen = s.Waits
 	team := t.file.Whose.Of(s.Team, s.From, s.Offering, s.Schema)
 	if team == "" {
--- a/internal/keeper/helpers_test.go
+++ b/internal/keeper/helpers_test.go
@@ -181,7 +181,7 @@
 }
 func (b *box) Handled(tag uint64, _ []byte) { b.put(tag, "handled") }
 func (b *box) Denied(tag uint64, _ float64) { b.put(tag, "denied") }
-func (b *box) WrittenOff(tag uint64)        { b.put(tag, "written off") }
+func (b *box) Failed(tag uint64)            { b.put(tag, "written off") }
 func (b *box) get(tag uint64) string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -109,11 +109,11 @@
 
 type flight struct {
 	f    *fleet
-	shot desk.Shot
+	shot desk.Attempt
 	gone atomic.Bool
 }
 
-func (f *fleet) Send(s desk.Shot) (desk.Run, float64) {
+func (f *fleet) Send(s desk.Attempt) (desk.Run, float64) {
 	r := &flight{f: f, shot: s}
 	if !s.Held {
 		r.Release()
@@ -124,7 +124,7 @@
 func (r *flight) Release() {
 	if r.gone.CompareAndSwap(false, true) {
 		r.f.sent.Add(1)
-		go r.f.desk.Put(desk.Item{Event: rules.Event{Kind: rules.Ended, Search: r.shot.Search.ID, Shot: r.shot.N}, Body: []byte("rows")})
+		go r.f.desk.Put(desk.Item{Event: rules.Event{Kind: rules.Ended, Request: r.shot.Request.ID, Attempt: r.shot.N}, Body: []byte("rows")})
 	}
 }
 
@@ -176,7 +176,7 @@
 		ask := func(offering string) string {
 			tag++
 			at := tag
-			s := &desk.Search{ID: fmt.Sprint("s", at), Offering: offering, WorkMS: 1, NeedMB: 1, Until: float64(time.Now().UnixMilli()) + 5000,
+			s := &desk.Request{ID: fmt.Sprint("s", at), Offering: offering, WorkMS: 1, NeedMB: 1, Until: float64(time.Now().UnixMilli()) + 5000,
 				Client: b, Tag: at}
 			if offering == "mark" {
 				s.Mark = fmt.Sprint("m", at)
@@ -221,11 +221,11 @@
 	d, f, k := desks(t, disk)
 	b := &box{answers: map[uint64]string{}}
 	until := float64(time.Now().UnixMilli()) + 5000
-	d.Take(&desk.Search{ID: "w", Offering: "look", WorkMS: 1, Until: until, Client: b, Tag: 1})
+	d.Take(&desk.Request{ID: "w", Offering: "look", WorkMS: 1, Until: until, Client: b, Tag: 1})
 	require.Eventually(t, func() bool { return b.get(1) == "handled" }, 5*time.Second, time.Millisecond)
 	closed.Store(true)
-	d.Take(&desk.Search{ID: "a", Offering: "mark", Mark: "m", WorkMS: 1, Until: until, Client: b, Tag: 2})
-	d.Take(&desk.Search{ID: "b", Offering: "look", WorkMS: 1, Until: until, Client: b, Tag: 3})
+	d.Take(&desk.Request{ID: "a", Offering: "mark", Mark: "m", WorkMS: 1, Until: until, Client: b, Tag: 2})
+	d.Take(&desk.Request{ID: "b", Offering: "look", WorkMS: 1, Until: until, Client: b, Tag: 3})
 	require.Eventually(t, func() bool { return b.get(3) == "handled" }, 5*time.Second, time.Millisecond)
 	assert.NotEqual(t, "handled", b.get(2))
 	assert.EqualValues(t, 2, f.sent.Load())
--- a/internal/lab/zones.go
+++ b/internal/lab/zones.go
@@ -151,8 +151,8 @@
 				for range 2000 {
 					n++
 					id, now := fmt.Sprint(n), float64(1000+n)
-					g.Step(now, &rules.Event{Kind: rules.Taken, Search: id, Offering: "look", Group: uint64(n), WorkMS: 10, Until: now + 5000}, nil)
-					g.Step(now, &rules.Event{Kind: rules.Ended, Search: id, Outcome: rules.Handled, Over: true}, nil)
+					g.Step(now, &rules.Event{Kind: rules.Taken, Request: id, Offering: "look", Group: uint64(n), WorkMS: 10, Until: now + 5000}, nil)
+					g.Step(now, &rules.Event{Kind: rules.Ended, Request: id, Outcome: rules.Handled, Over: true}, nil)
 				}
 			})
 		}
--- a/internal/scout/scout.go
+++ b/internal/scout/scout.go
@@ -301,9 +301,9 @@
 func (t *Scout) Hear(now float64, h *desk.Happening, out []desk.Follow) []desk.Follow {
 	switch h.Kind {
 	case desk.Entered:
-		t.wants += t.threads[h.Search.Offering]
+		t.wants += t.threads[h.Request.Offering]
 	case desk.Closed:
-		t.wants = max(0, t.wants-t.threads[h.Search.Offering])
+		t.wants = max(0, t.wants-t.threads[h.Request.Offering])
 	case desk.ListNews:
 		t.deaf = false
 		t.list(h.List)
--- a/internal/scout/scout_test.go
+++ b/internal/scout/scout_test.go
@@ -21,12 +21,12 @@
 	s := New(zones.New("a", "z0", "r", zones.BoundsOf(nil)), "a", rules.Given{"kind.0.name": "big", "kind.0.cores": 8.0, "offering.0.name": "look",
 		"offering.0.threads": 4.0}, nil, nil, nil, nil, log)
 	hear := func(h desk.Happening) { assert.Empty(t, s.Hear(1, &h, nil)) }
-	hear(desk.Happening{Kind: desk.Entered, Search: &desk.Search{Offering: "look"}})
-	hear(desk.Happening{Kind: desk.Entered, Search: &desk.Search{Offering: "look"}})
-	hear(desk.Happening{Kind: desk.Closed, Search: &desk.Search{Offering: "look"}})
+	hear(desk.Happening{Kind: desk.Entered, Request: &desk.Request{Offering: "look"}})
+	hear(desk.Happening{Kind: desk.Entered, Request: &desk.Request{Offering: "look"}})
+	hear(desk.Happening{Kind: desk.Closed, Request: &desk.Request{Offering: "look"}})
 	assert.Equal(t, 4.0, s.wants)
-	hear(desk.Happening{Kind: desk.Closed, Search: &desk.Search{Offering: "look"}})
-	hear(desk.Happening{Kind: desk.Closed, Search: &desk.Search{Offering: "look"}})
+	hear(desk.Happening{Kind: desk.Closed, Request: &desk.Request{Offering: "look"}})
+	hear(desk.Happening{Kind: desk.Closed, Request: &desk.Request{Offering: "look"}})
 	assert.Zero(t, s.wants, "never below")
 	hear(desk.Happening{Kind: desk.ListLost})
 	assert.True(t, s.deaf)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -19,7 +19,7 @@
 // Shares of the limits. They bound memory and sockets and decide nothing.
 const (
 	heapShare    = 0.7  // of the memory, for Go's own limit: the rest is for stacks, sockets and what is not yet swept
-	heldShare    = 0.12 // of the memory, for each of the bodies of open searches, and what waits to be written
+	heldShare    = 0.12 // of the memory, for each of the bodies of open requests, and what waits to be written
 	heapGrowth   = 400  // percent that the heap grows between collections, as long as the limit is far
 	clientsShare = 0.55 // of the descriptors
 	linksShare   = 0.3  // of the descriptors, for executors
@@ -31,7 +31,7 @@
 
 // The protocol's times, for a list out of reach and for a planned stop.
 const (
-	frontLeaves = 700 * time.Millisecond // the front has left by then, and its last search has come
+	frontLeaves = 700 * time.Millisecond // the front has left by then, and its last request has come
 	longestStop = 3 * time.Second        // the longest hard limit that the stop waits for
 	toldWithin  = 7 * time.Second        // what the change log has to tell counts as told by then, heard or not
 	stopLook    = 10 * time.Millisecond
@@ -165,7 +165,7 @@
 			return offerings, time.Duration(longest * float64(time.Millisecond))
 		}
 		limit := g.Num(at+"limit_ms", 0)
-		offerings[name] = wire.Offering{Labelled: g.Text(at+"effect") == "labelled", LimitMS: limit}
+		offerings[name] = wire.Offering{Keyed: g.Text(at+"effect") == "labelled", LimitMS: limit}
 		longest = max(longest, limit)
 	}
 }
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -47,7 +47,7 @@
 	return n
 }
 
-// silentExecutor takes shots and never answers; it tells what it read.
+// silentExecutor takes attempts and never answers; it tells what it read.
 func silentExecutor(t *testing.T) (string, chan string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -94,7 +94,7 @@
 	return string(b[2:])
 }
 
-// A planned stop goes on accepting until the front has left, answers all it has taken, long searches too, and
+// A planned stop goes on accepting until the front has left, answers all it has taken, long requests too, and
 // leaves nothing behind.
 func TestAPlannedStopAnswersAllAndLeavesNothing(t *testing.T) {
 	executor, heard := silentExecutor(t)
--- a/internal/simfleet/estates.go
+++ b/internal/simfleet/estates.go
@@ -572,7 +572,7 @@
 	for k, end := range s.Ends {
 		c := end.Estate.Counts()
 		o.Adopted, o.Claims = o.Adopted+int(c.Taken), o.Claims+int(c.Claims)
-		if c.Held != c.Settled+c.Adopted+c.WrittenOff+c.Dropped+c.Open {
+		if c.Held != c.Settled+c.Adopted+c.Failed+c.Dropped+c.Open {
 			wrong("the counts of %d do not add up: %+v", k, c)
 		}
 		for name, n := range end.Estate.Orphans() {
--- a/internal/simfleet/zones.go
+++ b/internal/simfleet/zones.go
@@ -211,9 +211,9 @@
 				p.step(k, ev)
 			})
 		case rules.CallOff:
-			p.end(k, a.Search, a.Shot, rules.Recalled)
-		case rules.Deny, rules.WriteOff:
-			p.answer(k, a.Search, false)
+			p.end(k, a.Request, a.Attempt, rules.Recalled)
+		case rules.Deny, rules.Fail:
+			p.answer(k, a.Request, false)
 		}
 	}
 }
@@ -226,7 +226,7 @@
 }
 
 func (p *betweenPlay) send(k int, a *rules.Action) {
-	e, x := p.engines[a.Executor-1], p.open[k][a.Search]
+	e, x := p.engines[a.Executor-1], p.open[k][a.Request]
 	if x == nil || x.over {
 		return
 	}
@@ -235,11 +235,11 @@
 	p.after(p.way(k, e)/2, func() {
 		if !e.up {
 			p.after(1, func() {
-				p.step(k, &rules.Event{Kind: rules.Ended, Search: a.Search, Shot: shot, Executor: e.id, Outcome: rules.Refused})
+				p.step(k, &rules.Event{Kind: rules.Ended, Request: a.Request, Attempt: shot, Executor: e.id, Outcome: rules.Refused})
 			})
 			return
 		}
-		e.jobs = append(e.jobs, &shotOut{by: k, shot: shot, search: a.Search, left: simWork, began: p.now, engine: e})
+		e.jobs = append(e.jobs, &shotOut{by: k, shot: shot, search: a.Request, left: simWork, began: p.now, engine: e})
 		p.pushed(e)
 		if p.Lost > p.now && p.now > 3000 {
 			p.nearN[0]++
@@ -279,7 +279,7 @@
 	e.jobs = nil
 	for _, j := range jobs {
 		p.after(1, func() {
-			p.step(j.by, &rules.Event{Kind: rules.Ended, Search: j.search, Shot: j.shot, Executor: e.id, Outcome: rules.Severed})
+			p.step(j.by, &rules.Event{Kind: rules.Ended, Request: j.search, Attempt: j.shot, Executor: e.id, Outcome: rules.Severed})
 		})
 	}
 }
@@ -288,7 +288,7 @@
 	for _, e := range p.engines {
 		e.jobs = slices.DeleteFunc(e.jobs, func(j *shotOut) bool { return j.by == k && j.search == id && j.shot == shot })
 	}
-	p.after(0.1, func() { p.step(k, &rules.Event{Kind: rules.Ended, Search: id, Shot: shot, Outcome: as}) })
+	p.after(0.1, func() { p.step(k, &rules.Event{Kind: rules.Ended, Request: id, Attempt: shot, Outcome: as}) })
 }
 
 func (p *betweenPlay) answer(k int, id string, handled bool) {
@@ -374,7 +374,7 @@
 		}
 		p.open[k][id] = &asked{at: p.now, by: k}
 		p.wants[k]++
-		p.step(k, &rules.Event{Kind: rules.Taken, Search: id, Offering: "look", Group: group, NeedMB: 1, WorkMS: simWork, Until: p.now + simWarm + 5000})
+		p.step(k, &rules.Event{Kind: rules.Taken, Request: id, Offering: "look", Group: group, NeedMB: 1, WorkMS: simWork, Until: p.now + simWarm + 5000})
 		p.arrive(k, rate, at)
 	})
 }
@@ -410,7 +410,7 @@
 			}
 			p.after(p.way(j.by, e)/2, func() {
 				p.answer(j.by, j.search, true)
-				p.step(j.by, &rules.Event{Kind: rules.Ended, Search: j.search, Shot: j.shot, Executor: e.id, Outcome: rules.Handled, TookMS: p.now - j.began, Over: true})
+				p.step(j.by, &rules.Event{Kind: rules.Ended, Request: j.search, Attempt: j.shot, Executor: e.id, Outcome: rules.Handled, TookMS: p.now - j.began, Over: true})
 			})
 		}
 		e.jobs = rest
--- a/internal/trustee/trustee.go
+++ b/internal/trustee/trustee.go
@@ -149,7 +149,7 @@
 		c = *p
 	}
 	return logrus.Fields{"copies": c.Copies, "open": c.Open, "held_copies": c.Held, "settled": c.Settled, "adopted": c.Adopted,
-		"written_off": c.WrittenOff, "dropped": c.Dropped, "mine": c.Mine, "waiting": c.Waiting, "registered": c.Registered, "waited": c.Waited,
+		"written_off": c.Failed, "dropped": c.Dropped, "mine": c.Mine, "waiting": c.Waiting, "registered": c.Registered, "waited": c.Waited,
 		"told": c.Told, "refused": c.Refused, "withheld": c.Withheld, "alone": c.Alone, "claims": c.Claims, "taken": c.Taken,
 		"taken_done": c.TakenDone, "late": c.Late, "words": c.Words, "lost": c.Lost, "pulled": c.Pulled, "calls": t.Calls.Load(),
 		"calls_failed": t.Failed.Load(), "lined_up_too_long": t.Dropped.Load(),
@@ -167,7 +167,7 @@
 // Hear tells the estate, in its own words.
 func (t *Trustee) Hear(now float64, h *desk.Happening, out []desk.Follow) []desk.Follow {
 	var ev estate.Event
-	switch s := h.Search; h.Kind {
+	switch s := h.Request; h.Kind {
 	case desk.Arriving:
 		ev = estate.Event{Kind: estate.Arrives, ID: s.ID, Copy: &estate.Copy{Until: s.Until, Work: estate.Work{ID: s.ID, Mark: s.Mark,
 			Offering: s.Offering, Order: s.Key, Team: s.Team, Schema: s.Schema, Group: s.Group, NeedMB: s.NeedMB, WorkMS: s.WorkMS, Body: s.Body}}}
@@ -175,9 +175,9 @@
 		ev = estate.Event{Kind: estate.Gone, ID: s.ID}
 	case desk.Firing:
 		at := t.where[h.Executor]
-		ev = estate.Event{Kind: estate.Firing, ID: s.ID, Shot: h.Shot, Place: at.Place, Cell: at.Cell}
+		ev = estate.Event{Kind: estate.Firing, ID: s.ID, Shot: h.Attempt, Place: at.Place, Cell: at.Cell}
 	case desk.ShotOver:
-		ev = estate.Event{Kind: estate.ShotOver, ID: s.ID, Shot: h.Shot, Unrun: h.Unrun}
+		ev = estate.Event{Kind: estate.ShotOver, ID: s.ID, Shot: h.Attempt, Unrun: h.Unrun}
 	case desk.Ending:
 		ev = estate.Event{Kind: estate.Ending, ID: s.ID, Outcome: outcomes[h.Outcome], Answer: h.Body}
 	case desk.Closed:
@@ -265,9 +265,9 @@
 		case estate.Forbid:
 			out = append(out, desk.Follow{Kind: desk.Hold}, desk.Follow{Kind: desk.Forbid})
 		case estate.Release:
-			out = append(out, desk.Follow{Kind: desk.Release, ID: e.ID, Shot: e.Shot})
+			out = append(out, desk.Follow{Kind: desk.Release, ID: e.ID, Attempt: e.Shot})
 		case estate.Withhold:
-			out = append(out, desk.Follow{Kind: desk.Withhold, ID: e.ID, Shot: e.Shot})
+			out = append(out, desk.Follow{Kind: desk.Withhold, ID: e.ID, Attempt: e.Shot})
 		case estate.KeepBack:
 			out = append(out, desk.Follow{Kind: desk.KeepBack})
 		case estate.LetGo:
@@ -276,7 +276,7 @@
 			out = append(out, desk.Follow{Kind: desk.Dismiss, ID: e.ID})
 		case estate.Adopt:
 			c := e.Copy
-			out = append(out, desk.Follow{Kind: desk.Adopt, Prior: e.Prior, New: &desk.Search{ID: c.ID, Offering: c.Offering, Key: c.Order,
+			out = append(out, desk.Follow{Kind: desk.Adopt, Prior: e.Prior, New: &desk.Request{ID: c.ID, Offering: c.Offering, Key: c.Order,
 				Mark: c.Mark, Group: c.Group, NeedMB: c.NeedMB, WorkMS: c.WorkMS, Until: c.Until, Team: c.Team, Schema: c.Schema,
 				Repeat: true, Body: c.Body, Client: nobody{}}})
 		case estate.Say:
@@ -334,4 +334,4 @@
 
 func (nobody) Handled(uint64, []byte) {}
 func (nobody) Denied(uint64, float64) {}
-func (nobody) WrittenOff(uint64)      {}
+func (nobody) Failed(uint64)          {}
--- a/internal/wire/crossings_test.go
+++ b/internal/wire/crossings_test.go
@@ -31,21 +31,21 @@
 }
 
 // What happens between the decision and the socket is seen at the last step: nothing leaves, and it is told as never sent.
-func TestAShotThatMayNotBeginAnyMoreNeverLeaves(t *testing.T) {
-	for name, cross := range map[string]func(*Fleet, *desk.Shot){
-		"its client has gone": func(_ *Fleet, s *desk.Shot) { s.Search.Gone.Store(true) },
-		"its executor drains": func(f *Fleet, _ *desk.Shot) {
+func TestAnAttemptThatMayNotBeginAnyMoreNeverLeaves(t *testing.T) {
+	for name, cross := range map[string]func(*Fleet, *desk.Attempt){
+		"its client has gone": func(_ *Fleet, s *desk.Attempt) { s.Request.Gone.Store(true) },
+		"its executor drains": func(f *Fleet, _ *desk.Attempt) {
 			f.update(false, []listed{{rules.Entry{Executor: 1, Standing: rules.Leaving}, "s-1", f.machines[1].address}})
 		},
-		"its executor is gone": func(f *Fleet, _ *desk.Shot) { f.update(true, nil) },
-		"a new executor has the address": func(f *Fleet, _ *desk.Shot) {
+		"its executor is gone": func(f *Fleet, _ *desk.Attempt) { f.update(true, nil) },
+		"a new executor has the address": func(f *Fleet, _ *desk.Attempt) {
 			f.update(false, []listed{{rules.Entry{Executor: 2}, "s-2", f.machines[1].address}})
 		},
-		"its time is over": func(*Fleet, *desk.Shot) { time.Sleep(60 * time.Millisecond) },
+		"its time is over": func(*Fleet, *desk.Attempt) { time.Sleep(60 * time.Millisecond) },
 	} {
 		f, m, e, up := lateFleet(t)
 		shot := shotOf("a")
-		shot.Search.Gone = &atomic.Bool{}
+		shot.Request.Gone = &atomic.Bool{}
 		if name == "its time is over" {
 			shot.By = f.clock.Now() + 50
 		}
@@ -63,8 +63,8 @@
 	}
 }
 
-// A second copy of an end, some ms later, must not pass for the end of the next shot of the same search.
-func TestAnEndToldTwiceEndsNoOtherShot(t *testing.T) {
+// A second copy of an end, some ms later, must not pass for the end of the next attempt of the same request.
+func TestAnEndToldTwiceEndsNoOtherAttempt(t *testing.T) {
 	for _, word := range []string{"full", "failed", "moot"} {
 		e := standIn(t, "127.0.0.1:0")
 		f, m := fleetOf(t, e.listener.Addr().String(), 15000)
@@ -83,7 +83,7 @@
 		assert.Eventually(t, func() bool { return f.Strays.Load() == 2 }, 3*time.Second, time.Millisecond)
 		say(second, "a", "data", "-", "x\ty\tz\n")
 		it := m.next(t)
-		assert.Equal(t, []any{rules.Handled, 1}, []any{it.Event.Outcome, it.Event.Shot}, word)
+		assert.Equal(t, []any{rules.Handled, 1}, []any{it.Event.Outcome, it.Event.Attempt}, word)
 		assert.Empty(t, m)
 	}
 }
@@ -96,7 +96,7 @@
 	f, m := fleetOf(t, l.Addr().String(), 15000)
 	f.links, f.connect = 1, time.Minute
 	big := shotOf("big")
-	big.Search.Body = bytes.Repeat([]byte("x"), 32<<20) // more than the system holds for both sides
+	big.Request.Body = bytes.Repeat([]byte("x"), 32<<20) // more than the system holds for both sides
 	f.Send(big)
 	c, err := l.Accept()
 	require.NoError(t, err)
@@ -115,7 +115,7 @@
 	ends := map[string]rules.Outcome{}
 	for range 2 {
 		it := m.next(t)
-		ends[it.Event.Search] = it.Event.Outcome
+		ends[it.Event.Request] = it.Event.Outcome
 	}
 	assert.Equal(t, map[string]rules.Outcome{"big": rules.Severed, "c": rules.Refused}, ends)
 }
@@ -124,9 +124,9 @@
 func TestAClientThatReadsNothingIsHeard(t *testing.T) {
 	_, m, c, _ := door(t, Doors{})
 	ask(c, look(1, "a"))
-	first := m.next(t).Search
+	first := m.next(t).Request
 	ask(c, look(2, "b"))
-	second := m.next(t).Search
+	second := m.next(t).Request
 	pipe := first.Client.(*client)
 	pipe.patient = time.Minute // nothing but the word itself may end it
 	first.Client.Handled(first.Tag, make([]byte, 24<<20))
@@ -134,7 +134,7 @@
 	time.Sleep(2 * writeTurn) // into the stuck write
 	ask(c, `{"jsonrpc":"2.0","method":"giveUp","params":{"req":"b"}}`)
 	it := m.next(t)
-	assert.Equal(t, []any{rules.Left, "b"}, []any{it.Event.Kind, it.Event.Search})
+	assert.Equal(t, []any{rules.Left, "b"}, []any{it.Event.Kind, it.Event.Request})
 	assert.True(t, second.Forsaken())
 	assert.False(t, pipe.written(), "it was stuck throughout")
 }
@@ -151,10 +151,10 @@
 func TestTheMarkOfAClientThatLeftWaitsForNoQueue(t *testing.T) {
 	f, m, c, _ := door(t, Doors{})
 	f.queue = fullQueue{m, make(chan struct{})}
-	var open []*desk.Search
+	var open []*desk.Request
 	for id := range 3 {
 		ask(c, look(id+1, fmt.Sprint("a", id)))
-		open = append(open, m.next(t).Search)
+		open = append(open, m.next(t).Request)
 	}
 	c.Close()
 	assert.Eventually(t, func() bool { return open[0].Forsaken() && open[1].Forsaken() && open[2].Forsaken() }, 3*time.Second,
@@ -171,7 +171,7 @@
 	ask(rest, `{"jsonrpc":"2.0","id":1,"method":"probe"}`)
 	answered(t, rr, `{"jsonrpc":"2.0","id":1,"result":{"fit":false}}`)
 	ask(c, look(1, "a"))
-	s := m.next(t).Search
+	s := m.next(t).Request
 	f.Leave()
 	assert.False(t, f.Done())
 	_, err := rr.ReadByte()
@@ -201,12 +201,12 @@
 	assert.Error(t, err)
 }
 
-// A search is no longer open only once its answer stands in the output: who stops looks at both and must not find neither.
+// A request is no longer open only once its answer stands in the output: who stops looks at both and must not find neither.
 func TestAnAnswerIsAlwaysSeenByWhoStops(t *testing.T) {
 	f, m, c, r := door(t, Doors{})
 	for n := range 200 {
 		ask(c, look(n+1, fmt.Sprint("a", n)))
-		s := m.next(t).Search
+		s := m.next(t).Request
 		require.False(t, f.Done())
 		go s.Client.Denied(s.Tag, 5)
 		for !f.Done() {
--- a/internal/wire/executors.go
+++ b/internal/wire/executors.go
@@ -35,15 +35,15 @@
 	idleLook     = time.Second
 	answerBuffer = 4 << 10
 
-	// apartMS is the least time between calling a shot off and sending its search to the same executor again. Both
-	// go over connections of their own, which overtake one another, and a call-off that comes last ends the new shot,
-	// unanswered. It is far above the way to an executor and far below what a search takes.
+	// apartMS is the least time between calling an attempt off and sending its request to the same executor again. Both
+	// go over connections of their own, which overtake one another, and a call-off that comes last ends the new attempt,
+	// unanswered. It is far above the way to an executor and far below what a request takes.
 	apartMS = 5
 )
 
-// Fleet is the executors' side: connections to each of them, and the shots and probes under way.
+// Fleet is the executors' side: connections to each of them, and the attempts and probes under way.
 type Fleet struct {
-	Gate func() bool // whether a shot that was held may leave at this moment; nil: it may. Set before the first one
+	Gate func() bool // whether an attempt that was held may leave at this moment; nil: it may. Set before the first one
 
 	queue   Queue
 	clock   desk.Clock
@@ -51,7 +51,7 @@
 	budget  *Budget
 	connect time.Duration // for dialing, and for a write to get through
 	idle    time.Duration // unused connections are closed by then
-	perLink int           // shots on one connection
+	perLink int           // attempts on one connection
 	links   int           // most connections, over all executors
 	seed    uint64
 	dial    func(network, address string) (net.Conn, error)
@@ -85,7 +85,7 @@
 	pipe
 	fleet   *Fleet
 	machine *machine
-	up      bool // connected; before, shots and probes wait
+	up      bool // connected; before, attempts and probes wait
 	leaving bool // gets nothing new, and ends once nothing is open on it
 	used    time.Time
 	signs   uint64 // messages that came
@@ -95,21 +95,21 @@
 	probes  map[string]uint64
 }
 
-// run is a shot on a link.
+// run is an attempt on a link.
 type run struct {
-	fleet *Fleet
-	link  *link
-	shot  desk.Shot
-	seq   uint64
-	signs uint64 // of the link, when it went out
-	used  bool   // its connection had carried others
-	moved bool   // its connection was lost between pages: the rest comes over another
-	pages [][]byte
-	have  int
-	size  int
-	held  bool // until Release
-	left  bool // its bytes were handed to the socket
-	event rules.Event
+	fleet   *Fleet
+	link    *link
+	attempt desk.Attempt
+	seq     uint64
+	signs   uint64 // of the link, when it went out
+	used    bool   // its connection had carried others
+	moved   bool   // its connection was lost between pages: the rest comes over another
+	pages   [][]byte
+	have    int
+	size    int
+	held    bool // until Release
+	left    bool // its bytes were handed to the socket
+	event   rules.Event
 }
 
 // Reach are the figures that a Fleet keeps to.
@@ -207,7 +207,7 @@
 	}
 }
 
-// leave keeps new shots off a link; called under the fleet's lock.
+// leave keeps new attempts off a link; called under the fleet's lock.
 func (l *link) leave() {
 	l.leaving = true
 	l.settle()
@@ -279,49 +279,49 @@
 	return nil
 }
 
-// Send puts a shot on a connection of its executor, or holds it back for a time.
-func (f *Fleet) Send(shot desk.Shot) (desk.Run, float64) {
+// Send puts an attempt on a connection of its executor, or holds it back for a time.
+func (f *Fleet) Send(shot desk.Attempt) (desk.Run, float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.machines[shot.Executor]
 	if m == nil {
 		return nil, 0
 	}
-	l := f.pick(m, shot.Search.ID)
+	l := f.pick(m, shot.Request.ID)
 	if l == nil {
 		return nil, 0
 	}
 	wait := 0.0
-	if at, ok := m.halted[shot.Search.ID]; ok {
+	if at, ok := m.halted[shot.Request.ID]; ok {
 		wait = max(0, at+apartMS-f.clock.Now())
 	}
 	f.seq++
-	r := &run{fleet: f, link: l, shot: shot, seq: f.seq}
-	r.event = rules.Event{Kind: rules.Ended, Search: shot.Search.ID, Shot: shot.N}
+	r := &run{fleet: f, link: l, attempt: shot, seq: f.seq}
+	r.event = rules.Event{Kind: rules.Ended, Request: shot.Request.ID, Attempt: shot.N}
 	if l.signs > 0 {
 		r.used = true
 	}
-	l.open[shot.Search.ID] = r
+	l.open[shot.Request.ID] = r
 	r.held = wait > 0 || shot.Held
 	if !r.held && !l.lineUp(r) {
-		delete(l.open, shot.Search.ID)
+		delete(l.open, shot.Request.ID)
 		l.leave()
 		return nil, 0
 	}
 	return r, wait
 }
 
-// Release lets a shot go that was held back, unless it was called off meanwhile.
+// Release lets an attempt go that was held back, unless it was called off meanwhile.
 func (r *run) Release() {
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
-	if r.held && r.link.open[r.shot.Search.ID] == r {
+	if r.held && r.link.open[r.attempt.Request.ID] == r {
 		r.held = false
 		r.link.lineUp(r) // on a connection that has ended meanwhile it never left: finish tells so
 	}
 }
 
-// lineUp has the goroutine of the link write a shot, or ask for the pages that are missing, once it is up. Nothing is put into
+// lineUp has the goroutine of the link write an attempt, or ask for the pages that are missing, once it is up. Nothing is put into
 // bytes before that: what is called off, or may not begin any more, until the socket takes it has surely never run.
 // Called under the fleet's lock.
 func (l *link) lineUp(r *run) bool {
@@ -330,7 +330,7 @@
 }
 
 // write puts what is pending into bytes. It is the last step before the socket, and the last look at whether an attempt may
-// begin: a shot whose client has gone, whose executor drains, whose time is over, or whose holder lost its right never leaves.
+// begin: an attempt whose client has gone, whose executor drains, whose time is over, or whose holder lost its right never leaves.
 func (l *link) write() {
 	f := l.fleet
 	f.mu.Lock()
@@ -340,18 +340,18 @@
 	}
 	var barred []desk.Item
 	for _, r := range l.pending {
-		if l.open[r.shot.Search.ID] != r {
+		if l.open[r.attempt.Request.ID] != r {
 			continue // called off
 		}
 		if r.pages != nil {
 			l.more(r)
 			continue
 		}
-		last := pool.Last{Forsaken: r.shot.Search.Forsaken(), Closed: l.machine.closed, NowMS: f.clock.Now(), ByMS: r.shot.By,
-			Lawless: r.shot.Held && f.Gate != nil && !f.Gate()}
+		last := pool.Last{Forsaken: r.attempt.Request.Forsaken(), Closed: l.machine.closed, NowMS: f.clock.Now(), ByMS: r.attempt.By,
+			Lawless: r.attempt.Held && f.Gate != nil && !f.Gate()}
 		if why := last.Bar(); why != 0 {
 			f.Barred.Add(1)
-			delete(l.open, r.shot.Search.ID)
+			delete(l.open, r.attempt.Request.ID)
 			ev := r.event
 			ev.Outcome, ev.Barred = rules.Superseded, why == pool.Lawless
 			barred = append(barred, desk.Item{Event: ev})
@@ -372,26 +372,26 @@
 func (l *link) more(r *run) {
 	for k := 1; k < len(r.pages); k++ {
 		if r.pages[k] == nil {
-			l.say("more", r.shot.Search.ID, strconv.Itoa(k))
+			l.say("more", r.attempt.Request.ID, strconv.Itoa(k))
 		}
 	}
 }
 
-// move asks for the rest of an answer over another connection, once: the search has run, and its pages are lost only
-// when their executor ends. Run again, it would cost a further shot. Called under the fleet's lock.
+// move asks for the rest of an answer over another connection, once: the request has run, and its pages are lost only
+// when their executor ends. Run again, it would cost a further attempt. Called under the fleet's lock.
 func (l *link) move(r *run) bool {
 	f, m := l.fleet, l.machine
 	if r.have == 0 || r.moved || f.machines[m.id] != m {
 		return false
 	}
-	to := f.pick(m, r.shot.Search.ID)
+	to := f.pick(m, r.attempt.Request.ID)
 	if to == nil {
 		return false
 	}
 	r.link, r.moved, r.signs = to, true, to.signs
-	to.open[r.shot.Search.ID] = r
+	to.open[r.attempt.Request.ID] = r
 	if !to.lineUp(r) {
-		delete(to.open, r.shot.Search.ID)
+		delete(to.open, r.attempt.Request.ID)
 		to.leave()
 		return false
 	}
@@ -399,9 +399,9 @@
 	return true
 }
 
-// fetch puts a shot into bytes; called under the fleet's lock.
+// fetch puts an attempt into bytes; called under the fleet's lock.
 func (l *link) fetch(r *run) {
-	s := r.shot.Search
+	s := r.attempt.Request
 	l.used, r.signs = time.Now(), l.signs
 	list := make([]byte, 0, 128)
 	list = append(append(list, "profile="...), s.Offering...)
@@ -409,10 +409,10 @@
 	if s.Mark != "" {
 		list = append(append(list, ",replay="...), s.Mark...)
 	}
-	if r.shot.GrantMB > 0 {
-		list = strconv.AppendInt(append(list, ",mb="...), int64(math.Ceil(r.shot.GrantMB)), 10)
+	if r.attempt.GrantMB > 0 {
+		list = strconv.AppendInt(append(list, ",mb="...), int64(math.Ceil(r.attempt.GrantMB)), 10)
 	}
-	list = strconv.AppendInt(append(list, ",nice="...), int64(r.shot.Level), 10)
+	list = strconv.AppendInt(append(list, ",nice="...), int64(r.attempt.Level), 10)
 	r.left = l.push(func(b []byte) []byte { return appendArray(b, "fetch", s.ID, string(list), string(s.Body)) })
 }
 
@@ -421,12 +421,12 @@
 	return l.push(func(b []byte) []byte { return appendArray(b, words...) })
 }
 
-// CallOff gives a shot up.
+// CallOff gives an attempt up.
 func (r *run) CallOff() desk.Stopped {
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
 	l := r.link
-	id := r.shot.Search.ID
+	id := r.attempt.Request.ID
 	if l.open[id] != r {
 		return desk.Decided
 	}
@@ -455,20 +455,20 @@
 	return desk.Halted
 }
 
-// ended keeps an id off this connection: what still comes for it here would pass for the next shot's.
+// ended keeps an id off this connection: what still comes for it here would pass for the next attempt's.
 func (l *link) ended(id string) {
 	l.ends[id] = true
 	l.leaving = l.leaving || len(l.ends) >= mostRetired
 }
 
-// Relevel changes the level of a shot that runs.
+// Relevel changes the level of an attempt that runs.
 func (r *run) Relevel(level int) {
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
 	l := r.link
-	r.shot.Level = level
-	if r.left && l.open[r.shot.Search.ID] == r && r.pages == nil {
-		l.say("renice", r.shot.Search.ID, strconv.Itoa(level))
+	r.attempt.Level = level
+	if r.left && l.open[r.attempt.Request.ID] == r && r.pages == nil {
+		l.say("renice", r.attempt.Request.ID, strconv.Itoa(level))
 	}
 }
 
@@ -496,7 +496,7 @@
 
 func probeTag(token uint64) string { return "probe-" + strconv.FormatUint(token, 10) }
 
-// Unanswered forgets a probe. A connection that left one unanswered gets no new shots: on a new one a dead
+// Unanswered forgets a probe. A connection that left one unanswered gets no new attempts: on a new one a dead
 // executor shows by never coming up, which proves that nothing ran.
 func (f *Fleet) Unanswered(executor uint32, token uint64) {
 	f.mu.Lock()
@@ -521,7 +521,7 @@
 	}
 	h, last := desk.Holding{Name: m.name, Connections: len(m.links), QuietMS: -1}, time.Time{}
 	for _, l := range m.links {
-		if h.Shots += len(l.open); l.used.After(last) {
+		if h.Attempts += len(l.open); l.used.After(last) {
 			last = l.used
 			h.QuietMS = float64(time.Since(last)) / float64(time.Millisecond)
 		}
@@ -563,7 +563,7 @@
 	}
 }
 
-// runs gives the open shots in the order they were sent.
+// runs gives the open attempts in the order they were sent.
 func (l *link) runs() []*run {
 	list := make([]*run, 0, len(l.open))
 	for _, r := range l.open {
@@ -573,7 +573,7 @@
 	return list
 }
 
-// finish takes a link out, ends all that was open on it and tells how many shots that were.
+// finish takes a link out, ends all that was open on it and tells how many attempts that were.
 func (l *link) finish(as rules.Outcome) int {
 	f := l.fleet
 	f.mu.Lock()
@@ -632,7 +632,7 @@
 	}
 }
 
-// ends are the words that end a shot, with what they mean.
+// ends are the words that end an attempt, with what they mean.
 var ends = map[string]rules.Outcome{"full": rules.Full, "failed": rules.Erred, "moot": rules.Superseded}
 
 // notes are the words of a remark.
@@ -670,14 +670,14 @@
 	case end:
 		r.event.Outcome, r.event.Report = outcome, a.report
 		delete(l.open, id)
-		l.ended(id) // its second copy, some ms later, must not end the next shot of this id
+		l.ended(id) // its second copy, some ms later, must not end the next attempt of this id
 		return desk.Item{Event: r.event}, true, nil
 	case word == "news":
 		kind := notes[a.remark]
 		if kind == 0 {
 			return it, false, nil
 		}
-		return desk.Item{Event: rules.Event{Kind: rules.Noted, Search: id, Shot: r.shot.N, Executor: l.machine.id,
+		return desk.Item{Event: rules.Event{Kind: rules.Noted, Request: id, Attempt: r.attempt.N, Executor: l.machine.id,
 			Note: kind, Value: a.value}}, true, nil
 	case word == "data" && r.pages == nil:
 		if a.pages < 1 || a.pages > mostPages {
--- a/internal/wire/executors_test.go
+++ b/internal/wire/executors_test.go
@@ -23,8 +23,8 @@
 type mailbox chan desk.Item
 
 func (m mailbox) Put(it desk.Item) { m <- it }
-func (m mailbox) Take(s *desk.Search) {
-	m <- desk.Item{Event: rules.Event{Kind: rules.Taken}, Search: s}
+func (m mailbox) Take(s *desk.Request) {
+	m <- desk.Item{Event: rules.Event{Kind: rules.Taken}, Request: s}
 }
 func (m mailbox) Open() int { return 0 }
 func (m mailbox) next(t *testing.T) desk.Item {
@@ -115,12 +115,12 @@
 	return f, m
 }
 
-func shotOf(id string) desk.Shot {
-	s := &desk.Search{ID: id, Offering: "load", Mark: "k1", Body: []byte("SELECT 1"), Until: desk.NewClock().Now() + 5000}
-	return desk.Shot{Search: s, Executor: 1, GrantMB: 63.2, Level: 3}
+func shotOf(id string) desk.Attempt {
+	s := &desk.Request{ID: id, Offering: "load", Mark: "k1", Body: []byte("SELECT 1"), Until: desk.NewClock().Now() + 5000}
+	return desk.Attempt{Request: s, Executor: 1, GrantMB: 63.2, Level: 3}
 }
 
-func TestAShotGoesOutAndItsPagesAreJoinedInOrder(t *testing.T) {
+func TestAnAttemptGoesOutAndItsPagesAreJoinedInOrder(t *testing.T) {
 	e := standIn(t, "127.0.0.1:0")
 	f, m := fleetOf(t, e.listener.Addr().String(), 15000)
 	run, _ := f.Send(shotOf("a"))
@@ -152,9 +152,9 @@
 	assert.Equal(t, "one\t1\tx\n", string(m.next(t).Body))
 }
 
-// What shares a connection is lost with it: each shot has one to itself while there may be more, and one that was
+// What shares a connection is lost with it: each attempt has one to itself while there may be more, and one that was
 // called off with nothing heard takes its connection along, which may be the one that is lost.
-func TestAShotSharesNoConnectionWhileThereMayBeMore(t *testing.T) {
+func TestAnAttemptSharesNoConnectionWhileThereMayBeMore(t *testing.T) {
 	e := standIn(t, "127.0.0.1:0")
 	f, m := fleetOf(t, e.listener.Addr().String(), 15000)
 	f.Send(shotOf("a"))
@@ -165,7 +165,7 @@
 	<-e.conns
 	_, _ = first.Write([]byte("*1\r\n$9\r\nspoilt"))
 	first.Close()
-	assert.Equal(t, "a", m.next(t).Event.Search)
+	assert.Equal(t, "a", m.next(t).Event.Request)
 	e.hears(t, "closed")
 	assert.Empty(t, m, "b goes on")
 	assert.Equal(t, desk.Halted, b.CallOff())
@@ -180,7 +180,7 @@
 	assert.Empty(t, e.conns, "an unused one is used again")
 }
 
-// A connection may end between the pages of an answer: the search has run, and the rest is asked for over another one.
+// A connection may end between the pages of an answer: the request has run, and the rest is asked for over another one.
 func TestPagesComeOverAnotherConnectionOnce(t *testing.T) {
 	for _, known := range []bool{true, false} {
 		e := standIn(t, "127.0.0.1:0")
@@ -208,7 +208,7 @@
 	}
 }
 
-// A second connection that doesn't come up proves nothing: the search ran.
+// A second connection that doesn't come up proves nothing: the request ran.
 func TestAnAnswerLostBetweenPagesMayHaveRun(t *testing.T) {
 	e := standIn(t, "127.0.0.1:0")
 	f, m := fleetOf(t, e.listener.Addr().String(), 15000)
@@ -290,13 +290,13 @@
 	f.Probe(1, 4)
 	it := m.next(t)
 	assert.Equal(t, []any{rules.Probed, rules.Refused, uint64(4)}, []any{it.Event.Kind, it.Event.Outcome, it.Token})
-	run, _ := f.Send(desk.Shot{Search: &desk.Search{}, Executor: 9})
+	run, _ := f.Send(desk.Attempt{Request: &desk.Request{}, Executor: 9})
 	assert.Nil(t, run, "an executor that isn't listed")
 }
 
-// A called-off shot's late answer must not pass for the next shot's: that goes out on another connection, and not
-// before the call-off has arrived: coming last, it would end the new shot.
-func TestALateAnswerIsNotTheNextShots(t *testing.T) {
+// A called-off attempt's late answer must not pass for the next attempt's: that goes out on another connection, and not
+// before the call-off has arrived: coming last, it would end the new attempt.
+func TestALateAnswerIsNotTheNextAttempts(t *testing.T) {
 	e := standIn(t, "127.0.0.1:0")
 	f, m := fleetOf(t, e.listener.Addr().String(), 15000)
 	run, held := f.Send(shotOf("a"))
@@ -334,11 +334,11 @@
 	assert.Empty(t, e.heard)
 }
 
-func TestAShotCalledOffBeforeItLeftNeverRan(t *testing.T) {
+func TestAnAttemptCalledOffBeforeItLeftNeverRan(t *testing.T) {
 	f, _ := fleetOf(t, "127.0.0.1:9", 15000)
 	f.mu.Lock() // the connection can't come up meanwhile
 	l := &link{fleet: f, open: map[string]*run{}, ends: map[string]bool{}}
-	r := &run{fleet: f, link: l, shot: shotOf("a")}
+	r := &run{fleet: f, link: l, attempt: shotOf("a")}
 	l.open["a"] = r
 	f.mu.Unlock()
 	assert.Equal(t, desk.Unsent, r.CallOff())
@@ -421,7 +421,7 @@
 	<-e.conns
 	e.hears(t, "fetch c .*")
 	f.update(true, nil)
-	s.Search.ID = "d"
+	s.Request.ID = "d"
 	run, _ = f.Send(s)
 	assert.Nil(t, run, "a whole list leaves out what is gone")
 }
@@ -429,7 +429,7 @@
 func TestConnectionsAreBounded(t *testing.T) {
 	e := standIn(t, "127.0.0.1:0")
 	f, _ := fleetOf(t, e.listener.Addr().String(), 15000)
-	for _, id := range strings.Fields("a b c d e f") { // three connections of two shots each
+	for _, id := range strings.Fields("a b c d e f") { // three connections of two attempts each
 		run, _ := f.Send(shotOf(id))
 		assert.NotNil(t, run)
 	}
@@ -477,9 +477,9 @@
 	assert.Zero(t, f.budget.Held())
 }
 
-// A shot that is held leaves at its release and not before, also when its connection is up; called off before, it never
+// An attempt that is held leaves at its release and not before, also when its connection is up; called off before, it never
 // left.
-func TestAHeldShotLeavesAtItsRelease(t *testing.T) {
+func TestAHeldAttemptLeavesAtItsRelease(t *testing.T) {
 	e := standIn(t, "127.0.0.1:0")
 	f, m := fleetOf(t, e.listener.Addr().String(), 15000)
 	shot := shotOf("a")
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -21,7 +21,7 @@
 
 // Limits of the clients' side.
 const (
-	mostOpen     = 32              // searches open on a connection
+	mostOpen     = 32              // requests open on a connection
 	mostAnswers  = 3 << 20         // bytes lined up at a connection: a full one's largest answers
 	clientWrite  = 2 * time.Second // for an answer to get through to a client that reads
 	clientWhole  = 2 * time.Second // for the first message, and for each from its first byte on, to come whole
@@ -40,8 +40,8 @@
 
 // Offering is what a front has to know of an offering.
 type Offering struct {
-	Labelled bool
-	LimitMS  float64 // no client waits for longer; 0: unknown
+	Keyed   bool
+	LimitMS float64 // no client waits for longer; 0: unknown
 }
 
 // Front is the clients' side.
@@ -49,7 +49,7 @@
 	queue     Queue
 	clock     desk.Clock
 	log       logrus.FieldLogger
-	bodies    *Budget // of searches that are open
+	bodies    *Budget // of requests that are open
 	answers   *Budget // lined up
 	offerings map[string]Offering
 	mostHeld  int
@@ -231,7 +231,7 @@
 	left bool      // gets no answers any more
 }
 
-// pending is a search that is open on a connection.
+// pending is a request that is open on a connection.
 type pending struct {
 	tag  uint64
 	id   []byte
@@ -265,12 +265,12 @@
 	}
 }
 
-// drop tells that nobody waits for a search any more. What is on its way to an executor sees the mark at its last step,
+// drop tells that nobody waits for a request any more. What is on its way to an executor sees the mark at its last step,
 // however much stands in the queue before the word.
 func (c *client) drop(r pending) {
 	r.gone.Store(true)
 	c.front.bodies.give(r.held)
-	c.front.queue.Put(desk.Item{Event: rules.Event{Kind: rules.Left, Search: r.req}, Client: c, Token: r.tag})
+	c.front.queue.Put(desk.Item{Event: rules.Event{Kind: rules.Left, Request: r.req}, Client: c, Token: r.tag})
 }
 
 // leave takes out what is open: nothing more is answered here.
@@ -420,7 +420,7 @@
 	}
 }
 
-// outcome asks what became of a search, by its req or its opkey. It opens nothing: its answer is at hand.
+// outcome asks what became of a request, by its req or its opkey. It opens nothing: its answer is at hand.
 func (c *client) outcome(m call) *fault {
 	if !c.front.outcomes {
 		return &fault{codeMethod, "no such method"}
@@ -469,24 +469,24 @@
 	if wrong != nil {
 		return wrong
 	}
-	if offering.Labelled && a.mark == "" {
+	if offering.Keyed && a.mark == "" {
 		return &fault{codeParams, "opkey is missing"}
 	}
 	r := pending{id: slices.Clone(m.id), req: a.req, held: len(a.body), gone: &atomic.Bool{}}
 	if wrong = c.enter(&r); wrong != nil {
 		return wrong
 	}
-	if offering.LimitMS > 0 { // what is kept until a search's hard limit must not be kept for as long as a client says
+	if offering.LimitMS > 0 { // what is kept until a request's hard limit must not be kept for as long as a client says
 		a.timeout = min(a.timeout, offering.LimitMS)
 	}
 	group, schema, _ := tablesOf(a.body)
-	f.queue.Take(&desk.Search{ID: a.req, Offering: m.method, Key: a.key, Mark: a.mark, Group: group, NeedMB: a.ram,
+	f.queue.Take(&desk.Request{ID: a.req, Offering: m.method, Key: a.key, Mark: a.mark, Group: group, NeedMB: a.ram,
 		WorkMS: a.work, Until: now + a.timeout, Repeat: a.repeat, Body: a.body, Client: c, Tag: r.tag, Gone: r.gone,
 		Team: a.team, From: c.from, Schema: schema, Waits: a.waits})
 	return nil
 }
 
-// enter notes a search as open, unless there is no room for it.
+// enter notes a request as open, unless there is no room for it.
 func (c *client) enter(r *pending) *fault {
 	f := c.front
 	c.lock.Lock()
@@ -506,7 +506,7 @@
 	return nil
 }
 
-// giveUp ends a search of this connection. A call with an id of its own gets an answer of its own.
+// giveUp ends a request of this connection. A call with an id of its own gets an answer of its own.
 func (c *client) giveUp(m call) {
 	req, id := gaveUp(m)
 	c.lock.Lock()
@@ -528,7 +528,7 @@
 	}
 }
 
-// answer writes the one answer of an open search.
+// answer writes the one answer of an open request.
 func (c *client) answer(tag uint64, write func(b, id []byte) []byte) {
 	c.lock.Lock()
 	k, ok := slices.BinarySearchFunc(c.open, tag, func(r pending, tag uint64) int { return cmp.Compare(r.tag, tag) })
@@ -554,7 +554,7 @@
 	}
 }
 
-// Waits tells how long an open search will wait.
+// Waits tells how long an open request will wait.
 func (c *client) Waits(tag uint64, startMS, endMS float64) {
 	c.lock.Lock()
 	k, ok := slices.BinarySearchFunc(c.open, tag, func(r pending, tag uint64) int { return cmp.Compare(r.tag, tag) })
@@ -568,7 +568,7 @@
 	}
 }
 
-// Handled, Denied and WrittenOff answer a search.
+// Handled, Denied and WrittenOff answer a request.
 func (c *client) Handled(tag uint64, body []byte) {
 	c.answer(tag, func(b, id []byte) []byte { return appendResult(b, id, body) })
 }
@@ -577,6 +577,6 @@
 	c.answer(tag, func(b, id []byte) []byte { return appendError(b, id, fault{codeDenied, "denied"}, afterMS) })
 }
 
-func (c *client) WrittenOff(tag uint64) {
+func (c *client) Failed(tag uint64) {
 	c.answer(tag, func(b, id []byte) []byte { return appendError(b, id, fault{codeFailed, "written off"}, 0) })
 }
--- a/internal/wire/front_test.go
+++ b/internal/wire/front_test.go
@@ -27,7 +27,7 @@
 	if doors.Bodies == nil {
 		doors.Bodies = NewBudget(1 << 20)
 	}
-	f, err := NewFront("127.0.0.1:0", map[string]Offering{"look": {}, "load": {Labelled: true}}, m, desk.NewClock(),
+	f, err := NewFront("127.0.0.1:0", map[string]Offering{"look": {}, "load": {Keyed: true}}, m, desk.NewClock(),
 		doors, silentLog())
 	require.NoError(t, err)
 	go f.Run()
@@ -58,20 +58,20 @@
 	assert.JSONEq(t, want, string(got))
 }
 
-func TestASearchComesInAndIsAnsweredOnce(t *testing.T) {
+func TestARequestComesInAndIsAnsweredOnce(t *testing.T) {
 	f, m, c, r := door(t, Doors{})
 	ask(c, look(7, "a1"))
-	s := m.next(t).Search
+	s := m.next(t).Request
 	assert.Equal(t, []any{"a1", "look", uint64(17), 96.0, 82.0, "SELECT 1 FROM sales_17.t"},
 		[]any{s.ID, s.Offering, s.Group, s.NeedMB, s.WorkMS, string(s.Body)})
 	assert.InDelta(t, f.clock.Now()+1500, s.Until, 1400)
 	s.Client.Handled(s.Tag, []byte("x\n"))
 	s.Client.Denied(s.Tag, 5)
 	answered(t, r, `{"jsonrpc":"2.0","id":7,"result":{"data":"eAo="}}`)
-	for id, give := range map[int]func(*desk.Search){8: func(s *desk.Search) { s.Client.Denied(s.Tag, 200) },
-		9: func(s *desk.Search) { s.Client.WrittenOff(s.Tag) }} {
+	for id, give := range map[int]func(*desk.Request){8: func(s *desk.Request) { s.Client.Denied(s.Tag, 200) },
+		9: func(s *desk.Request) { s.Client.Failed(s.Tag) }} {
 		ask(c, look(id, "b"))
-		give(m.next(t).Search)
+		give(m.next(t).Request)
 		got, _ := readMessage(r, nil)
 		assert.Contains(t, string(got), map[int]string{8: `"code":-32008,"message":"denied","data":{"holdoff":200}`,
 			9: `"code":-32000`}[id])
@@ -83,7 +83,7 @@
 func TestBadRequestsCostNoOther(t *testing.T) {
 	_, m, c, r := door(t, Doors{})
 	ask(c, look(1, "a"))
-	s := m.next(t).Search
+	s := m.next(t).Request
 	for _, bad := range []string{`{`, `[]`, `{"jsonrpc":"2.0","id":4,"method":"none"}`, look(1, "again"), look(5, "no good"),
 		`{"jsonrpc":"2.0","method":"look","params":{}}`, strings.Replace(look(6, "b"), "look", "load", 1)} {
 		ask(c, bad)
@@ -100,12 +100,12 @@
 }
 
 // Who sends what can't be read is told at once, and nobody waits for what is open there: an answer that came later
-// would pass for a good one, and the connection would be kept for as long as the longest search.
+// would pass for a good one, and the connection would be kept for as long as the longest request.
 func TestLostFramingFailsWhatIsOpenAndEndsTheConnection(t *testing.T) {
 	f, m, c, r := door(t, Doors{})
 	for _, bad := range []string{"no head\r\n\r\n", "Content-Length: 60000000\r\n\r\n", "Content-Length: -1\r\n\r\n"} {
 		ask(c, look(1, "a"))
-		s := m.next(t).Search
+		s := m.next(t).Request
 		fmt.Fprint(c, bad+strings.Repeat("x", 1000))
 		answered(t, r, `{"jsonrpc":"2.0","id":1,"error":{"code":-32000,"message":"framing lost"}}`)
 		answered(t, r, `{"jsonrpc":"2.0","id":null,"error":{"code":-32700,"message":"framing lost"}}`)
@@ -128,7 +128,7 @@
 func TestSilentConnectionsEndAndGiveWay(t *testing.T) {
 	f, m, c, r := door(t, Doors{Clients: 3})
 	ask(c, look(1, "a"))
-	s := m.next(t).Search
+	s := m.next(t).Request
 	began := time.Now()
 	silent, _ := dial(t, f)
 	half, _ := dial(t, f)
@@ -152,34 +152,34 @@
 	assert.False(t, old.depart())
 }
 
-func TestGivingUpAndClosingEndSearches(t *testing.T) {
+func TestGivingUpAndClosingEndRequests(t *testing.T) {
 	_, m, c, r := door(t, Doors{})
-	var open []*desk.Search
+	var open []*desk.Request
 	for id := 1; id < 5; id++ {
 		ask(c, look(id, fmt.Sprint("a", id)))
-		open = append(open, m.next(t).Search)
+		open = append(open, m.next(t).Request)
 	}
 	for _, give := range []string{`{"jsonrpc":"2.0","method":"giveUp","params":{"req":"a1"}}`,
 		`{"jsonrpc":"2.0","id":2,"method":"giveUp"}`, `{"jsonrpc":"2.0","id":77,"method":"giveUp","params":{"id":3}}`} {
 		ask(c, give)
 		it := m.next(t)
-		assert.Equal(t, []any{rules.Left, open[0].ID, open[0].Tag}, []any{it.Event.Kind, it.Event.Search, it.Token})
+		assert.Equal(t, []any{rules.Left, open[0].ID, open[0].Tag}, []any{it.Event.Kind, it.Event.Request, it.Token})
 		open[0].Client.Handled(open[0].Tag, nil) // too late: no answer is owed
 		open = open[1:]
 	}
 	answered(t, r, `{"jsonrpc":"2.0","id":77,"result":{}}`)
 	c.Close()
-	assert.Equal(t, "a4", m.next(t).Event.Search)
+	assert.Equal(t, "a4", m.next(t).Event.Request)
 }
 
 func TestPlacesAreBounded(t *testing.T) {
 	f, m, c, r := door(t, Doors{Clients: 2, Bodies: NewBudget(60), AwayMS: 300})
 	ask(c, look(1, "a"))
-	s := m.next(t).Search
+	s := m.next(t).Request
 	ask(c, strings.Replace(look(2, "b"), "U0VM", strings.Repeat("U0VM", 20), 1)) // more bytes than may be open
 	got, _ := readMessage(r, nil)
 	assert.Contains(t, string(got), `-32008,"message":"too much is open here","data":{"holdoff":300}`)
-	s.Client.WrittenOff(s.Tag)
+	s.Client.Failed(s.Tag)
 	_, _ = readMessage(r, nil)
 	ask(c, look(4, "d"))
 	m.next(t)
@@ -192,7 +192,7 @@
 	assert.Empty(t, m)
 	c.Close()
 	assert.Equal(t, rules.Left, m.next(t).Event.Kind)
-	s = m.next(t).Search
+	s = m.next(t).Request
 	s.Client.Handled(s.Tag, nil)
 	answered(t, rw, `{"jsonrpc":"2.0","id":3,"result":{"data":""}}`)
 }
@@ -218,7 +218,7 @@
 		case it := <-m:
 			cut = it.Event.Kind == rules.Left
 			if !cut {
-				it.Search.Client.Handled(it.Search.Tag, page)
+				it.Request.Client.Handled(it.Request.Tag, page)
 			}
 		case <-time.After(2500 * time.Millisecond):
 			cut = true
@@ -236,7 +236,7 @@
 	for n := range 100 {
 		c, r := dial(t, f)
 		ask(c, look(1, fmt.Sprint("a", n)))
-		s := m.next(t).Search
+		s := m.next(t).Request
 		if n%2 == 0 {
 			s.Client.Handled(s.Tag, nil)
 			_, _ = readMessage(r, nil)
@@ -254,7 +254,7 @@
 	assert.Zero(t, f.bodies.Held()+f.answers.Held())
 }
 
-// A client learns what became of a search by its id or its mark, where outcomes are kept; a call that can't be used gets an
+// A client learns what became of a request by its id or its mark, where outcomes are kept; a call that can't be used gets an
 // error, and nothing is opened by any of them.
 func TestAClientAsksForAnOutcome(t *testing.T) {
 	f, m, c, r := door(t, Doors{Outcomes: true})
--- a/internal/wire/jsonrpc.go
+++ b/internal/wire/jsonrpc.go
@@ -110,7 +110,7 @@
 	return c, nil
 }
 
-// asked is what a search says of itself.
+// asked is what a request says of itself.
 type asked struct {
 	req, mark, key     string
 	team               string
@@ -120,7 +120,7 @@
 	body               []byte
 }
 
-// readAsked takes the fields of a search.
+// readAsked takes the fields of a request.
 func readAsked(params []byte) (a asked, f *fault) {
 	wrong := ""
 	data := []byte(nil)
@@ -200,7 +200,7 @@
 	return s != "" && len(s) <= 64
 }
 
-// gaveUp gives the search that a giveUp names: by req, or by the id of its call.
+// gaveUp gives the request that a giveUp names: by req, or by the id of its call.
 func gaveUp(c call) (req, id string) {
 	id = string(c.id)
 	members(c.params, func(name, value []byte) {
@@ -215,7 +215,7 @@
 	return req, id
 }
 
-// asksOutcome gives the search that a call of outcome names, by req or by opkey.
+// asksOutcome gives the request that a call of outcome names, by req or by opkey.
 func asksOutcome(params []byte) (req, mark string, ok bool) {
 	ok = len(params) > 0 && members(params, func(name, value []byte) {
 		text, _ := quoted(value)
@@ -229,7 +229,7 @@
 	return req, mark, ok && (req == "") != (mark == "") && plain(req+mark)
 }
 
-// appendOutcome writes what became of a search: the word, how many ms ago, and the answer where it was kept.
+// appendOutcome writes what became of a request: the word, how many ms ago, and the answer where it was kept.
 func appendOutcome(b, id []byte, e ledger.Effect) []byte {
 	return appendMessage(b, func(b []byte) []byte {
 		b = append(append(append(appendID(b, id), `,"result":{"outcome":"`...), e.Outcome.String()...), '"')
@@ -243,7 +243,7 @@
 	})
 }
 
-// appendWait writes how long a search will wait, in ms; below 0: not known.
+// appendWait writes how long a request will wait, in ms; below 0: not known.
 func appendWait(b, id []byte, startMS, endMS float64) []byte {
 	return appendMessage(b, func(b []byte) []byte {
 		b = append(append(b, `{"jsonrpc":"2.0","method":"wait","params":{"id":`...), id...)
--- a/internal/wire/parsers_test.go
+++ b/internal/wire/parsers_test.go
@@ -82,7 +82,7 @@
 	assert.Equal(t, []string{"12", "x", `{"a":1}`}, []string{string(c.id), c.method, string(c.params)})
 }
 
-func TestFieldsOfASearch(t *testing.T) {
+func TestFieldsOfARequest(t *testing.T) {
 	a, f := readAsked([]byte(`{"req":"9b1f","timeout":1500,"opkey":"5c","ms":820.5,"ram":96,"data":"c2VsZWN0"}`))
 	assert.Nil(t, f)
 	assert.Equal(t, asked{req: "9b1f", mark: "5c", timeout: 1500, work: 820.5, ram: 96, body: []byte("select")}, a)
--- a/internal/wire/pipe.go
+++ b/internal/wire/pipe.go
@@ -18,8 +18,8 @@
 // Queue is the one way to who decides.
 type Queue interface {
 	Put(desk.Item)
-	Take(*desk.Search)
-	Open() int // searches taken and not answered
+	Take(*desk.Request)
+	Open() int // requests taken and not answered
 }
 
 // errClosed is what a pipe reads once it was told to end.
--- a/rules/helpers_test.go
+++ b/rules/helpers_test.go
@@ -34,14 +34,14 @@
 	return g
 }
 
-// take hands g a search of 100 ms that has until 9000.
+// take hands g a request of 100 ms that has until 9000.
 func take(g *Gateway, now float64, id, offering string) []Action {
-	ev := Event{Kind: Taken, Search: id, Offering: offering, NeedMB: 100, WorkMS: 100, Until: 9000}
+	ev := Event{Kind: Taken, Request: id, Offering: offering, NeedMB: 100, WorkMS: 100, Until: 9000}
 	return g.Step(now, &ev, nil)
 }
 
 func ended(g *Gateway, now float64, id string, n int, o Outcome) []Action {
-	return g.Step(now, &Event{Kind: Ended, Search: id, Shot: n, Outcome: o, Over: o == Handled}, nil)
+	return g.Step(now, &Event{Kind: Ended, Request: id, Attempt: n, Outcome: o, Over: o == Handled}, nil)
 }
 
 // kinds are the actions' kinds, wake-ups left out.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -23,49 +23,49 @@
 	topLevel   = 3     // highest level on the engines
 
 	// Room on an executor.
-	boundPerCore = 1.2  // running threads a core at which routing skips it: half of a search's time is reading
+	boundPerCore = 1.2  // running threads a core at which routing skips it: half of a request's time is reading
 	drainPerCore = 1.5  // threads a core at which what was sent counts as done: a full executor's
-	owedMS       = 1000 // ms a core of owed work that weigh as much as one thread a core: a search's length
+	owedMS       = 1000 // ms a core of owed work that weigh as much as one thread a core: a request's length
 	freshMS      = 600  // ms that a load report or telling counts: what it tells of ends in about that time
 	posts        = 3    // controllers that add up what the others tell: some may stall or be dead
 	tellMS       = 250  // ms between tellings: half as often costs more gain than it saves in bytes
 	toldStep     = 0.2  // threads a core in each of the sixteen steps told, up to twice what is full
 	warning      = 4    // threads more told of an executor that fails: three such warnings fill it
-	asksPerTake  = 2    // probes for load reports that each search allows: a second choice, no more
+	asksPerTake  = 2    // probes for load reports that each request allows: a second choice, no more
 	asksPerMS    = 1e-3 // the same for time going by, so that what waits can go on asking
 	asksSaved    = 10   // most of those kept for later: a burst's worth
 	busyThreads  = 1.2  // threads a core on an executor whose disks are always busy: half are kept by cores
-	fullPerCore  = 1.5  // threads a core past which work is lost: a search waits here (paper's wait queue)
-	shortPerCore = 2.2  // the same for searches shorter than the onset, which leave again at once
-	lateLeast    = 0.25 // share of the gain that a late answer must earn for a search to wait for it
-	crowd        = 50   // searches waiting that are a crowd: to go through them at each event costs too much
+	fullPerCore  = 1.5  // threads a core past which work is lost: a request waits here (paper's wait queue)
+	shortPerCore = 2.2  // the same for requests shorter than the onset, which leave again at once
+	lateLeast    = 0.25 // share of the gain that a late answer must earn for a request to wait for it
+	crowd        = 50   // requests waiting that are a crowd: to go through them at each event costs too much
 
-	// Judging shots and executors.
+	// Judging attempts and executors.
 	askMS       = 1000 // ms until a list out of reach is asked for again: longer than most calls take
 	beatMS      = 20   // ms between looks at what runs: a fifth of a quantum
 	stallMS     = 100  // ms between beats from which this instance itself stood still: five beats
 	closingMS   = 25   // ms before the client gives up at which it gets its answer: one beat and a tick
-	noteLate    = 1.5  // note intervals until a running shot must have been told of: one, and its phase
+	noteLate    = 1.5  // note intervals until a running attempt must have been told of: one, and its phase
 	noteMany    = 3.0  // note intervals without any sign though probes are answered
 	slackMS     = 100  // ms on top of both, for notes on their way
 	blindMS     = 2000 // ms without notes, reports or tellings after which there are none
 	probeMS     = 500  // ms between probes of an executor under suspicion: two probe time-outs
 	probesBack  = 2    // probes in a row that bring an executor back: one may be luck
 	badInARow   = 5    // failures in a row that set aside, as breaks hit good ones too; one, after a return
-	errorsMost  = 2    // errors after which a search itself is at fault: a third executor would say the same
+	errorsMost  = 2    // errors after which a request itself is at fault: a third executor would say the same
 	restMS      = 300  // ms that an executor is left alone after it refused
 	coldMargin  = 0.9  // part of the cold budget that all use together: what is usual is learnt by each alone
-	coldLarge   = 0.8  // part of that which a single search may take: the rest keeps warming it up
+	coldLarge   = 0.8  // part of that which a single request may take: the rest keeps warming it up
 	fade        = 0.1  // weight of the newest figure in fading means
 	learnt      = 0.02 // weight of one answer's true cost: estimates are wrong by offering, and that stays
 	seenMS      = 2000 // ms that a load met once is taken to go on: a part of what loads take
 	badPlan     = 4.0  // times the expected running time at which a plan counts as bad; more tells no pace
-	badPlanMS   = 400  // ms that a shot runs before its plan is judged
-	memorySpare = 1.3  // memory granted for each MB that a spilling search turned out to need
+	badPlanMS   = 400  // ms that an attempt runs before its plan is judged
+	memorySpare = 1.3  // memory granted for each MB that a spilling request turned out to need
 	memoryStart = 1.5  // the same before anything is known: spilling costs far more than memory too much
 )
 
-// States of a search, then of an executor.
+// States of a request, then of an executor.
 const (
 	waiting state = iota
 	running
@@ -77,11 +77,11 @@
 	anyState
 )
 
-// Inputs of a search, then of an executor.
+// Inputs of a request, then of an executor.
 const (
 	placed    input = iota // an executor was found for it
-	missed                 // its shot ended unhandled
-	doomed                 // its shot is lost or has a bad plan
+	missed                 // its attempt ended unhandled
+	doomed                 // its attempt is lost or has a bad plan
 	hopeless               // it can't be handled any more
 	finished               // it was handled, or its client left
 	silent                 // no sign of work, or only bad ones
@@ -90,10 +90,10 @@
 	warmed                 // the time to warm up is over
 )
 
-var searchTable, executorTable []row
+var requestTable, executorTable []row
 
 func init() {
-	searchTable = []row{
+	requestTable = []row{
 		{waiting, placed, running, (*Gateway).fire},
 		{running, missed, waiting, nil},
 		{recalling, missed, waiting, nil},
@@ -114,12 +114,12 @@
 }
 
 func (g *Gateway) take(ev *Event) {
-	if _, ok := g.slab.find(ev.Search); ok {
+	if _, ok := g.slab.find(ev.Request); ok {
 		return
 	}
 	k := slices.IndexFunc(g.offerings, func(o offering) bool { return o.name == ev.Offering })
 	if k < 0 { // an offering that the settings don't name: nothing is known that would let it run
-		g.do(Action{Kind: Deny, Search: ev.Search})
+		g.do(Action{Kind: Deny, Request: ev.Request})
 		return
 	}
 	o, s := &g.offerings[k], g.hold(ev, k)
@@ -132,8 +132,8 @@
 	s.due = g.now + o.due + o.stretch*s.work/float64(o.threads)
 	g.asks = min(asksSaved, g.asks+asksPerTake)
 	if g.dirty = true; ev.Barred { // a repeat of it could not be told after a crash
-		i, _ := g.slab.find(ev.Search)
-		g.search(i, hopeless)
+		i, _ := g.slab.find(ev.Request)
+		g.request(i, hopeless)
 	}
 }
 
@@ -157,7 +157,7 @@
 	}
 }
 
-// stop makes a planned end the hard limit of all in hand and to come: the rest is denied, or written off.
+// stop makes a planned end the hard limit of all in hand and to come: the rest is denied, or failed.
 func (g *Gateway) stop(by float64) {
 	g.closing, g.dirty = by, true
 	for i := range g.slab.places {
@@ -165,14 +165,14 @@
 	}
 }
 
-// maySend is the one place that decides whether a shot at s may go to executor x. notHere: this one won't do;
-// notNow: none will at this moment; never: none will any more.
-func (g *Gateway) maySend(s *search, x int) verdict {
+// maySend is the one place that decides whether an attempt at s may go to executor x. notHere: this one won't
+// do; notNow: none will at this moment; never: none will any more.
+func (g *Gateway) maySend(s *request, x int) verdict {
 	o, e := &g.offerings[s.offering], &g.executors[x]
 	if s.state != waiting || s.out > 0 || g.now >= s.until-closingMS {
-		return notNow // a second shot beside the first is never sent
+		return notNow // a second attempt beside the first is never sent
 	}
-	if !g.shotsLeft(s) {
+	if !g.attemptsLeft(s) {
 		return never
 	}
 	for first := range g.doubts(s) { // what may have run, under this mark
@@ -202,9 +202,9 @@
 	return math.Inf(1)
 }
 
-// latest is the clock by which a shot of s must have begun, wherever it waits before: later its client has
-// its answer, or what drops its repeats may have forgotten it.
-func (g *Gateway) latest(s *search) float64 {
+// latest is the clock by which an attempt of s must have begun, wherever it waits before: later its client
+// has its answer, or what drops its repeats may have forgotten it.
+func (g *Gateway) latest(s *request) float64 {
 	by := s.until - closingMS
 	for first := range g.doubts(s) {
 		by = min(by, first.At+g.offerings[s.offering].window-closingMS)
@@ -212,15 +212,15 @@
 	return by
 }
 
-// beyond tells whether a place is too far for a search: no room left there, too little gain, too long a way.
-func (g *Gateway) beyond(s *search, o *offering, place string) bool {
+// beyond tells whether a place is too far for a request: no room left there, too little gain, too long a way.
+func (g *Gateway) beyond(s *request, o *offering, place string) bool {
 	r := g.far(o, place)
 	return r != nil && (float64(r.out+o.threads) > r.Room || s.earns < r.Least ||
 		g.now+r.WayMS+s.work/float64(o.threads) > s.until-closingMS)
 }
 
-// rationLeft tells whether one more shot beyond a search's first, besides those coming, is in the ration. A
-// shot may begin as late as its connection comes up, and what has come in by now then counts no longer.
+// rationLeft tells whether one more attempt beyond a request's first, besides those coming, is in the ration.
+// One may begin as late as its connection comes up, and what has come in by now then counts no longer.
 func (g *Gateway) rationLeft(coming int) bool {
 	length, late := g.given.Num("ration_span_ms", 0), g.given.Num("connect_ms", 0)
 	g.extras.forget(g.now-length-late-beatMS, 0)
@@ -229,8 +229,8 @@
 		g.given.Num("ration_share", 0)*float64(g.takes.count())
 }
 
-// warmEnough tells whether a search fits this part of what a cold executor may be sent at its least capacity;
-// it weighs what is usual. The parts of all controllers add up to the budget, whatever each of them sends.
+// warmEnough tells whether a request fits this part of what a cold executor may be sent at its least
+// capacity; it weighs what is usual. The parts of all controllers add up to the budget, whatever each sends.
 // What this one sent before it was started again is not known, and counts as its whole part.
 func (g *Gateway) warmEnough(o *offering, e *executor) bool {
 	since := g.now - g.given.Num("fall_ms", 2000) - beatMS
@@ -238,7 +238,7 @@
 	return since >= g.began && e.coldSent.total()+o.usual <= g.coldPart(e)
 }
 
-// coldPart is that part, in ms of work. Where an even one holds no search of the largest kind, about half of
+// coldPart is that part, in ms of work. Where an even one holds no request of the largest kind, about half of
 // the budget is dealt in pieces for these, the rest in pieces for the smallest kind, each to one controller.
 func (g *Gateway) coldPart(e *executor) (part float64) {
 	budget := coldMargin * g.given.Num("fall_multiple", 1) * g.given.Num("cold_from", 0.1) * e.cores *
@@ -265,8 +265,8 @@
 	return part
 }
 
-// mayDeny is the one place that decides whether a search may be denied: a new try must do no harm.
-func (g *Gateway) mayDeny(s *search) bool {
+// mayDeny is the one place that decides whether a request may be denied: a new try must do no harm.
+func (g *Gateway) mayDeny(s *request) bool {
 	o := &g.offerings[s.offering]
 	return o.effect == "redoable" || o.effect == "labelled" && o.scope == "all" || !s.mayHaveRun()
 }
@@ -286,24 +286,24 @@
 		again := s.fired > 0 || s.prior.At != 0 && len(g.executors) > 0
 		if s.earns == 0 || again && g.maySend(s, 0) == never ||
 			s.fired > 0 && g.mayDeny(s) && !g.rationLeft(0) {
-			g.search(i, hopeless)
+			g.request(i, hopeless)
 		} else if g.full && !s.now {
 			continue // no executor has room for a single thread, so nobody need ask again in this pass
 		} else if x := g.choose(s); x >= 0 {
 			g.target = x
-			g.search(i, placed)
+			g.request(i, placed)
 		} else if s.now {
-			g.do(Action{Kind: Back, Search: s.id})
+			g.do(Action{Kind: Back, Request: s.id})
 			g.slab.drop(i)
 		} else if o := &g.offerings[s.offering]; o.late < lateLeast && g.now+s.work/float64(o.threads) > s.due {
-			g.search(i, hopeless) // sure to be late, and then worth little: it would only fill the line
+			g.request(i, hopeless) // sure to be late, and then worth little: it would only fill the line
 		}
 	}
 	g.dirty = false
 }
 
-// density is the gain that a search can still earn, for its work.
-func (g *Gateway) density(s *search) float64 {
+// density is the gain that a request can still earn, for its work.
+func (g *Gateway) density(s *request) float64 {
 	o := &g.offerings[s.offering]
 	least := s.work / float64(o.threads)
 	switch {
@@ -315,9 +315,9 @@
 	return o.gain / s.work
 }
 
-// choose gives the executor for a search, or -1: in the nearest places with room the first in its order, else
-// the one with the fewest threads a core. A search waits rather than stand behind a load of its group.
-func (g *Gateway) choose(s *search) int {
+// choose gives the executor for a request, or -1: in the nearest places with room the first in its order,
+// else the one with the fewest threads a core. A request waits rather than stand behind a load of its group.
+func (g *Gateway) choose(s *request) int {
 	o := &g.offerings[s.offering]
 	limit := fullPerCore
 	if s.work/float64(o.threads) <= g.onset {
@@ -440,7 +440,7 @@
 	return max(0, e.owed-(g.now-e.owedAt)*drainPerCore*e.cores*g.share())
 }
 
-func (g *Gateway) grant(s *search, e *executor) float64 {
+func (g *Gateway) grant(s *request, e *executor) float64 {
 	wants := s.need * cmp.Or(s.part, 1) // executors that set the grants themselves go by the estimate
 	if g.given.Is("grants") {
 		wants *= g.offerings[s.offering].memory
@@ -448,7 +448,7 @@
 	return min(wants, e.ram*g.given.Num("largest_share", 1))
 }
 
-// fire sends the shot placed, at the top level.
+// fire sends the attempt placed, at the top level.
 func (g *Gateway) fire(i int) {
 	s, e := &g.slab.places[i], &g.executors[g.target]
 	o, by := &g.offerings[s.offering], min(g.latest(s), g.openUntil(e))
@@ -466,19 +466,19 @@
 		g.held = append(g.held, holding{s.group, g.target, math.Inf(1)})
 	}
 	g.terms(s)
-	g.do(Action{Kind: Send, Search: s.id, Executor: e.id, By: by})
+	g.do(Action{Kind: Send, Request: s.id, Executor: e.id, By: by})
 }
 
 // terms names the memory and the level of s; what a deployment doesn't heed does no harm.
-func (g *Gateway) terms(s *search) {
-	g.do(Action{Kind: Terms, Search: s.id, Level: s.level, GrantMB: math.Ceil(s.last().grant)})
+func (g *Gateway) terms(s *request) {
+	g.do(Action{Kind: Terms, Request: s.id, Level: s.level, GrantMB: math.Ceil(s.last().grant)})
 }
 
 func (g *Gateway) callOff(i int) {
 	s := &g.slab.places[i]
 	for k := range s.fired {
-		if s.shots[k].out && g.given.Is("may_call_off") {
-			g.do(Action{Kind: CallOff, Search: s.id, Shot: k})
+		if s.attempts[k].out && g.given.Is("may_call_off") {
+			g.do(Action{Kind: CallOff, Request: s.id, Attempt: k})
 		}
 	}
 	g.release(i)
@@ -487,18 +487,18 @@
 func (g *Gateway) answer(i int) {
 	s := &g.slab.places[i]
 	if g.mayDeny(s) {
-		a := Action{Kind: Deny, Search: s.id}
+		a := Action{Kind: Deny, Request: s.id}
 		if g.given.Is("tells_come_back") {
 			a.AfterMS = g.given.Num("longest_come_back_ms", 0) * (0.5 + 0.5*g.chance())
 		}
 		g.do(a)
 	} else {
-		g.do(Action{Kind: WriteOff, Search: s.id})
+		g.do(Action{Kind: Fail, Request: s.id})
 	}
 	g.callOff(i)
 }
 
-func (g *Gateway) note(i int, h *shot, ev *Event) {
+func (g *Gateway) note(i int, h *attempt, ev *Event) {
 	s := &g.slab.places[i]
 	o, e := &g.offerings[s.offering], &g.executors[h.executor]
 	e.heard, e.missed, h.noted, e.tookAt = g.now, false, g.now, max(e.tookAt, h.sent)
@@ -506,11 +506,11 @@
 	case Waits:
 		g.line(h, true)
 		g.dirty = true
-		// A reader that stands behind a load goes elsewhere at once: all it loses is the shot that it uses up.
+		// A reader that stands behind a load goes elsewhere at once: all it loses is the attempt that it uses up.
 		if ev.Value == 2 {
 			g.seen = append(g.seen, holding{s.group, h.executor, g.now + seenMS})
 			if s.state == running && o.effect == "redoable" && h.share == 0 && g.mayFollow(s) {
-				g.search(i, doomed)
+				g.request(i, doomed)
 			}
 		}
 	case Spills:
@@ -518,7 +518,7 @@
 			o.memory = max(o.memory, o.memory+fade*((h.grant+ev.Value)/s.need*memorySpare-o.memory))
 		}
 	case Progress:
-		if ev.Value > h.share { // a shot that stands still goes on telling the share that it has
+		if ev.Value > h.share { // an attempt that stands still goes on telling the share that it has
 			h.share = ev.Value
 			g.line(h, false)
 		}
@@ -526,24 +526,24 @@
 		least := s.work / float64(o.threads)
 		expected := least * max(1, o.slow) * max(1, e.pace)
 		projected := h.ran / max(h.share, 0.01)
-		// A bad plan, told by a pace far under that of offering and executor, or a shot that was forgotten there.
-		// It harms when an estimate is far too low, hence the limit on what is left.
+		// A bad plan, told by a pace far under that of offering and executor, or an attempt that was forgotten
+		// there. It harms when an estimate is far too low, hence the limit on what is left.
 		if s.state == running && h.ran > badPlanMS && projected > badPlan*expected &&
 			projected-h.ran > 2*expected && o.effect == "redoable" && g.mayFollow(s) {
-			g.search(i, doomed)
+			g.request(i, doomed)
 		}
 	}
 }
 
-func (g *Gateway) mayFollow(s *search) bool {
-	return g.given.Is("may_call_off") && g.shotsLeft(s) && g.rationLeft(g.returning())
+func (g *Gateway) mayFollow(s *request) bool {
+	return g.given.Is("may_call_off") && g.attemptsLeft(s) && g.rationLeft(g.returning())
 }
 
-func (g *Gateway) shotsLeft(s *search) bool {
-	return float64(s.fired) < min(mostShots, g.given.Num("most_shots", mostShots))
+func (g *Gateway) attemptsLeft(s *request) bool {
+	return float64(s.fired) < min(mostAttempts, g.given.Num("most_shots", mostAttempts))
 }
 
-func (g *Gateway) ended(i int, h *shot, ev *Event) {
+func (g *Gateway) ended(i int, h *attempt, ev *Event) {
 	s := &g.slab.places[i]
 	o, e := &g.offerings[s.offering], &g.executors[h.executor]
 	g.settle(s, h, !ev.Outcome.NeverRan())
@@ -568,16 +568,16 @@
 		g.rests[s.key] = g.now + rest
 	}
 	if ev.Over {
-		g.search(i, finished)
+		g.request(i, finished)
 	} else if ev.Barred {
-		g.search(i, hopeless)
+		g.request(i, hopeless)
 	} else if s.state != over && s.out == 0 {
-		g.search(i, missed)
+		g.request(i, missed)
 	}
 	g.release(i)
 }
 
-func (g *Gateway) learn(s *search, o *offering, e *executor, h *shot, ev *Event) {
+func (g *Gateway) learn(s *request, o *offering, e *executor, h *attempt, ev *Event) {
 	g.finished.add(g.now, h.ran)
 	ratio := h.ran / max(1, s.work/float64(o.threads))
 	o.slow += fade * (min(ratio, badPlan*o.slow+1) - o.slow)
@@ -619,20 +619,20 @@
 	g.dirty = true
 }
 
-// evict calls off the shots at an executor set aside, but irreversible ones: it may only be cut off.
+// evict calls off the attempts at an executor set aside, but irreversible ones: it may only be cut off.
 func (g *Gateway) evict(x int) {
 	e := &g.executors[x]
 	e.asideAt, e.answers, e.strikes = g.now, 0, e.strikes+1
 	g.lost(x, g.now, false)
 }
 
-// lost calls off the shots at x that went out before then; unless surely gone, only those another may follow.
+// lost calls off the attempts at x that went out before; unless surely gone, only those another may follow.
 func (g *Gateway) lost(x int, before float64, surely bool) {
 	for i := range g.slab.places {
 		s := &g.slab.places[i]
 		if s.used && s.state == running && s.last().executor == x && s.last().sent < before &&
 			(surely || g.offerings[s.offering].effect != "irreversible" && g.mayFollow(s)) {
-			g.search(i, doomed)
+			g.request(i, doomed)
 		}
 	}
 }
@@ -699,11 +699,11 @@
 		switch {
 		case !s.used || s.state == over:
 		case g.now >= s.until-closingMS && !s.bound:
-			g.search(i, hopeless)
+			g.request(i, hopeless)
 		case s.state == running:
 			g.age(s, s.last(), gap)
 			if gap < stallMS && g.forgotten(s, s.last()) {
-				g.search(i, doomed)
+				g.request(i, doomed)
 			}
 		}
 	}
@@ -714,8 +714,8 @@
 	g.endRests()
 }
 
-// age adds a beat of running time to a shot and lets its priority decay.
-func (g *Gateway) age(s *search, h *shot, gap float64) {
+// age adds a beat of running time to an attempt and lets its priority decay.
+func (g *Gateway) age(s *request, h *attempt, gap float64) {
 	if h.waits != 0 {
 		return // waiting is not running
 	}
@@ -732,14 +732,14 @@
 }
 
 // remark names the level of s where it has changed.
-func (g *Gateway) remark(s *search) {
+func (g *Gateway) remark(s *request) {
 	if level := levelOf(min(s.p, cmp.Or(s.under, pTop))); level != s.level {
 		s.level = level
 		g.terms(s)
 	}
 }
 
-// press holds a search under a priority while others lack their due; a load never: its group would wait.
+// press holds a request under a priority while others lack their due; a load never: its group would wait.
 func (g *Gateway) press(i int, ev *Event) {
 	s := &g.slab.places[i]
 	if s.under, s.part = ev.Start, ev.Part; g.offerings[s.offering].holds {
@@ -751,9 +751,9 @@
 	}
 }
 
-// forgotten tells whether a shot has missed a note while its executor goes on working: lost replies, cut
-// streams, dropped shots. It harms where notes alone are lost; one in line for memory sends none, and stays.
-func (g *Gateway) forgotten(s *search, h *shot) bool {
+// forgotten tells whether an attempt has missed a note while its executor goes on working: lost replies, cut
+// streams, dropped attempts. It harms where notes alone are lost; one in line for memory sends none.
+func (g *Gateway) forgotten(s *request, h *attempt) bool {
 	every := g.given.Num("told_every_ms", 0)
 	e := &g.executors[h.executor]
 	return every > 0 && g.now-h.noted > noteLate*every+slackMS && h.waits == 0 && e.heard > h.noted &&
@@ -809,7 +809,7 @@
 		e.probeOut, e.probed = true, g.now
 		g.do(Action{Kind: Probe, Executor: e.id})
 	}
-	// A shot in line for memory sends no notes: where all of ours are, silence is none without a missed probe.
+	// An attempt in line for memory sends no notes: where all of ours are, silence needs a missed probe too.
 	slack := noteMany
 	if e.missed && e.lined < e.out {
 		slack = noteLate
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/assert"
 )
 
-func TestAFreshSearchIsSentAtTheTopLevel(t *testing.T) {
+func TestAFreshRequestIsSentAtTheTopLevel(t *testing.T) {
 	out := take(gateway(2, nil), 1000, "a", "read")
 	assert.Equal(t, []ActionKind{Terms, Send}, kinds(out))
 	assert.Equal(t, 3, out[0].Level)
@@ -42,7 +42,7 @@
 	g.age(s, s.last(), 0) // 12 quanta, of which 9 past the onset
 	assert.InDelta(t, pTop*math.Pow(decay, 9), s.p, 1e-6)
 	assert.Equal(t, 2, s.level)
-	assert.Equal(t, Action{Kind: Terms, Search: "a", GrantMB: 100 * memoryStart, Level: 2}, g.out[len(g.out)-1])
+	assert.Equal(t, Action{Kind: Terms, Request: "a", GrantMB: 100 * memoryStart, Level: 2}, g.out[len(g.out)-1])
 	marked := len(g.out)
 	g.age(s, s.last(), 0)
 	assert.Len(t, g.out, marked, "re-marked without a change of level")
@@ -51,11 +51,11 @@
 func TestWaitingIsNotRunning(t *testing.T) {
 	g := gateway(1, nil)
 	take(g, 1000, "a", "mark")
-	g.Step(1010, &Event{Kind: Noted, Search: "a", Note: Waits, Value: 1}, nil)
-	g.Step(1030, &Event{Kind: Noted, Search: "a", Note: Progress, Value: 0}, nil)
+	g.Step(1010, &Event{Kind: Noted, Request: "a", Note: Waits, Value: 1}, nil)
+	g.Step(1030, &Event{Kind: Noted, Request: "a", Note: Progress, Value: 0}, nil)
 	beat(g, 1050)
 	assert.Zero(t, g.slab.places[0].last().ran, "a share that does not grow is no sign of running")
-	g.Step(1060, &Event{Kind: Noted, Search: "a", Note: Progress, Value: 0.2}, nil)
+	g.Step(1060, &Event{Kind: Noted, Request: "a", Note: Progress, Value: 0.2}, nil)
 	beat(g, 1070)
 	assert.Equal(t, float64(beatMS), g.slab.places[0].last().ran)
 }
@@ -106,7 +106,7 @@
 	assert.Empty(t, g.slab.byID)
 	g = gateway(1, nil)
 	take(g, 1000, "b", "once")
-	assert.Equal(t, []ActionKind{WriteOff, CallOff, Probe}, kinds(beat(g, 8980)))
+	assert.Equal(t, []ActionKind{Fail, CallOff, Probe}, kinds(beat(g, 8980)))
 	assert.Empty(t, kinds(ended(g, 8990, "b", 0, Recalled)))
 	assert.Empty(t, g.slab.byID)
 }
@@ -118,7 +118,7 @@
 		want     []ActionKind
 	}{
 		{"read", Severed, []ActionKind{Terms, Send}}, {"mark", Erred, []ActionKind{Terms, Send}},
-		{"once", Erred, []ActionKind{WriteOff}}, {"once", Severed, []ActionKind{WriteOff}},
+		{"once", Erred, []ActionKind{Fail}}, {"once", Severed, []ActionKind{Fail}},
 		{"once", Full, []ActionKind{Terms, Send}}, {"once", Refused, []ActionKind{Terms, Send}},
 	} {
 		g := gateway(3, nil)
@@ -135,10 +135,10 @@
 	}
 	g.executors[g.slab.places[0].last().executor].standing = Gone
 	s := &g.slab.places[0]
-	s.state, s.out, s.shots[0].out = waiting, 0, false
+	s.state, s.out, s.attempts[0].out = waiting, 0, false
 	assert.False(t, g.mayDeny(s), "repeats are dropped in one place alone")
 	for x := range g.executors {
-		same := g.executors[x].place == g.executors[s.shots[0].executor].place
+		same := g.executors[x].place == g.executors[s.attempts[0].executor].place
 		assert.Equal(t, same && g.executors[x].standing == Active, g.maySend(s, x) == yes)
 	}
 }
@@ -169,17 +169,17 @@
 	ended(g, 5100, "a", 0, Handled)
 	for k, at := range []float64{8870, 8890, 12470} {
 		id := string(rune('b' + k))
-		ev := Event{Kind: Taken, Search: id, Offering: "read", Group: uint64(k * 10), WorkMS: 100, Until: 20000}
+		ev := Event{Kind: Taken, Request: id, Offering: "read", Group: uint64(k * 10), WorkMS: 100, Until: 20000}
 		out := g.Step(at, &ev, nil)
 		assert.Equal(t, []ActionKind{Terms, Send}, kinds(out))
 		if at > 8875 {
 			assert.Equal(t, first[1].Executor, out[1].Executor, "the one that took something since")
 		}
-		g.Step(at, &Event{Kind: Ended, Search: id, Outcome: Full}, nil)
-		g.Step(at, &Event{Kind: Left, Search: id}, nil)
+		g.Step(at, &Event{Kind: Ended, Request: id, Outcome: Full}, nil)
+		g.Step(at, &Event{Kind: Left, Request: id}, nil)
 		g.executors[0].restUntil, g.executors[1].restUntil = 0, 0
 	}
-	ev := Event{Kind: Taken, Search: "z", Offering: "read", WorkMS: 100, Until: 20000}
+	ev := Event{Kind: Taken, Request: "z", Offering: "read", WorkMS: 100, Until: 20000}
 	assert.Empty(t, kinds(g.Step(12480, &ev, nil)))
 	assert.Equal(t, []ActionKind{Terms, Send}, kinds(g.Step(12500, &Event{Kind: Listed, List: Changes}, nil)))
 	g = gateway(1, Given{"drain_grace_ms": 500.0})
@@ -209,15 +209,15 @@
 	assert.False(t, g.warmEnough(o, e), "what weighs more than the part waits until it is warm")
 }
 
-func TestSearchesOfAKeyRunInTurnAndTheKeyRests(t *testing.T) {
+func TestRequestsOfAKeyRunInTurnAndTheKeyRests(t *testing.T) {
 	g := gateway(3, Given{"offering.0.in_order": true, "key_rest_ms": 400.0})
 	keyed := func(id string) []ActionKind {
-		ev := Event{Kind: Taken, Search: id, Offering: "read", Key: "k", WorkMS: 9, Until: 9000}
+		ev := Event{Kind: Taken, Request: id, Offering: "read", Key: "k", WorkMS: 9, Until: 9000}
 		return kinds(g.Step(1000, &ev, nil))
 	}
 	assert.Equal(t, []ActionKind{Terms, Send}, keyed("a"))
 	assert.Empty(t, keyed("b"))
-	assert.Equal(t, []ActionKind{CallOff}, kinds(g.Step(1010, &Event{Kind: Left, Search: "a"}, nil)))
+	assert.Equal(t, []ActionKind{CallOff}, kinds(g.Step(1010, &Event{Kind: Left, Request: "a"}, nil)))
 	assert.Empty(t, kinds(ended(g, 1020, "a", 0, Recalled)), "the key rests")
 	assert.Empty(t, kinds(beat(g, 1400)))
 	assert.Equal(t, []ActionKind{Terms, Send}, kinds(beat(g, 1425)))
@@ -230,7 +230,7 @@
 	assert.Equal(t, uint32(9), g.executors[g.slab.places[0].last().executor].id)
 }
 
-func TestFurtherShotsAreRationed(t *testing.T) {
+func TestFurtherAttemptsAreRationed(t *testing.T) {
 	more := Given{"ration_span_ms": 10000.0, "ration_floor": 1.0, "ration_share": 0.1}
 	g := gateway(3, more)
 	take(g, 1000, "a", "read")
@@ -248,7 +248,7 @@
 	assert.False(t, g.rationLeft(0), "it may have begun late, as its connection came up late")
 }
 
-func TestShotsLeft(t *testing.T) {
+func TestAttemptsLeft(t *testing.T) {
 	g := gateway(3, Given{"most_shots": 2.0})
 	take(g, 1000, "a", "read")
 	ended(g, 1010, "a", 0, Full)
@@ -259,7 +259,7 @@
 	g := gateway(2, nil)
 	take(g, 1000, "a", "read")
 	g.slab.places[0].last().ran = 1000
-	out := g.Step(2000, &Event{Kind: Noted, Search: "a", Note: Progress, Value: 0.05}, nil)
+	out := g.Step(2000, &Event{Kind: Noted, Request: "a", Note: Progress, Value: 0.05}, nil)
 	assert.Equal(t, []ActionKind{CallOff}, kinds(out))
 	assert.Equal(t, []ActionKind{Terms, Send}, kinds(ended(g, 2010, "a", 0, Recalled)))
 }
@@ -267,7 +267,7 @@
 func TestAReaderBehindALoadGoesElsewhere(t *testing.T) {
 	g := gateway(2, Given{"offering.0.stands_behind": true})
 	at := take(g, 1000, "a", "read")[1].Executor
-	out := g.Step(1005, &Event{Kind: Noted, Search: "a", Note: Waits, Value: 2}, nil)
+	out := g.Step(1005, &Event{Kind: Noted, Request: "a", Note: Waits, Value: 2}, nil)
 	assert.Equal(t, []ActionKind{CallOff}, kinds(out))
 	out = ended(g, 1010, "a", 0, Recalled)
 	assert.NotEqual(t, at, out[1].Executor)
@@ -277,7 +277,7 @@
 	g := gateway(1, nil)
 	take(g, 1000, "a", "read")
 	take(g, 1000, "b", "read")
-	g.Step(2000, &Event{Kind: Noted, Search: "b", Note: Progress, Value: 0.5}, nil)
+	g.Step(2000, &Event{Kind: Noted, Request: "b", Note: Progress, Value: 0.5}, nil)
 	assert.Empty(t, kinds(beat(g, 2500)))
 	g.slab.places[0].last().waits = Waits
 	assert.Equal(t, []ActionKind{Probe}, kinds(beat(g, 2610)), "it stands in line, where it sends no notes")
@@ -330,9 +330,9 @@
 		[]state{g.executors[0].state, g.executors[1].state, g.executors[2].state, g.executors[3].state})
 }
 
-func TestAHopelessSearchIsDeniedAtOnceWithATimeToComeBack(t *testing.T) {
+func TestAHopelessRequestIsDeniedAtOnceWithATimeToComeBack(t *testing.T) {
 	g := gateway(1, nil)
-	out := g.Step(1000, &Event{Kind: Taken, Search: "a", Offering: "read", WorkMS: 5000, Until: 2000}, nil)
+	out := g.Step(1000, &Event{Kind: Taken, Request: "a", Offering: "read", WorkMS: 5000, Until: 2000}, nil)
 	assert.Equal(t, Deny, out[0].Kind)
 	assert.InDelta(t, 375, out[0].AfterMS, 125)
 }
@@ -342,13 +342,13 @@
 	take(g, 1000, "a", "read")
 	take(g, 1000, "b", "read")
 	beat(g, 1020)
-	g.Step(3500, &Event{Kind: Noted, Search: "b", Note: Progress, Value: 0.5}, nil)
+	g.Step(3500, &Event{Kind: Noted, Request: "b", Note: Progress, Value: 0.5}, nil)
 	assert.Empty(t, kinds(g.Step(3500, &Event{Kind: Rang}, nil)), "the note of a may stand in line")
 	assert.Equal(t, 2500.0, g.slab.places[0].last().ran, "it ran all the while")
 	assert.Contains(t, kinds(beat(g, 3520)), CallOff)
 }
 
-func TestASearchSureToBeLateWaitsOnlyForWhatPays(t *testing.T) {
+func TestARequestSureToBeLateWaitsOnlyForWhatPays(t *testing.T) {
 	for late, want := range map[float64][]ActionKind{0.1: {Deny}, 0.5: nil} {
 		g := gateway(0, Given{"offering.0.late_share": late})
 		take(g, 1000, "a", "read")
@@ -359,8 +359,8 @@
 
 func TestTheOrdinaryPathAllocatesNothing(t *testing.T) {
 	g, out := gateway(4, nil), make([]Action, 0, 64)
-	taken := Event{Kind: Taken, Search: "a", Offering: "read", NeedMB: 100, WorkMS: 100, Until: 9e9}
-	done := Event{Kind: Ended, Search: "a", Outcome: Handled, Over: true}
+	taken := Event{Kind: Taken, Request: "a", Offering: "read", NeedMB: 100, WorkMS: 100, Until: 9e9}
+	done := Event{Kind: Ended, Request: "a", Outcome: Handled, Over: true}
 	rang, now := Event{Kind: Rang}, 1000.0
 	round := func() {
 		now += 100
@@ -393,7 +393,7 @@
 	assert.InDelta(t, 25, g.onset, 1e-9)
 }
 
-func TestWhereOurPartIsSmallOwedWorkMovesTheNextSearchOn(t *testing.T) {
+func TestWhereOurPartIsSmallOwedWorkMovesTheNextRequestOn(t *testing.T) {
 	g := many(4, nil)
 	first := take(g, 1000, "a", "read")
 	second := take(g, 1000, "b", "read")
@@ -404,7 +404,7 @@
 	assert.InDelta(t, 0, g.owed(e), 1e-6)
 }
 
-func TestAnExecutorIsAskedBeforeAShotWhereOurPartIsSmall(t *testing.T) {
+func TestAnExecutorIsAskedBeforeAnAttemptWhereOurPartIsSmall(t *testing.T) {
 	g := many(2, Given{"report_comes": "probes", "report": []string{"queue", "x0", "x1"}})
 	g.reportedAt = 1000
 	out := take(g, 1000, "a", "read")
@@ -528,7 +528,7 @@
 	assert.Equal(t, []ActionKind{Deny}, kinds(beat(g, 8990)))
 }
 
-func TestLongSearchesLeaveMemoryToShortOnesPastTheBound(t *testing.T) {
+func TestLongRequestsLeaveMemoryToShortOnesPastTheBound(t *testing.T) {
 	g := gateway(1, nil)
 	e := &g.executors[0]
 	e.threads, e.memory = 10, 0.8*e.ram
@@ -546,17 +546,17 @@
 	assert.InDelta(t, memoryStart+fade*(4*memorySpare-memoryStart), g.offerings[0].memory, 1e-9)
 }
 
-// A planned stop must not leave long searches to be lost, nor keep one that can't be handled any more.
+// A planned stop must not leave long requests to be lost, nor keep one that can't be handled any more.
 func TestAPlannedStopAnswersAllInTime(t *testing.T) {
 	g := gateway(1, nil)
 	take(g, 1000, "short", "read")
 	take(g, 1000, "once", "once")
 	g.Step(1100, &Event{Kind: Closing, Until: 1500}, nil)
-	out := g.Step(1110, &Event{Kind: Taken, Search: "long", Offering: "read", WorkMS: 5000, Until: 9000}, nil)
+	out := g.Step(1110, &Event{Kind: Taken, Request: "long", Offering: "read", WorkMS: 5000, Until: 9000}, nil)
 	assert.Equal(t, []ActionKind{Deny}, kinds(out), "what can't end in time asks elsewhere at once")
 	assert.Empty(t, kinds(beat(g, 1460)))
 	out = beat(g, 1480)
-	assert.Equal(t, []ActionKind{Deny, CallOff, WriteOff, CallOff}, kinds(out))
+	assert.Equal(t, []ActionKind{Deny, CallOff, Fail, CallOff}, kinds(out))
 }
 
 // A message is whatever another machine sent: no bytes may stop the module or make it act for a stranger.
@@ -575,7 +575,7 @@
 	})
 }
 
-// Executors are replaced without end, ids are always new: places return, but not while a search still names one.
+// Executors are replaced without end, ids are always new: places return, but not while a request still names one.
 func TestPlacesOfExecutorsThatAreGoneAreUsedAgain(t *testing.T) {
 	g := gateway(4, nil)
 	take(g, 1000, "a", "once")
@@ -592,50 +592,50 @@
 	take(g, 3000, "b", "read")
 	ended(g, 3100, "b", 0, Handled)
 	ended(g, 3100, "a", 0, Severed)
-	g.Step(9000, &Event{Kind: Left, Search: "a"}, nil)
+	g.Step(9000, &Event{Kind: Left, Request: "a"}, nil)
 	g.Step(9001, &Event{Kind: Listed, Entries: []Entry{{Executor: 999, Kind: "big"}}}, nil)
 	assert.Equal(t, uint32(999), g.executors[held].id)
 	assert.Equal(t, 5, len(g.executors))
 	assert.Empty(t, g.slab.byID)
 }
 
-// A search that no executor can use must not eat the ration of further shots, nor go round all executors.
-func TestASearchThatErrsTwiceIsAtFaultItself(t *testing.T) {
+// A request that no executor can use must not eat the ration of further attempts, nor go round all executors.
+func TestARequestThatErrsTwiceIsAtFaultItself(t *testing.T) {
 	g := gateway(4, nil)
 	take(g, 1000, "a", "read")
 	assert.Contains(t, kinds(ended(g, 1100, "a", 0, Erred)), Send)
 	assert.Equal(t, []ActionKind{Deny}, kinds(ended(g, 1200, "a", 1, Erred)), "the client hears so at once")
 	take(g, 1300, "b", "once")
-	assert.Equal(t, []ActionKind{WriteOff}, kinds(ended(g, 1400, "b", 0, Erred)))
-	take(g, 1500, "c", "read") // breaks are no errors of the search
+	assert.Equal(t, []ActionKind{Fail}, kinds(ended(g, 1400, "b", 0, Erred)))
+	take(g, 1500, "c", "read") // breaks are no errors of the request
 	ended(g, 1600, "c", 0, Severed)
 	assert.Contains(t, kinds(ended(g, 1700, "c", 1, Severed)), Send)
 }
 
-// Called off without a further shot to follow, a shot that might still be handled would be thrown away.
-func TestNobodyIsCalledOffForAShotThatTheRationLacks(t *testing.T) {
+// Called off without a further attempt to follow, an attempt that might still be handled would be thrown away.
+func TestNobodyIsCalledOffForAnAttemptThatTheRationLacks(t *testing.T) {
 	g := gateway(2, Given{"ration_span_ms": 10000.0, "ration_floor": 1.0, "offering.0.stands_behind": true})
 	for _, id := range []string{"a", "b"} {
 		take(g, 1000, id, "read")
 	}
-	for k := range g.executors { // nobody else has room, so that the first waits for its next shot
+	for k := range g.executors { // nobody else has room, so that the first waits for its next attempt
 		g.executors[k].threads += 100
 	}
 	behind := func(id string) []ActionKind {
-		return kinds(g.Step(1100, &Event{Kind: Noted, Search: id, Note: Waits, Value: 2}, nil))
+		return kinds(g.Step(1100, &Event{Kind: Noted, Request: id, Note: Waits, Value: 2}, nil))
 	}
 	assert.Contains(t, behind("a"), CallOff)
 	assert.Equal(t, 1, g.returning())
 	assert.NotContains(t, behind("b"), CallOff)
 }
 
-// What may have run under a mark, in another search or before a crash, goes only where it is known as a repeat, and no
+// What may have run under a mark, in another request or before a crash, goes only where it is known as a repeat, and no
 // longer than it is known there; it is never denied then, since a new try might do harm.
 func TestWhatMayHaveRunBeforeGoesToItsGroup(t *testing.T) {
 	g := gateway(1, Given{"offering.1.scope": "zone"})
 	g.Step(1000, &Event{Kind: Listed, Entries: []Entry{{Executor: 2, Place: "there", Kind: "big"}}}, nil)
 	again := func(id, offering string, p Prior) []Action {
-		return g.Step(2000, &Event{Kind: Taken, Search: id, Offering: offering, WorkMS: 100, Until: 9000, Prior: p}, nil)
+		return g.Step(2000, &Event{Kind: Taken, Request: id, Offering: offering, WorkMS: 100, Until: 9000, Prior: p}, nil)
 	}
 	for n, place := range []string{"there", "here"} {
 		a := again("a"+place, "mark", Prior{At: 1900, Place: place})
@@ -644,19 +644,19 @@
 	}
 	assert.Empty(t, kinds(again("b", "mark", Prior{At: 1900, Place: "lost"})), "it waits for its group")
 	a := beat(g, 8990)
-	assert.Contains(t, kinds(a), WriteOff)
+	assert.Contains(t, kinds(a), Fail)
 	assert.NotContains(t, kinds(a), Deny)
-	assert.Equal(t, []ActionKind{WriteOff}, kinds(again("c", "mark", Prior{At: -1e9, Place: "here"})), "past the window")
-	assert.Equal(t, []ActionKind{WriteOff}, kinds(again("d", "once", Prior{At: 1900, Place: "here"})))
+	assert.Equal(t, []ActionKind{Fail}, kinds(again("c", "mark", Prior{At: -1e9, Place: "here"})), "past the window")
+	assert.Equal(t, []ActionKind{Fail}, kinds(again("d", "once", Prior{At: 1900, Place: "here"})))
 }
 
 // What can't be put on record must not run: it is denied unrun at once, not sent to a second executor.
 func TestWhatCannotBeRecordedIsDeniedUnrun(t *testing.T) {
 	g := gateway(2, nil)
-	a := g.Step(2000, &Event{Kind: Taken, Search: "a", Offering: "once", WorkMS: 100, Until: 9000, Barred: true}, nil)
+	a := g.Step(2000, &Event{Kind: Taken, Request: "a", Offering: "once", WorkMS: 100, Until: 9000, Barred: true}, nil)
 	assert.Equal(t, []ActionKind{Deny}, kinds(a))
 	take(g, 2000, "b", "mark")
-	a = g.Step(2010, &Event{Kind: Ended, Search: "b", Outcome: Superseded, Barred: true}, nil)
+	a = g.Step(2010, &Event{Kind: Ended, Request: "b", Outcome: Superseded, Barred: true}, nil)
 	assert.Equal(t, []ActionKind{Deny}, kinds(a))
 	assert.Empty(t, g.slab.byID)
 }
@@ -666,7 +666,7 @@
 	before := gateway(1, nil)
 	for n := range 40 {
 		take(before, 1000, "x", "read")
-		before.Step(1000+float64(20*n), &Event{Kind: Ended, Search: "x", Outcome: Handled, Over: true, SpentMS: 150}, nil)
+		before.Step(1000+float64(20*n), &Event{Kind: Ended, Request: "x", Outcome: Handled, Over: true, SpentMS: 150}, nil)
 	}
 	beat(before, 3000)
 	figures := before.Learnt(nil)
@@ -683,19 +683,19 @@
 	assert.True(t, g.rationLeft(0))
 }
 
-// A search of a team past its budget starts lower and gets less memory; held under a level while it runs it is re-marked, and
+// A request of a team past its budget starts lower and gets less memory; held under a level while it runs it is re-marked, and
 // again when it is no more. A load starts at the top and is never held: it would hold its group for longer.
 func TestStartsAndPressingMoveLevels(t *testing.T) {
 	g := gateway(2, Given{"offering.1.holds_group": true, "offering.0.stands_behind": true})
-	a := g.Step(2000, &Event{Kind: Taken, Search: "a", Offering: "read", WorkMS: 100, NeedMB: 100, Until: 9000, Start: 500, Part: 0.5}, nil)
+	a := g.Step(2000, &Event{Kind: Taken, Request: "a", Offering: "read", WorkMS: 100, NeedMB: 100, Until: 9000, Start: 500, Part: 0.5}, nil)
 	assert.Equal(t, []ActionKind{Terms, Send}, kinds(a))
 	assert.Equal(t, 1, a[0].Level)
 	assert.Equal(t, 0.5*memoryStart*100, a[0].GrantMB)
-	a = g.Step(2000, &Event{Kind: Taken, Search: "b", Offering: "mark", WorkMS: 100, Until: 9000, Group: 5, Start: 500}, nil)
+	a = g.Step(2000, &Event{Kind: Taken, Request: "b", Offering: "mark", WorkMS: 100, Until: 9000, Group: 5, Start: 500}, nil)
 	assert.Equal(t, topLevel, a[0].Level, "a load")
 	take(g, 2000, "c", "read")
 	press := func(id string, under float64) []Action {
-		return g.Step(2010, &Event{Kind: Pressed, Search: id, Start: under}, nil)
+		return g.Step(2010, &Event{Kind: Pressed, Request: id, Start: under}, nil)
 	}
 	assert.Equal(t, 1, press("c", 500)[0].Level)
 	assert.Empty(t, kinds(press("c", 500)))
@@ -706,15 +706,15 @@
 	assert.Empty(t, kinds(press("nobody", 500)))
 }
 
-// The memory of a search that runs goes down and up again with what it is held under, and the books of its executor with it.
+// The memory of a request that runs goes down and up again with what it is held under, and the books of its executor with it.
 func TestPressingChangesTheGrantOfWhatRuns(t *testing.T) {
 	g := gateway(1, nil)
 	a := take(g, 2000, "a", "read")
 	full := a[0].GrantMB
-	a = g.Step(2010, &Event{Kind: Pressed, Search: "a", Start: pTop, Part: 0.5}, nil)
+	a = g.Step(2010, &Event{Kind: Pressed, Request: "a", Start: pTop, Part: 0.5}, nil)
 	assert.Equal(t, []ActionKind{Terms}, kinds(a))
 	assert.Equal(t, []float64{full / 2, full / 2}, []float64{a[0].GrantMB, g.executors[0].memory})
-	a = g.Step(2020, &Event{Kind: Pressed, Search: "a"}, nil)
+	a = g.Step(2020, &Event{Kind: Pressed, Request: "a"}, nil)
 	assert.Equal(t, full, a[0].GrantMB)
 	ended(g, 2030, "a", 0, Handled)
 	assert.Zero(t, g.executors[0].memory)
@@ -725,33 +725,33 @@
 func TestWhatIsSentNowOrGivenBack(t *testing.T) {
 	g := gateway(1, Given{"kind.0.cores": 1.0, "ration_span_ms": 10000.0})
 	now := func(at float64, id string) []Action {
-		return g.Step(at, &Event{Kind: Taken, Search: id, Offering: "read", WorkMS: 100, Until: 9000, Now: true}, nil)
+		return g.Step(at, &Event{Kind: Taken, Request: id, Offering: "read", WorkMS: 100, Until: 9000, Now: true}, nil)
 	}
 	assert.Equal(t, []ActionKind{Terms, Send}, kinds(now(2000, "a")))
 	assert.Equal(t, 1, g.takes.count())
 	for n := range 3 {
 		a := now(2010+float64(n), "b")
 		assert.Equal(t, []ActionKind{Back}, kinds(a))
-		assert.Equal(t, "b", a[0].Search)
+		assert.Equal(t, "b", a[0].Request)
 	}
 	assert.Equal(t, 1, g.takes.count())
 	assert.Len(t, g.slab.byID, 1)
 	ended(g, 2100, "a", 0, Handled)
 	assert.Equal(t, []ActionKind{Terms, Send}, kinds(now(2200, "b")))
-	assert.Equal(t, []ActionKind{Deny}, kinds(g.Step(2300, &Event{Kind: Taken, Search: "c", Offering: "read", WorkMS: 100, Until: 2310,
+	assert.Equal(t, []ActionKind{Deny}, kinds(g.Step(2300, &Event{Kind: Taken, Request: "c", Offering: "read", WorkMS: 100, Until: 2310,
 		Now: true}, nil)), "what can't be done in time is turned away, not given back")
 }
 
-// A search that is pressed at the moment when its connection breaks is sent no second time for that: an irreversible one ends
-// written off, a labelled one goes only to the group that drops its repeats.
-func TestPressingNeverRunsASearchTwice(t *testing.T) {
-	for offering, want := range map[string]ActionKind{"once": WriteOff, "mark": Send} {
+// A request that is pressed at the moment when its connection breaks is sent no second time for that: an irreversible one ends
+// failed, a keyed one goes only to the group that drops its repeats.
+func TestPressingNeverRunsARequestTwice(t *testing.T) {
+	for offering, want := range map[string]ActionKind{"once": Fail, "mark": Send} {
 		g := gateway(2, nil)
 		take(g, 2000, "a", offering)
-		g.Step(2010, &Event{Kind: Pressed, Search: "a", Start: 500, Part: 0.7}, nil)
+		g.Step(2010, &Event{Kind: Pressed, Request: "a", Start: 500, Part: 0.7}, nil)
 		a := ended(g, 2010, "a", 0, Severed)
 		assert.Equal(t, want, a[len(a)-1].Kind, offering)
-		a = g.Step(2011, &Event{Kind: Pressed, Search: "a", Start: 0}, nil)
+		a = g.Step(2011, &Event{Kind: Pressed, Request: "a", Start: 0}, nil)
 		assert.NotContains(t, kinds(a), Send, offering)
 	}
 }
@@ -770,9 +770,9 @@
 	assert.Equal(t, 0.25, g.share(), "nothing is known")
 }
 
-// Places that are far get searches only where no near one has room, no more threads than are open there, none that it is not worth, and
+// Places that are far get requests only where no near one has room, no more threads than are open there, none that it is not worth, and
 // none that would be late on the way; what runs on kinds that are nowhere near goes there as if it were near.
-func TestHowFarSearchesGo(t *testing.T) {
+func TestHowFarRequestsGo(t *testing.T) {
 	far := func(r Reach) *Gateway {
 		g := gateway(1, Given{"offering.2.kinds": []string{"odd"}})
 		g.Step(1000, &Event{Kind: Listed, Entries: []Entry{{Executor: 2, Place: "there", Kind: "big"}, {Executor: 3, Place: "there", Kind: "odd"}}}, nil)
--- a/rules/slab.go
+++ b/rules/slab.go
@@ -10,11 +10,11 @@
 	"strings"
 )
 
-// mostShots is the room for shots in one place of the slab.
-const mostShots = 8
+// mostShots is the room for attempts in one place of the slab.
+const mostAttempts = 8
 
-// shot is one attempt at a search.
-type shot struct {
+// attempt is one attempt at a request.
+type attempt struct {
 	executor int // index into Gateway.executors
 	sent     float64
 	noted    float64 // clock of the last note, or of sending
@@ -27,8 +27,8 @@
 	doubt    bool     // out, or ended without proof that it never ran
 }
 
-// search is one place of the slab.
-type search struct {
+// request is one place of the slab.
+type request struct {
 	id       string
 	key      string
 	prior    Prior // what may have run under its mark
@@ -48,18 +48,18 @@
 	earns    float64 // gain for its work, as of this pass
 	quanta   int     // quanta of running time already counted
 	level    int
-	shots    [mostShots]shot
+	attempts [mostAttempts]attempt
 	fired    int
-	out      int // shots without an outcome
+	out      int // attempts without an outcome
 	state    state
-	erred    int // shots that ended in an error
+	erred    int // attempts that ended in an error
 	used     bool
 	bound    bool // a stream has begun: the client owns it
 }
 
-// slab keeps the searches in hand and reuses their places.
+// slab keeps the requests in hand and reuses their places.
 type slab struct {
-	places []search
+	places []request
 	free   []int
 	byID   map[string]int
 }
@@ -74,9 +74,9 @@
 		s.free = s.free[:n-1]
 	} else {
 		i = len(s.places)
-		s.places = append(s.places, search{})
+		s.places = append(s.places, request{})
 	}
-	s.places[i] = search{id: id, used: true}
+	s.places[i] = request{id: id, used: true}
 	s.byID[id] = i
 	return i
 }
@@ -84,13 +84,13 @@
 // drop frees the place at i.
 func (s *slab) drop(i int) {
 	delete(s.byID, s.places[i].id)
-	s.places[i] = search{}
+	s.places[i] = request{}
 	s.free = append(s.free, i)
 }
 
-// hold takes a search of the offering at k in hand.
-func (g *Gateway) hold(ev *Event, k int) *search {
-	s := &g.slab.places[g.slab.take(ev.Search)]
+// hold takes a request of the offering at k in hand.
+func (g *Gateway) hold(ev *Event, k int) *request {
+	s := &g.slab.places[g.slab.take(ev.Request)]
 	g.seq++
 	s.seq, s.offering, s.group, s.until = g.seq, k, ev.Group, ev.Until
 	if g.offerings[k].inOrder {
@@ -152,7 +152,7 @@
 func (s *span) live() []float64 { return s.amount[s.head:] }
 func (s *span) total() float64  { return s.sum }
 
-// state is where a search or an executor stands, input what happens to it; a row of a table in rules.go
+// state is where a request or an executor stands, input what happens to it; a row of a table in rules.go
 // says what follows.
 type (
 	state uint8
@@ -181,12 +181,12 @@
 	return false
 }
 
-// search plays an input to a search, judge to an executor; do adds an action.
-func (g *Gateway) search(i int, in input) { g.turn(searchTable, &g.slab.places[i].state, in, i) }
-func (g *Gateway) judge(x int, in input)  { g.turn(executorTable, &g.executors[x].state, in, x) }
-func (g *Gateway) do(a Action)            { g.out = append(g.out, a) }
+// request plays an input to a request, judge to an executor; do adds an action.
+func (g *Gateway) request(i int, in input) { g.turn(requestTable, &g.slab.places[i].state, in, i) }
+func (g *Gateway) judge(x int, in input)   { g.turn(executorTable, &g.executors[x].state, in, x) }
+func (g *Gateway) do(a Action)             { g.out = append(g.out, a) }
 
-// verdict is the answer to whether a shot may be sent.
+// verdict is the answer to whether an attempt may be sent.
 type verdict uint8
 
 const (
@@ -208,11 +208,11 @@
 	kinds, places       []string
 
 	usual     float64 // usual work, ms
-	taken     float64 // searches that it was learnt from
+	taken     float64 // requests that it was learnt from
 	slow      float64 // running time over work per thread, lately
 	memory    float64 // memory to grant for each MB estimated
 	worked    float64 // work told by answers, fading
-	estimated float64 // the estimates of the same searches, fading
+	estimated float64 // the estimates of the same requests, fading
 }
 
 // executor is what this instance knows of one executor.
@@ -224,12 +224,12 @@
 	cores, ram float64
 	standing   Standing
 	upSince    float64
-	tookAt     float64 // when the latest shot was sent that it took: one that drains turns away what is new
+	tookAt     float64 // when the latest attempt was sent that it took: one that drains turns away what is new
 	state      state
-	threads    int     // of this instance's shots there
+	threads    int     // of this instance's attempts there
 	memory     float64 // granted to them, MB
 	lined      int     // of them, known to stand in line
-	out        int     // shots there without an outcome
+	out        int     // attempts there without an outcome
 	heard      float64 // last sign of work: a note or an outcome
 	busySince  float64
 	probeOut   bool
@@ -274,11 +274,11 @@
 	rests      map[string]float64 // order key: rests until
 	takes      span
 	extras     span
-	finished   span // running times of finished searches
+	finished   span // running times of finished requests
 	onset      float64
 	onsetAt    float64
-	target     int  // the executor that the search being placed goes to
-	dirty      bool // something changed that may let a waiting search go
+	target     int  // the executor that the request being placed goes to
+	dirty      bool // something changed that may let a waiting request go
 	seq        uint64
 	waiting    []int
 	held       []holding // as of this pass
@@ -395,7 +395,7 @@
 	mail []byte
 }
 
-// Beliefs appends what is held of each executor that is listed or has shots out.
+// Beliefs appends what is held of each executor that is listed or has attempts out.
 func (g *Gateway) Beliefs(now float64, out []Belief) []Belief {
 	since := func(at float64) float64 {
 		if at == 0 {
@@ -424,7 +424,7 @@
 	{"estimated", func(o *offering) *float64 { return &o.estimated }},
 }
 
-// ranName is the name of a finished search's running time among figures: the onset is read from those.
+// ranName is the name of a finished request's running time among figures: the onset is read from those.
 const ranName = "ran"
 
 // Learnt appends what this instance has learnt, the last running times oldest first.
@@ -518,7 +518,7 @@
 	return 1 / max(1, cmp.Or(g.present, g.given.Num("controllers", 1)))
 }
 
-// release frees a search that is over once all its shots have their outcome.
+// release frees a request that is over once all its attempts have their outcome.
 func (g *Gateway) release(i int) {
 	if s := &g.slab.places[i]; s.used && s.state == over && s.out == 0 {
 		g.slab.drop(i)
@@ -534,7 +534,7 @@
 	return 0
 }
 
-// quiet is how long an executor with shots out has shown no sign of work.
+// quiet is how long an executor with attempts out has shown no sign of work.
 func (g *Gateway) quiet(e *executor) float64 {
 	if e.out == 0 {
 		return 0
@@ -567,7 +567,7 @@
 	return x
 }
 
-// vacant gives the first place of an executor that is gone and that no search in hand names, or the end: ids are
+// vacant gives the first place of an executor that is gone and that no request in hand names, or the end: ids are
 // always new, so places that were never used again would grow without end.
 func (g *Gateway) vacant() int {
 	x := 0
@@ -577,10 +577,10 @@
 	return x
 }
 
-// named tells whether a search in hand had a shot at x.
+// named tells whether a request in hand had an attempt at x.
 func (g *Gateway) named(x int) bool {
-	return slices.ContainsFunc(g.slab.places, func(s search) bool {
-		return s.used && slices.ContainsFunc(s.shots[:s.fired], func(h shot) bool { return h.executor == x })
+	return slices.ContainsFunc(g.slab.places, func(s request) bool {
+		return s.used && slices.ContainsFunc(s.attempts[:s.fired], func(h attempt) bool { return h.executor == x })
 	})
 }
 
@@ -595,10 +595,10 @@
 	}
 }
 
-// lend counts a shot of s as out, settle as back.
-func (g *Gateway) lend(s *search, x int, grant float64) *shot {
-	e, h, threads := &g.executors[x], &s.shots[s.fired], g.offerings[s.offering].threads
-	*h = shot{executor: x, sent: g.now, noted: g.now, threads: threads, grant: grant, out: true, doubt: true}
+// lend counts an attempt of s as out, settle as back.
+func (g *Gateway) lend(s *request, x int, grant float64) *attempt {
+	e, h, threads := &g.executors[x], &s.attempts[s.fired], g.offerings[s.offering].threads
+	*h = attempt{executor: x, sent: g.now, noted: g.now, threads: threads, grant: grant, out: true, doubt: true}
 	if s.fired > 0 {
 		g.extras.add(g.now, 1)
 	}
@@ -615,8 +615,8 @@
 	return h
 }
 
-// regrant books the memory that a running search is to have now, and names it where that is another amount.
-func (g *Gateway) regrant(s *search) {
+// regrant books the memory that a running request is to have now, and names it where that is another amount.
+func (g *Gateway) regrant(s *request) {
 	h := s.last()
 	e := &g.executors[h.executor]
 	was := h.grant
@@ -626,8 +626,8 @@
 	}
 }
 
-// line counts a shot as standing in a line of its executor, or not.
-func (g *Gateway) line(h *shot, waits bool) {
+// line counts an attempt as standing in a line of its executor, or not.
+func (g *Gateway) line(h *attempt, waits bool) {
 	e := &g.executors[h.executor]
 	if h.waits != 0 {
 		h.waits, e.lined = 0, e.lined-1
@@ -637,7 +637,7 @@
 	}
 }
 
-func (g *Gateway) settle(s *search, h *shot, doubt bool) {
+func (g *Gateway) settle(s *request, h *attempt, doubt bool) {
 	e := &g.executors[h.executor]
 	g.line(h, false)
 	h.out, h.doubt = false, doubt
@@ -645,8 +645,8 @@
 	g.lent(e.place, -h.threads)
 }
 
-// returning counts the searches whose shot was lost or called off and that wait for their next one. Whoever is called off
-// besides them needs one more: without it a shot would be thrown away that might still have been handled.
+// returning counts the requests whose attempt was lost or called off and that wait for their next one. Whoever is called off
+// besides them needs one more: without it an attempt would be thrown away that might still have been handled.
 func (g *Gateway) returning() (n int) {
 	for i := range g.slab.places {
 		s := &g.slab.places[i]
@@ -660,23 +660,23 @@
 	return slices.ContainsFunc(g.held, func(h holding) bool { return h.group == group && h.executor == x })
 }
 
-// shotOf gives the place of a search and the shot of it that an event speaks of, or nil if that is not out.
-func (g *Gateway) shotOf(ev *Event) (int, *shot) {
-	i, ok := g.slab.find(ev.Search)
-	if !ok || ev.Shot < 0 || ev.Shot >= g.slab.places[i].fired || !g.slab.places[i].shots[ev.Shot].out {
+// shotOf gives the place of a request and the attempt of it that an event speaks of, or nil if that is not out.
+func (g *Gateway) attemptOf(ev *Event) (int, *attempt) {
+	i, ok := g.slab.find(ev.Request)
+	if !ok || ev.Attempt < 0 || ev.Attempt >= g.slab.places[i].fired || !g.slab.places[i].attempts[ev.Attempt].out {
 		return i, nil
 	}
-	return i, &g.slab.places[i].shots[ev.Shot]
+	return i, &g.slab.places[i].attempts[ev.Attempt]
 }
 
-// doubts gives what may have run of a search: another one of its mark, then its own shots.
-func (g *Gateway) doubts(s *search) iter.Seq[Prior] {
+// doubts gives what may have run of a request: another one of its mark, then its own attempts.
+func (g *Gateway) doubts(s *request) iter.Seq[Prior] {
 	return func(yield func(Prior) bool) {
 		if s.prior.At != 0 && !yield(s.prior) || g.offerings[s.offering].effect == "redoable" {
 			return
 		}
 		for k := range s.fired {
-			if h := &s.shots[k]; h.doubt {
+			if h := &s.attempts[k]; h.doubt {
 				e := &g.executors[h.executor]
 				if !yield(Prior{h.sent, e.place, e.cell}) {
 					return
@@ -686,11 +686,11 @@
 	}
 }
 
-// last is the latest shot.
-func (s *search) last() *shot { return &s.shots[s.fired-1] }
+// last is the latest attempt.
+func (s *request) last() *attempt { return &s.attempts[s.fired-1] }
 
-// earlier tells whether an earlier search of the same key is still in hand.
-func (g *Gateway) earlier(s *search) bool {
+// earlier tells whether an earlier request of the same key is still in hand.
+func (g *Gateway) earlier(s *request) bool {
 	for k := range g.slab.places {
 		if t := &g.slab.places[k]; t.used && t.seq < s.seq && t.key == s.key {
 			return true
@@ -699,7 +699,7 @@
 	return false
 }
 
-// reached is a place that is not simply near, with the threads of this instance's shots there.
+// reached is a place that is not simply near, with the threads of this instance's attempts there.
 type reached struct {
 	Reach
 	out int
@@ -775,9 +775,9 @@
 	}
 }
 
-// mayHaveRun tells whether a shot is out or ended without proof that it never ran.
-func (s *search) mayHaveRun() bool {
-	return s.prior.At != 0 || slices.ContainsFunc(s.shots[:s.fired], func(h shot) bool { return h.doubt })
+// mayHaveRun tells whether an attempt is out or ended without proof that it never ran.
+func (s *request) mayHaveRun() bool {
+	return s.prior.At != 0 || slices.ContainsFunc(s.attempts[:s.fired], func(h attempt) bool { return h.doubt })
 }
 
 // endRests forgets the keys that rest no longer.
--- a/rules/step.go
+++ b/rules/step.go
@@ -12,11 +12,11 @@
 	case Taken:
 		g.take(ev)
 	case Left:
-		if i, ok := g.slab.find(ev.Search); ok {
-			g.search(i, finished)
+		if i, ok := g.slab.find(ev.Request); ok {
+			g.request(i, finished)
 		}
 	case Ended, Noted, Streaming:
-		if i, h := g.shotOf(ev); h != nil && ev.Kind == Ended {
+		if i, h := g.attemptOf(ev); h != nil && ev.Kind == Ended {
 			g.ended(i, h, ev)
 		} else if h != nil && ev.Kind == Noted {
 			g.note(i, h, ev)
@@ -29,7 +29,7 @@
 		g.beat()
 		g.tell()
 	case Pressed:
-		if i, ok := g.slab.find(ev.Search); ok {
+		if i, ok := g.slab.find(ev.Request); ok {
 			g.press(i, ev)
 		}
 	case Kept:
--- a/rules/types.go
+++ b/rules/types.go
@@ -1,4 +1,4 @@
-// Package rules decides what becomes of each search: where its shots go, at which level they run, when they
+// Package rules decides what becomes of each request: where its attempts go, at which level they run, when they
 // are called off and what the client is told. types.go is the interface, slab.go the storage, rules.go
 // every decision.
 package rules
@@ -41,19 +41,19 @@
 const (
 	Began     EventKind = iota // the instance starts
 	Listed                     // news of the list of executors
-	Taken                      // a search came in
-	Left                       // the client of a search is gone
-	Ended                      // a shot has its outcome
-	Noted                      // a running shot sends a note
+	Taken                      // a request came in
+	Left                       // the client of a request is gone
+	Ended                      // an attempt has its outcome
+	Noted                      // a running attempt sends a note
 	Probed                     // a probe has its result
 	Rang                       // a timer is due
-	Streaming                  // a shot's answer has begun and belongs to the client
+	Streaming                  // an attempt's answer has begun and belongs to the client
 	Heard                      // a message from another controller
 	Closing                    // the instance stops: by Until all it has taken must have its answer
 	Kept                       // what was known before the instance was last ended
-	Pressed                    // a search is held under a priority, or no longer
+	Pressed                    // a request is held under a priority, or no longer
 	Counted                    // so many controllers share the executors now
-	Opened                     // how far searches may go now: Reaches; places that it leaves out are near
+	Opened                     // how far requests may go now: Reaches; places that it leaves out are near
 	eventKinds
 )
 
@@ -89,7 +89,7 @@
 	UpSince  float64 // clock, ms; 0: long past
 }
 
-// Outcome tells how a shot or a probe ended.
+// Outcome tells how an attempt or a probe ended.
 type Outcome uint8
 
 // The outcomes.
@@ -104,7 +104,7 @@
 	Superseded                // never sent
 )
 
-// NeverRan tells whether the outcome proves that the shot never ran.
+// NeverRan tells whether the outcome proves that the attempt never ran.
 func (o Outcome) NeverRan() bool { return o == Full || o == Refused || o == Superseded }
 
 // NoteKind tells what a note reports.
@@ -120,9 +120,9 @@
 // Event is one thing that an instance is told. Only the fields of its kind are set.
 type Event struct {
 	Kind     EventKind
-	Search   string
+	Request  string
 	Executor uint32
-	Shot     int
+	Attempt  int
 
 	Offering string  // Taken
 	Group    uint64  // Taken: table group
@@ -139,7 +139,7 @@
 
 	Outcome  Outcome // Ended, Probed
 	TookMS   float64 // Ended, Probed
-	Over     bool    // Ended: the search is finished
+	Over     bool    // Ended: the request is finished
 	SpentMS  float64 // Ended: work it took, where told
 	UsedMB   float64 // Ended: memory it needed, where told
 	Report   []float64
@@ -152,27 +152,27 @@
 	FromPeer int      // Heard
 	Data     []byte   // Heard
 
-	Takes, Extras []float64 // Kept: clocks at which searches were taken, and further shots sent
+	Takes, Extras []float64 // Kept: clocks at which requests were taken, and further attempts sent
 	Trusts        []Trust   // Kept
 	Reaches       []Reach   // Opened
 	Figures       []Figure  // Kept
 }
 
-// Prior is the first shot of another search with the same mark that may have run. At 0: there is none.
+// Prior is the first attempt of another request with the same mark that may have run. At 0: there is none.
 type Prior struct {
 	At    float64 // clock; far in the past where it is not known
 	Place string
 	Cell  int64
 }
 
-// Reach is how far searches may go to the executors of a place.
+// Reach is how far requests may go to the executors of a place.
 type Reach struct {
 	Place string
 	Tier  int      // 0: near; a further one is used only where no nearer executor has room
-	Room  float64  // threads of this instance's shots there at most; infinite: any number
+	Room  float64  // threads of this instance's attempts there at most; infinite: any number
 	WayMS float64  // longer on the way there and back than to near ones
-	Least float64  // gain for its work that a search must have to go there
-	Free  []string // kinds that no near place has: searches that run on nothing else go there as if it were near
+	Least float64  // gain for its work that a request must have to go there
+	Free  []string // kinds that no near place has: requests that run on nothing else go there as if it were near
 }
 
 // Trust is what is known of an executor besides what the list says.
@@ -195,25 +195,25 @@
 
 // The actions.
 const (
-	Send     ActionKind = iota // a shot of Search to Executor
-	Terms                      // GrantMB and Level for Search
-	CallOff                    // stop waiting for Shot of Search
-	Deny                       // final: denied, come back after AfterMS
-	WriteOff                   // final: written off
-	Wake                       // ring Token after AfterMS
-	Probe                      // probe Executor
-	Listen                     // subscribe to the list
-	Log                        // Text for the operators
-	Tell                       // Data to the controller numbered Peer, or to all if that is below 0
-	Back                       // Search, taken to be sent now, can't be: it is not in hand any more
+	Send    ActionKind = iota // an attempt of Request to Executor
+	Terms                     // GrantMB and Level for Request
+	CallOff                   // stop waiting for Attempt of Request
+	Deny                      // final: denied, come back after AfterMS
+	Fail                      // final: failed
+	Wake                      // ring Token after AfterMS
+	Probe                     // probe Executor
+	Listen                    // subscribe to the list
+	Log                       // Text for the operators
+	Tell                      // Data to the controller numbered Peer, or to all if that is below 0
+	Back                      // Request, taken to be sent now, can't be: it is not in hand any more
 )
 
 // Action is one thing that an instance wants done, in the order given.
 type Action struct {
 	Kind     ActionKind
-	Search   string
+	Request  string
 	Executor uint32
-	Shot     int
+	Attempt  int
 	GrantMB  float64
 	Level    int
 	AfterMS  float64
@@ -227,7 +227,7 @@
 // Belief is what an instance holds of one executor, for the front's log.
 type Belief struct {
 	Executor uint32
-	Out      int // shots there without an outcome
+	Out      int // attempts there without an outcome
 	Threads  int // of them
 	Bad      int // failures in a row
 	Standing Standing
