--- a/rules/rules.go
+++ b/rules/rules.go
@@ -220,13 +220,14 @@
 }
 
 // rationLeft tells whether one more attempt beyond a request's first, besides those coming, is in the ration.
-// One may begin as late as its connection comes up, and what has come in by now then counts no longer.
+// One may begin as late as its connection comes up: counted from there, too, no more than one is over it.
 func (g *Gateway) rationLeft(coming int) bool {
 	length, late := g.given.Num("ration_span_ms", 0), g.given.Num("connect_ms", 0)
 	g.extras.forget(g.now-length-late-beatMS, 0)
-	g.takes.forget(g.now-length+late, 0)
-	return length == 0 || float64(g.extras.count()+coming+1) <= g.given.Num("ration_floor", 0)+
-		g.given.Num("ration_share", 0)*float64(g.takes.count())
+	g.takes.forget(g.now-length, 0)
+	most := g.given.Num("ration_floor", 0) + g.given.Num("ration_share", 0)*float64(g.takes.count())
+	return length == 0 || float64(g.extras.since(g.now-length-beatMS)+coming+1) <= most &&
+		float64(g.extras.count()+coming) <= most
 }
 
 // warmEnough tells whether a request fits this part of what a cold executor may be sent at its least
--- a/rules/slab.go
+++ b/rules/slab.go
@@ -148,6 +148,12 @@
 	return s.copy
 }
 
+// since counts what is dated from then on.
+func (s *span) since(from float64) int {
+	k, _ := slices.BinarySearch(s.at[s.head:], from)
+	return s.count() - k
+}
+
 func (s *span) count() int      { return len(s.at) - s.head }
 func (s *span) live() []float64 { return s.amount[s.head:] }
 func (s *span) total() float64  { return s.sum }
