--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -71,6 +71,16 @@
 	return l.Addr().String(), heard
 }
 
+// serve runs a controller until stop; done tells how it ended.
+func serve(t *testing.T, n *Node) (reload chan os.Signal, stop func(), done chan error) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	reload, done = make(chan os.Signal), make(chan error, 1)
+	ctx, stop := context.WithCancel(t.Context())
+	go func() { done <- Run(ctx, n, Nothing{}, reload, log) }()
+	return reload, stop, done
+}
+
 func dialUp(t *testing.T, at string) (c net.Conn) {
 	require.Eventually(t, func() (ok bool) {
 		var err error
@@ -100,11 +110,7 @@
 	executor, heard := silentExecutor(t)
 	n := node(t, free(t), free(t), executor)
 	before := runtime.NumGoroutine()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	ctx, stop := context.WithCancel(t.Context())
-	done := make(chan error, 1)
-	go func() { done <- Run(ctx, n, Nothing{}, nil, log) }()
+	_, stop, done := serve(t, n)
 	c := dialUp(t, n.Listen)
 	r := bufio.NewReader(c)
 	search := `{"jsonrpc":"2.0","id":%d,"method":"look","params":{"req":"a%d","timeout":20000,"ms":50,"ram":9,"data":"eA=="}}`
@@ -166,12 +172,7 @@
 	first, firstHeard := silentExecutor(t)
 	second, secondHeard := silentExecutor(t)
 	n := node(t, free(t), first, "127.0.0.1:9")
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	reload := make(chan os.Signal)
-	ctx, stop := context.WithCancel(t.Context())
-	done := make(chan error, 1)
-	go func() { done <- Run(ctx, n, Nothing{}, reload, log) }()
+	reload, stop, done := serve(t, n)
 	<-firstHeard
 	path := os.Getenv("RELAY_CONFIG")
 	good, err := os.ReadFile(path)
@@ -189,11 +190,7 @@
 // before its answer; never taken and forgotten. One client asks without a pause across the whole stop.
 func TestNoRequestIsLostAcrossAPlannedStop(t *testing.T) {
 	n := node(t, free(t), free(t), "127.0.0.1:9")
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	ctx, stop := context.WithCancel(t.Context())
-	done := make(chan error, 1)
-	go func() { done <- Run(ctx, n, Nothing{}, nil, log) }()
+	_, stop, done := serve(t, n)
 	c := dialUp(t, n.Listen)
 	defer c.Close()
 	rest := dialUp(t, n.Listen) // rests until it is ended
