--- a/internal/wire/executors.go
+++ b/internal/wire/executors.go
@@ -166,18 +166,19 @@
 			delete(f.machines, id)
 		}
 	}
+	owners := map[string]bool{}
 	for _, e := range list {
-		if m := f.machines[e.entry.Executor]; m == nil || m.closed {
-			continue
+		if e.entry.Standing == rules.Active {
+			owners[e.address] = true
 		}
-		for id, m := range f.machines {
-			if m.address == e.address && id != e.entry.Executor && !kept[id] {
-				f.retire(m)
-				delete(f.machines, id)
-				gone := listed{entry: m.entry, name: m.name, address: m.address}
-				gone.entry.Standing = rules.Gone
-				displaced = append(displaced, gone)
-			}
+	}
+	for id, m := range f.machines {
+		if owners[m.address] && !kept[id] {
+			f.retire(m)
+			delete(f.machines, id)
+			gone := listed{entry: m.entry, name: m.name, address: m.address}
+			gone.entry.Standing = rules.Gone
+			displaced = append(displaced, gone)
 		}
 	}
 	slices.SortFunc(displaced, func(a, b listed) int { return cmp.Compare(a.entry.Executor, b.entry.Executor) })
