--- a/rules/rules.go
+++ b/rules/rules.go
@@ -55,6 +55,7 @@
 	errorsMost  = 2    // errors after which a request itself is at fault: a third executor would say the same
 	restMS      = 300  // ms that an executor is left alone after it refused
 	coldMargin  = 0.9  // part of the cold budget that all use together: what is usual is learnt by each alone
+	coldAnew    = 0.5  // share of controllers just started that use theirs: all at once stay below a fall
 	coldLarge   = 0.8  // part of that which a single request may take: the rest keeps warming it up
 	fade        = 0.1  // weight of the newest figure in fading means
 	learnt      = 0.02 // weight of one answer's true cost: estimates are wrong by offering, and that stays
@@ -232,11 +233,12 @@
 
 // warmEnough tells whether a request fits this part of what a cold executor may be sent at its least
 // capacity; it weighs what is usual. The parts of all controllers add up to the budget, whatever each sends.
-// What this one sent before it was started again is not known, and counts as its whole part.
+// What this one sent before it was started again is not known: for a while half of those so have no part.
 func (g *Gateway) warmEnough(o *offering, e *executor) bool {
 	since := g.now - g.given.Num("fall_ms", 2000) - beatMS
 	e.coldSent.forget(since, 0)
-	return since >= g.began && e.coldSent.total()+o.usual <= g.coldPart(e)
+	known := since >= g.began || g.odds(uint64(e.id)) < coldAnew
+	return known && e.coldSent.total()+o.usual <= g.coldPart(e)
 }
 
 // coldPart is that part, in ms of work. Where an even one holds no request of the largest kind, about half of
