handoff: tell replicas of an attempt only once nothing else holds it

Callers saw: after a kill of a controller whose disk was slow, successors failed (written off) keyed requests that no executor had got, and their retries could not be handled.

Cause: gateAttempt marked the request as one that may have run and replicated that at once, while the ledger held the same attempt until its sync. For as long as the disk took, replicas said "may have run" of an attempt that had not left.

Change: an extension may hold an attempt last; it gets AttemptPermitted once no other hold is left, and the handoff manager replicates then. Why it works: the replicas' record and the send are one exchange apart, whatever the disk does.

--- /dev/null
+++ b/internal/chaostest/versions_slowdisk_test.go
@@ -0,0 +1,98 @@
+package chaostest
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"liftshift/internal/testservers"
+)
+
+// diskSlowForOwner is the disk state of the controller that is killed. A group commit writes and syncs, so it takes
+// twice the delay.
+const diskSlowForOwner = "slow 150ms"
+
+// A keyed request that has not run is not reported as failed when its controller is killed while that controller's disk
+// is slow: its attempt waits for the disk, and replicas must not take it for sent.
+func TestVersions_KillWithSlowDiskFailsNoUnsentRequest(t *testing.T) {
+	oldProgram, currentProgram := faultsTagVersions.programs(t)
+	for _, test := range []struct {
+		name     string
+		programs []string // of the two successors and of the controller that is killed
+	}{
+		{"current successors", []string{currentProgram, currentProgram, currentProgram}},
+		{"old successors", []string{oldProgram, oldProgram, currentProgram}},
+	} {
+		runWithAndWithoutDeduplication(t, test.name, func(t *testing.T, dedupWindow time.Duration) {
+			cluster := startAdoptionCluster(t, dedupWindow, test.programs)
+			require.NoError(t, cluster.SetDiskState(killedController, diskSlowForOwner))
+			ran, retries := retryAfterKill(t, cluster, func() { waitForFirstAttempts(t, cluster) })
+			assertNoUnsentRequestFailed(t, cluster, ran, retries, dedupWindow)
+		})
+	}
+}
+
+// runWithAndWithoutDeduplication runs a test in parallel with executors that drop repeats and with others that don't.
+func runWithAndWithoutDeduplication(t *testing.T, name string, run func(t *testing.T, dedupWindow time.Duration)) {
+	t.Helper()
+	t.Run(name+", with deduplication", func(t *testing.T) {
+		t.Parallel()
+		run(t, executorDedupTime)
+	})
+	t.Run(name+", without deduplication", func(t *testing.T) {
+		t.Parallel()
+		run(t, -1)
+	})
+}
+
+// waitForFirstAttempts waits until all requests have replicas and their first attempts wait for a slow disk.
+func waitForFirstAttempts(t *testing.T, cluster *Cluster) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		return handoffCounter(t, cluster, killedController, counterRegistered) >= adoptedRequests
+	}, 5*time.Second, 5*time.Millisecond, "all requests must have replicas")
+	time.Sleep(100 * time.Millisecond) // less than a write and a sync of diskSlowForOwner
+}
+
+// retryAfterKill sends keyed requests to a controller, and kills it after waitForKill. It returns how often each key
+// had run at the kill, and the retries at a successor of the requests without a reply.
+func retryAfterKill(t *testing.T, cluster *Cluster, waitForKill func()) (
+	ran map[string]int, retries []keyedRequest,
+) {
+	t.Helper()
+	keys := numberedKeys("m", adoptedRequests)
+	waitForReplies := submitKeyedAll(cluster, killedController, "a", keys)
+	waitForKill()
+	cluster.Kill(killedController)
+	ran = runsByKey(cluster)
+	inFlight := disconnectedKeys(t, waitForReplies())
+	require.NotEmpty(t, inFlight, "requests must be in flight at the kill")
+	return ran, submitKeyedAll(cluster, 0, "b", inFlight)()
+}
+
+// assertNoUnsentRequestFailed checks that only retries of keys that had run failed, and that no key ran twice.
+func assertNoUnsentRequestFailed(
+	t *testing.T, cluster *Cluster, ran map[string]int, retries []keyedRequest, dedupWindow time.Duration,
+) {
+	t.Helper()
+	codes := map[int]int{}
+	for _, r := range retries {
+		assert.NoError(t, r.err, "retry of %s", r.key)
+		codes[r.reply.Code]++
+		if ran[r.key] == 0 {
+			assert.NotEqual(t, testservers.CodeFailed, r.reply.Code, "had not run: %s", r)
+		} else if dedupWindow < 0 {
+			assert.Equal(t, testservers.CodeFailed, r.reply.Code, "may have run: %s", r)
+		}
+	}
+	t.Logf("%d keys ran before the kill, %d retries by code: %v", len(ran), len(retries), codes)
+	runs := runsByKey(cluster)
+	for _, r := range retries {
+		if r.reply.Code == 0 {
+			assert.Equal(t, 1, runs[r.key], "runs of %s, which was handled", r.key)
+		}
+		assert.LessOrEqual(t, runs[r.key], 1, "runs of %s", r.key)
+	}
+}
--- a/internal/chaostest/versions_test.go
+++ b/internal/chaostest/versions_test.go
@@ -87,23 +87,33 @@
 
 // keyedRequest is a request with an idempotency key, as its client saw it.
 type keyedRequest struct {
-	key   string
-	reply testservers.Reply
-	err   error // the connection ended without a reply, or there was a second reply
+	id, key string
+	sentAt  time.Time
+	took    time.Duration // until the reply, or until the connection ended
+	reply   testservers.Reply
+	err     error // the connection ended without a reply, or there was a second reply
+}
+
+// String describes the request and its reply for the messages of failed checks.
+func (r keyedRequest) String() string {
+	return fmt.Sprintf("%s of %s, sent at %s, after %v: code %d %s", r.id, r.key, r.sentAt.Format("05.000"),
+		r.took.Round(time.Millisecond), r.reply.Code, r.reply.Message)
 }
 
 // submitKeyed sends a request, reads its reply and asks for the outcome on the same connection, so that a second reply
 // would be found. A controller may close a connection without open requests 5 s after its last message; its end in
 // place of the outcome is no error.
 func submitKeyed(address, id, key string) (r keyedRequest) {
-	r.key = key
+	r.id, r.key, r.sentAt = id, key, time.Now()
 	client, err := testservers.Dial(address, time.Second)
 	if err != nil {
 		r.err = err
 		return r
 	}
 	defer client.Close()
-	if r.reply, r.err = client.Submit(classKeyed, id, key, retryTimeout); r.err != nil {
+	r.reply, r.err = client.Submit(classKeyed, id, key, retryTimeout)
+	r.took = time.Since(r.sentAt)
+	if r.err != nil {
 		r.err = fmt.Errorf("no reply to %s: %w", id, r.err)
 		return r
 	}
@@ -240,15 +250,27 @@
 	}
 }
 
+const (
+	killedController = 2  // number of the controller whose requests its successors, 0 and 1, adopt
+	adoptedRequests  = 30 // requests that are sent to it
+)
+
+// startAdoptionCluster starts a controller to kill and its two successors, and waits until they are ready.
+func startAdoptionCluster(t *testing.T, dedupWindow time.Duration, programs []string) *Cluster {
+	t.Helper()
+	cluster := startMixedCluster(t, Config{Zones: 3, Founders: 3, ClusterSettings: fastClusterSettings,
+		HandoffSettings: "copies = 1", DedupWindow: dedupWindow}, programs...)
+	waitForConvergenceAndHandoff(t, cluster)
+	return cluster
+}
+
 // assertAdoption kills a controller with keyed requests in flight and checks the retries of its clients. If executors
 // deduplicate, all requests must be handled. If they don't (dedupWindow is below 0), a request that ran before the kill
 // must fail without being sent again, and a successor must handle the others.
 func assertAdoption(t *testing.T, programs []string, dedupWindow time.Duration) {
 	t.Helper()
-	const killed, requests = 2, 30
-	cluster := startMixedCluster(t, Config{Zones: 3, Founders: 3, ClusterSettings: fastClusterSettings,
-		HandoffSettings: "copies = 1", DedupWindow: dedupWindow}, programs[:3]...)
-	waitForConvergenceAndHandoff(t, cluster)
+	const killed, requests = killedController, adoptedRequests
+	cluster := startAdoptionCluster(t, dedupWindow, programs[:3])
 	keys := numberedKeys("m", requests)
 	waitForReplies := submitKeyedAll(cluster, killed, "a", keys)
 	waitForStableRuns(t, cluster, 1)
--- a/internal/clustersim/handoff_request.go
+++ b/internal/clustersim/handoff_request.go
@@ -86,6 +86,8 @@
 	starting := &handoff.Event{Kind: handoff.AttemptStarting, ID: request.id, Attempt: request.attempts - 1, Zone: "z"}
 	switch c.stepHandoff(nodeIndex, starting) {
 	case handoff.HoldAttempt:
+		permitted := &handoff.Event{Kind: handoff.AttemptPermitted, ID: request.id, Attempt: request.attempts - 1}
+		c.stepHandoff(nodeIndex, permitted)
 	case handoff.BlockAttempt:
 		request.outstanding = false
 		request.attempts--
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -15,6 +15,7 @@
 	sentAt    float64
 	releaseAt float64 // earliest time at which the transport allows it to be sent
 	holds     int     // number of extensions that hold it
+	lastHolds int     // those of them that wait for AttemptPermitted; 0 once they have got it
 	inFlight  bool
 }
 
@@ -43,6 +44,7 @@
 		sentAt:    now,
 		releaseAt: now + delayMS,
 		holds:     decided.holds,
+		lastHolds: decided.lastHolds,
 		inFlight:  true,
 	}
 	state.started++
@@ -60,6 +62,7 @@
 	case decided.blockAttempt:
 		l.failAttempt(state.ID, number)
 	case held: // sent at ReleaseAttempt
+		l.permitLastHolders(state, number)
 	case delayMS > 0:
 		l.timers.push(timer{at: now + delayMS, kind: releaseTimer, running: running})
 	}
@@ -75,7 +78,8 @@
 	held := &state.attempts[number]
 	held.holds--
 	if held.holds > 0 {
-		return // another extension still holds it
+		l.permitLastHolders(state, number)
+		return
 	}
 	l.counters.heldAttempts++
 	l.counters.holdSumMS += l.clock.Now() - held.sentAt
@@ -86,6 +90,16 @@
 	}
 }
 
+// permitLastHolders notifies the extensions that hold an attempt last, once no other extension holds it.
+func (l *Loop) permitLastHolders(state *requestState, number int) {
+	held := &state.attempts[number]
+	if held.lastHolds == 0 || held.holds > held.lastHolds {
+		return
+	}
+	held.lastHolds = 0
+	l.notify(Event{Kind: AttemptPermitted, Request: &state.Request, Attempt: number})
+}
+
 // failAttempt ends a held attempt that an extension does not permit. The attempt was not sent, and its event tells the
 // scheduler to send no other attempt of the request.
 func (l *Loop) failAttempt(id string, number int) {
--- a/internal/dispatch/command.go
+++ b/internal/dispatch/command.go
@@ -14,6 +14,7 @@
 	blocked        bool
 	hold           bool
 	holds          int // number of extensions that hold the attempt
+	lastHolds      int // those of them that wait for AttemptPermitted
 	blockAttempt   bool
 	consumed       bool
 	suspend        bool
@@ -36,6 +37,9 @@
 		d.hold = true
 	case HoldAttempt:
 		d.holds++
+		if command.Last {
+			d.lastHolds++
+		}
 	case BlockAttempt:
 		d.blockAttempt = true
 	case Suspend:
--- a/internal/dispatch/extension.go
+++ b/internal/dispatch/extension.go
@@ -31,6 +31,8 @@
 	AttemptStarting
 	// AttemptStarted says that an attempt was handed to the transport. Unless it is held, it may have been sent.
 	AttemptStarted
+	// AttemptPermitted says that an attempt is held only by extensions that asked to be the last ones.
+	AttemptPermitted
 	// AttemptEnded says that an attempt has its outcome.
 	AttemptEnded
 	// RequestReturned says that the scheduler returned a request, which it gets again at OfferRequest.
@@ -111,7 +113,8 @@
 	Admit
 	// HoldRequest answers RequestAdmitted: the scheduler gets the request at OfferRequest.
 	HoldRequest
-	// HoldAttempt answers AttemptStarting: the attempt is not sent before ReleaseAttempt.
+	// HoldAttempt answers AttemptStarting: the attempt is not sent before ReleaseAttempt. If Last, the extension
+	// releases it only after AttemptPermitted.
 	HoldAttempt
 	// BlockAttempt answers AttemptStarting: the attempt must not be sent, and no other attempt of the request either.
 	// It is returned along with HoldAttempt.
@@ -145,6 +148,7 @@
 	Attempt      int
 	Prior        scheduler.PriorAttempt
 	Blocked      bool
+	Last         bool // HoldAttempt
 	Outcome      ledger.Outcome
 	Body         []byte
 	RetryAfterMS float64 // when a rejected client may retry
--- a/internal/dispatch/extension_test.go
+++ b/internal/dispatch/extension_test.go
@@ -110,6 +110,32 @@
 	assert.Equal(t, []string{"release"}, transport.calls)
 }
 
+// An extension that holds an attempt last is told when no other extension holds it any more, and once.
+func TestLoop_PermitsAttemptToLastHolder(t *testing.T) {
+	for name, c := range map[string]struct {
+		holds          []Command
+		othersToExpect int
+	}{
+		"beside another hold": {[]Command{{Kind: HoldAttempt, Last: true}, {Kind: HoldAttempt}}, 1},
+		"alone":               {[]Command{{Kind: HoldAttempt, Last: true}}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			transport := &fakeTransport{}
+			loop, _, received := newExtendedLoop(transport, commandsByEvent{AttemptStarting: c.holds})
+			for range c.othersToExpect {
+				assert.NotContains(t, *received, AttemptPermitted)
+				loop.Execute([]Command{{Kind: ReleaseAttempt, ID: "a"}})
+			}
+			assert.Equal(t, AttemptPermitted, (*received)[len(*received)-1])
+			assert.Empty(t, transport.calls)
+			*received = nil
+			loop.Execute([]Command{{Kind: ReleaseAttempt, ID: "a"}})
+			assert.Equal(t, []string{"release"}, transport.calls)
+			assert.NotContains(t, *received, AttemptPermitted)
+		})
+	}
+}
+
 func TestLoop_WithheldAnswerIsDeliveredOnce(t *testing.T) {
 	transport := &fakeTransport{}
 	loop, _, received := newExtendedLoop(transport, commandsByEvent{RequestEnding: {{Kind: WithholdAnswer}}})
--- a/internal/handoff/attempts.go
+++ b/internal/handoff/attempts.go
@@ -4,12 +4,17 @@
 
 // heldAttempt is an attempt that is not sent until a quorum of replicas has stored it.
 type heldAttempt struct {
-	attempt int
-	since   float64
+	attempt     int
+	since       float64
+	zone        string
+	cell        int64
+	replicating bool // the replicas have been told of it, so the request counts as one that may have run
 }
 
 // gateAttempt decides whether an attempt may be sent: only while this controller holds the lease, within the
-// deduplication window if an earlier attempt may have run, and after a quorum of replicas has stored the attempt.
+// deduplication window if an earlier attempt may have run, and after a quorum of replicas has stored the attempt. The
+// replicas are told of it only when nothing else holds it: if this controller is lost before, its successor may send the
+// request.
 func (m *Manager) gateAttempt(ev *Event) {
 	req := m.ownedByID[ev.ID]
 	switch {
@@ -25,17 +30,45 @@
 		m.blockAttempt(req, ev.Attempt)
 		return
 	}
+	req.heldAttempts = append(req.heldAttempts,
+		heldAttempt{attempt: ev.Attempt, since: m.now, zone: ev.Zone, cell: ev.Cell})
+	m.emit(Effect{Kind: HoldAttempt, ID: req.ID, Attempt: ev.Attempt})
+}
+
+// replicateAttempt sends the replicas the record of a held attempt that may leave once a quorum has stored it.
+func (m *Manager) replicateAttempt(ev *Event) {
+	req := m.ownedByID[ev.ID]
+	if req == nil || req.phase != phaseActive {
+		return
+	}
+	held := req.heldAttempt(ev.Attempt)
+	if held == nil || held.replicating {
+		return
+	}
+	if !m.leaseHeld || req.Owner != m.self {
+		m.failAttempt(req, ev.Attempt)
+		return
+	}
+	held.replicating = true
 	if req.RunState == NotRun {
-		req.setAttempt(attemptState{runState: MayHaveRun, firstAt: m.now, zone: ev.Zone, cell: ev.Cell})
+		req.setAttempt(attemptState{runState: MayHaveRun, firstAt: m.now, zone: held.zone, cell: held.cell})
 	}
 	req.uncertainAttempts++
 	req.attemptsInFlight |= 1 << ev.Attempt
 	req.Sequence++
-	req.heldAttempts = append(req.heldAttempts, heldAttempt{attempt: ev.Attempt, since: m.now})
-	m.emit(Effect{Kind: HoldAttempt, ID: req.ID, Attempt: ev.Attempt})
 	m.replicate(req)
 }
 
+// heldAttempt returns the held attempt with a number, or nil.
+func (r *ownedRequest) heldAttempt(attempt int) *heldAttempt {
+	for i := range r.heldAttempts {
+		if r.heldAttempts[i].attempt == attempt {
+			return &r.heldAttempts[i]
+		}
+	}
+	return nil
+}
+
 // blockAttempt rejects an attempt that has not been held.
 func (m *Manager) blockAttempt(req *ownedRequest, attempt int) {
 	m.counts.AttemptsWithheld++
@@ -48,24 +81,29 @@
 	m.emit(Effect{Kind: FailAttempt, ID: req.ID, Attempt: attempt})
 }
 
-// releaseAttempts releases the held attempts once a quorum of replicas has stored them. It fails them if this
-// controller no longer holds the lease.
+// releaseAttempts releases the held attempts that a quorum of replicas has stored. It fails them if this controller no
+// longer holds the lease.
 func (m *Manager) releaseAttempts(req *ownedRequest) {
+	remaining := req.heldAttempts[:0]
 	for _, held := range req.heldAttempts {
-		if m.leaseHeld {
+		switch {
+		case !held.replicating:
+			remaining = append(remaining, held)
+		case m.leaseHeld:
 			m.emit(Effect{Kind: ReleaseAttempt, ID: req.ID, Attempt: held.attempt})
-		} else {
+		default:
 			m.failAttempt(req, held.attempt)
 		}
 	}
-	req.heldAttempts = req.heldAttempts[:0]
+	req.heldAttempts = remaining
 }
 
-// expireHeldAttempts fails attempts that have been held for longer than holdTimeoutMS.
+// expireHeldAttempts fails attempts that replicas have not acknowledged within holdTimeoutMS of their start. Whatever
+// else holds an attempt has a time limit of its own.
 func (m *Manager) expireHeldAttempts(req *ownedRequest) {
 	remaining := req.heldAttempts[:0]
 	for _, held := range req.heldAttempts {
-		if m.now > held.since+holdTimeoutMS {
+		if held.replicating && m.now > held.since+holdTimeoutMS {
 			m.failAttempt(req, held.attempt)
 			continue
 		}
@@ -78,13 +116,16 @@
 // is marked as not run again.
 func (m *Manager) handleAttemptEnded(ev *Event) {
 	req := m.ownedByID[ev.ID]
-	if req == nil || ev.Attempt >= maxTrackedAttempts || req.attemptsInFlight&(1<<ev.Attempt) == 0 {
+	if req == nil {
 		return
 	}
-	req.attemptsInFlight &^= 1 << ev.Attempt
 	req.heldAttempts = slices.DeleteFunc(req.heldAttempts, func(held heldAttempt) bool {
 		return held.attempt == ev.Attempt
 	})
+	if ev.Attempt >= maxTrackedAttempts || req.attemptsInFlight&(1<<ev.Attempt) == 0 {
+		return // replicas have not been told of it
+	}
+	req.attemptsInFlight &^= 1 << ev.Attempt
 	if !ev.NeverRan || req.phase != phaseActive {
 		return
 	}
--- a/internal/handoff/helpers_test.go
+++ b/internal/handoff/helpers_test.go
@@ -191,6 +191,7 @@
 // startAttempt starts an attempt of a request, and reports whether an attempt of the request has been released.
 func (c *testCluster) startAttempt(k int, id string) bool {
 	c.step(k, &Event{Kind: AttemptStarting, ID: id, Zone: "here"})
+	c.step(k, &Event{Kind: AttemptPermitted, ID: id})
 	return len(c.effectsFor(k, ReleaseAttempt, id)) > 0
 }
 
--- a/internal/handoff/manager.go
+++ b/internal/handoff/manager.go
@@ -192,6 +192,8 @@
 		m.handleClientLeft(ev.ID)
 	case AttemptStarting:
 		m.gateAttempt(ev)
+	case AttemptPermitted:
+		m.replicateAttempt(ev)
 	case AttemptEnded:
 		m.handleAttemptEnded(ev)
 	case RequestEnding:
--- a/internal/handoff/manager_test.go
+++ b/internal/handoff/manager_test.go
@@ -59,6 +59,36 @@
 	assert.Zero(t, cluster.effectsFor(3, Resume, "c")[0].Prior, "no attempt of the key was sent before")
 }
 
+// An attempt that its owner's disk still holds has not been sent. A successor of the owner must send the request, and not
+// report it as failed.
+func TestManager_SuccessorSendsRequestWhoseAttemptWaitedForDisk(t *testing.T) {
+	cluster := newCluster(t, 5, 2, nil)
+	cluster.submitRequest(0, "keyed", "a", "m")
+	cluster.step(0, &Event{Kind: AttemptStarting, ID: "a", Zone: "here"})
+	require.Len(t, cluster.effectsFor(0, HoldAttempt, "a"), 1)
+	cluster.tick(200)
+	assert.Empty(t, cluster.effectsFor(0, ReleaseAttempt, "a"), "the disk still holds the attempt")
+	cluster.declareLost(0)
+	cluster.tick(2000)
+	adopters := cluster.adopters("a")
+	require.Len(t, adopters, 1)
+	assert.Zero(t, cluster.effectsFor(adopters[0], Adopt, "a")[0].Prior, "no attempt can have run")
+	cluster.checkCounts()
+}
+
+// An attempt that never leaves the disk's hold leaves no trace, and the next attempt is replicated like a first one.
+func TestManager_ForgetsAttemptThatDiskFailed(t *testing.T) {
+	cluster := newCluster(t, 5, 2, nil)
+	cluster.submitRequest(0, "keyed", "a", "m")
+	cluster.step(0, &Event{Kind: AttemptStarting, ID: "a", Zone: "here"})
+	cluster.step(0, &Event{Kind: AttemptEnded, ID: "a", NeverRan: true})
+	cluster.step(0, &Event{Kind: AttemptPermitted, ID: "a"})
+	assert.Empty(t, cluster.effectsFor(0, ReleaseAttempt, "a"), "the attempt has ended")
+	assert.Equal(t, NotRun, cluster.managers[1].copies[KeyOf("m", "")].RunState)
+	assert.True(t, cluster.startAttempt(0, "a"))
+	assert.Equal(t, MayHaveRun, cluster.managers[1].copies[KeyOf("m", "")].RunState)
+}
+
 // A non-idempotent request must not be sent by a successor after its owner rejected it, or if its owner never learned
 // that it was registered.
 func TestManager_WithholdsRejectionOfNonIdempotentUntilQuorum(t *testing.T) {
--- a/internal/handoff/request.go
+++ b/internal/handoff/request.go
@@ -33,8 +33,8 @@
 	refusals          []Member // replicas that refused the latest message
 	reportedCopy      *Copy    // the most recent copy that refusing replicas reported
 	earlierAttempt    Item     // the reply with the most certain, then the oldest attempt under an earlier registration
-	uncertainAttempts int      // attempts that may have run or are in flight
-	attemptsInFlight  uint8    // a bit per attempt number
+	uncertainAttempts int      // attempts that may have run, or are in flight and known to replicas
+	attemptsInFlight  uint8    // a bit per attempt number; only attempts that replicas know of
 	heldAttempts      []heldAttempt
 	withheld          *withheldAnswer
 	unreplicated      bool // admitted without registration, so no replica stores it
--- a/internal/handoff/types.go
+++ b/internal/handoff/types.go
@@ -127,6 +127,7 @@
 	RequestArriving                     // a request arrived; Copy holds its RequestData and Deadline
 	ClientLeft                          // the client of a suspended request disconnected
 	AttemptStarting                     // an attempt is about to be sent: Attempt, Zone, Cell
+	AttemptPermitted                    // nothing but the replicas' acknowledgements holds Attempt any more
 	AttemptEnded                        // Attempt ended; NeverRan: it cannot have run
 	RequestEnding                       // a request is about to be answered: Outcome, Answer
 	RequestClosed                       // a request has its final Outcome and Answer
@@ -141,8 +142,8 @@
 	AdoptionRequested                   // an operator wants this controller to claim the requests of the lost member ID
 )
 
-var eventKindNames = [...]string{"PlacementChanged", "RequestArriving", "ClientLeft", "AttemptStarting", "AttemptEnded",
-	"RequestEnding", "RequestClosed", "BatchReceived", "BatchAnswered", "OutcomeQueried", "CopyRestored", "Ticked",
+var eventKindNames = [...]string{"PlacementChanged", "RequestArriving", "ClientLeft", "AttemptStarting", "AttemptPermitted",
+	"AttemptEnded", "RequestEnding", "RequestClosed", "BatchReceived", "BatchAnswered", "OutcomeQueried", "CopyRestored", "Ticked",
 	"ShutdownStarted", "IncarnationChanged", "ReleaseRequested", "AdoptionRequested"}
 
 // String returns the name of the kind.
--- a/internal/handoffnet/effects.go
+++ b/internal/handoffnet/effects.go
@@ -82,7 +82,7 @@
 			RetryAfterMS: effect.AfterMS,
 		})
 	case handoff.HoldAttempt:
-		return append(out, dispatch.Command{Kind: dispatch.HoldAttempt})
+		return append(out, dispatch.Command{Kind: dispatch.HoldAttempt, Last: true})
 	case handoff.BlockAttempt:
 		return append(out, dispatch.Command{Kind: dispatch.HoldAttempt}, dispatch.Command{Kind: dispatch.BlockAttempt})
 	case handoff.ReleaseAttempt:
--- a/internal/handoffnet/extension.go
+++ b/internal/handoffnet/extension.go
@@ -76,6 +76,8 @@
 			Zone:    endpoint.Zone,
 			Cell:    endpoint.Cell,
 		}, true
+	case dispatch.AttemptPermitted:
+		return handoff.Event{Kind: handoff.AttemptPermitted, ID: request.ID, Attempt: event.Attempt}, true
 	case dispatch.AttemptEnded:
 		return handoff.Event{
 			Kind:     handoff.AttemptEnded,
