Reject at its deadline a request whose only attempt is still held

Cause: the scheduler counts an attempt in flight as one that may have run. An attempt that is held for its record has not been sent, but only the event loop knows that, so the request failed, and its record said "may have run" to all retries.

Change: Fail says whether only the attempt in flight can have run; the loop then cancels a held one, records its end and rejects. Why it works: a held attempt can't have left, and extensions hear that before the rejection. The unit tests of loop and scheduler failed before (no such field). Simulated decisions: no attempt is held there.

--- a/internal/chaostest/versions_slowdisk_test.go
+++ b/internal/chaostest/versions_slowdisk_test.go
@@ -10,9 +10,11 @@
 	"liftshift/internal/testservers"
 )
 
-// diskSlowForOwner is the disk state of the controller that is killed. A group commit writes and syncs, so it takes
-// twice the delay.
-const diskSlowForOwner = "slow 150ms"
+// The disk states of the slow-disk tests. A group commit writes and syncs, so it takes twice the delay.
+const (
+	diskSlowForOwner      = "slow 150ms"
+	diskSlowForSuccessors = "slow 200ms"
+)
 
 // A keyed request that has not run is not reported as failed when its controller is killed while that controller's disk
 // is slow: its attempt waits for the disk, and replicas must not take it for sent.
@@ -28,7 +30,30 @@
 		runWithAndWithoutDeduplication(t, test.name, func(t *testing.T, dedupWindow time.Duration) {
 			cluster := startAdoptionCluster(t, dedupWindow, test.programs)
 			require.NoError(t, cluster.SetDiskState(killedController, diskSlowForOwner))
-			ran, retries := retryAfterKill(t, cluster, func() { waitForFirstAttempts(t, cluster) })
+			ran, retries := retryAfterKill(t, cluster, func() { waitForFirstAttempts(t, cluster) }, func() {})
+			assertNoUnsentRequestFailed(t, cluster, ran, retries, dedupWindow)
+		})
+	}
+}
+
+// A keyed request that has not run is handled or rejected, but not reported as failed, by successors whose own disks are
+// slow.
+func TestVersions_SuccessorsWithSlowDisksFailNoUnsentRequest(t *testing.T) {
+	oldProgram, currentProgram := faultsTagVersions.programs(t)
+	for _, test := range []struct {
+		name     string
+		programs []string
+	}{
+		{"old version killed", []string{currentProgram, currentProgram, oldProgram}},
+		{"current version killed", []string{currentProgram, currentProgram, currentProgram}},
+	} {
+		runWithAndWithoutDeduplication(t, test.name, func(t *testing.T, dedupWindow time.Duration) {
+			cluster := startAdoptionCluster(t, dedupWindow, test.programs)
+			ran, retries := retryAfterKill(t, cluster, func() { waitForStableRuns(t, cluster, 1) }, func() {
+				for successor := range killedController {
+					require.NoError(t, cluster.SetDiskState(successor, diskSlowForSuccessors))
+				}
+			})
 			assertNoUnsentRequestFailed(t, cluster, ran, retries, dedupWindow)
 		})
 	}
@@ -56,9 +81,9 @@
 	time.Sleep(100 * time.Millisecond) // less than a write and a sync of diskSlowForOwner
 }
 
-// retryAfterKill sends keyed requests to a controller, and kills it after waitForKill. It returns how often each key
-// had run at the kill, and the retries at a successor of the requests without a reply.
-func retryAfterKill(t *testing.T, cluster *Cluster, waitForKill func()) (
+// retryAfterKill sends keyed requests to a controller, kills it after waitForKill, and calls afterKill. It returns how
+// often each key had run at the kill, and the retries at a successor of the requests without a reply.
+func retryAfterKill(t *testing.T, cluster *Cluster, waitForKill, afterKill func()) (
 	ran map[string]int, retries []keyedRequest,
 ) {
 	t.Helper()
@@ -66,6 +91,7 @@
 	waitForReplies := submitKeyedAll(cluster, killedController, "a", keys)
 	waitForKill()
 	cluster.Kill(killedController)
+	afterKill()
 	ran = runsByKey(cluster)
 	inFlight := disconnectedKeys(t, waitForReplies())
 	require.NotEmpty(t, inFlight, "requests must be in flight at the kill")
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -115,6 +115,18 @@
 	}
 }
 
+// cancelHeldAttempt cancels the attempt of a request that an extension still holds, and returns whether there is one. It
+// was not sent.
+func (l *Loop) cancelHeldAttempt(state *requestState) bool {
+	for n := range state.started {
+		if state.attempts[n].inFlight && state.attempts[n].holds > 0 {
+			l.cancelAttempt(state, n, scheduler.NeverSent)
+			return true
+		}
+	}
+	return false
+}
+
 // cancelAttempt cancels an attempt and queues the event of its end, unless that event is queued already.
 func (l *Loop) cancelAttempt(state *requestState, number int, outcome scheduler.Outcome) {
 	if state.attempts[number].running == nil {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -35,7 +35,8 @@
 	Call    func(now float64) // runs on the loop's goroutine and must not block
 
 	queuedAt float64
-	resumed  bool // RequestArrived: the request was suspended before, or is adopted from another controller
+	resumed  bool              // RequestArrived: the request was suspended before, or is adopted from another controller
+	refusal  *scheduler.Action // set only in Loop.pending: the request is refused once its cancelled attempt has ended
 }
 
 // Loop owns the scheduler and the state of all requests.
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -9,6 +9,10 @@
 // handleEvent updates the loop's state for an event and hands the event to the scheduler, unless it is outdated or an
 // extension keeps it from the scheduler.
 func (l *Loop) handleEvent(item QueueItem) {
+	if item.refusal != nil {
+		l.refuseUnsent(item.refusal)
+		return
+	}
 	event := &item.Event
 	state, deliver := l.prepare(&item)
 	if !deliver {
@@ -188,6 +192,12 @@
 	if state.answered {
 		return
 	}
+	if action.Kind == scheduler.Fail && action.RejectIfUnsent && l.cancelHeldAttempt(state) {
+		rejection := *action
+		rejection.Kind = scheduler.Reject
+		l.pending = append(l.pending, QueueItem{refusal: &rejection})
+		return
+	}
 	l.counters.recordRefusal(action.Kind, state.halfClosed())
 	if action.Kind == scheduler.Fail {
 		l.answerRequest(state, ledger.Failed, nil, 0, 0)
@@ -197,6 +207,15 @@
 	l.answerRequest(state, ledger.Rejected, nil, decided.retryAfterMS, 0)
 }
 
+// refuseUnsent refuses a request after the end of its held attempt, so that the extensions learn first that it never
+// ran.
+func (l *Loop) refuseUnsent(action *scheduler.Action) {
+	if state := l.requests[action.Request]; state != nil {
+		l.refuse(state, action)
+		l.releaseRequest(state)
+	}
+}
+
 // startHealthCheck sends a health check and sets its timeout.
 func (l *Loop) startHealthCheck(now float64, executor uint32) {
 	l.lastToken++
--- a/internal/dispatch/extension_test.go
+++ b/internal/dispatch/extension_test.go
@@ -136,6 +136,39 @@
 	}
 }
 
+// A request that fails while an extension holds its only attempt has not been sent to anyone. Its client must be told
+// that it is rejected, and the extensions that the attempt never ran before they learn of the rejection.
+func TestLoop_RejectsRequestWhoseAttemptIsHeld(t *testing.T) {
+	for name, c := range map[string]struct {
+		action   scheduler.Action
+		released bool
+		want     []string
+	}{
+		"held":                 {scheduler.Action{RejectIfUnsent: true}, false, []string{"cancel", "rejected"}},
+		"released":             {scheduler.Action{RejectIfUnsent: true}, true, []string{"release", "failed"}},
+		"held, but ran before": {scheduler.Action{}, false, []string{"failed"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			transport := &fakeTransport{cancelResult: CancelledUnsent}
+			loop, policy, received := newExtendedLoop(transport, commandsByEvent{AttemptStarting: {{Kind: HoldAttempt}}})
+			if c.released {
+				loop.Execute([]Command{{Kind: ReleaseAttempt, ID: "a"}})
+			}
+			c.action.Kind, c.action.Request = scheduler.Fail, "a"
+			policy.actions = actionsByEvent{scheduler.TimerFired: {c.action}}
+			*received = nil
+			loop.process(QueueItem{Event: scheduler.Event{Kind: scheduler.TimerFired}})
+			assert.Equal(t, c.want, transport.calls)
+			assert.Zero(t, loop.OpenRequests())
+			if name == "held" {
+				assert.Equal(t, []EventKind{AttemptEnded, RequestRejecting, RequestEnding, RequestClosed}, *received)
+				assert.Equal(t, scheduler.NeverSent, policy.lastEvent(scheduler.AttemptEnded).Outcome)
+				assert.Empty(t, loop.requests)
+			}
+		})
+	}
+}
+
 func TestLoop_WithheldAnswerIsDeliveredOnce(t *testing.T) {
 	transport := &fakeTransport{}
 	loop, _, received := newExtendedLoop(transport, commandsByEvent{RequestEnding: {{Kind: WithholdAnswer}}})
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -33,12 +33,16 @@
 	Attempt     int // index among the attempts of Request
 	GrantMB     float64
 	Level       int
-	AfterMS     float64
+	AfterMS     float64 // Reject, and Fail with RejectIfUnsent: when the client may retry; SetTimer
 	LatestStart float64 // Send: the attempt must not start after this time
 	Token       uint64
 	Text        string
 	Peer        int
 	Payload     []byte // valid until the next Step
+
+	// RejectIfUnsent applies to Fail: only the attempt in flight can have run. If the caller knows that it has not been
+	// sent, Request is rejected instead.
+	RejectIfUnsent bool
 }
 
 // emit appends an action to the result of the current step.
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -136,11 +136,21 @@
 	if s.mayReject(r) {
 		s.emit(Action{Kind: Reject, Request: r.id, AfterMS: s.retryAfterMS()})
 	} else {
-		s.emit(Action{Kind: Fail, Request: r.id})
+		s.fail(r)
 	}
 	s.cancelAttempts(slot)
 }
 
+// fail fails a request. An attempt in flight may not have been sent yet, for example because its record is not durable,
+// which only the caller knows.
+func (s *Scheduler) fail(r *request) {
+	action := Action{Kind: Fail, Request: r.id, RejectIfUnsent: !r.mayHaveRunBefore()}
+	if action.RejectIfUnsent && s.settings.SendsRetryAfter {
+		action.AfterMS = s.settings.MaxRetryAfterMS
+	}
+	s.emit(action)
+}
+
 // retryAfterMS returns the delay after which a rejected client is asked to retry, or 0 if rejections carry none. The
 // delay is randomized so that rejected clients don't all return at once.
 func (s *Scheduler) retryAfterMS() float64 {
--- a/scheduler/admission_test.go
+++ b/scheduler/admission_test.go
@@ -18,6 +18,26 @@
 	assert.Empty(t, s.requests.byID)
 }
 
+// A request that fails at its deadline may be rejected instead if its caller knows that the attempt in flight was not
+// sent, but not if an earlier attempt may have run.
+func TestScheduler_FailsUnlessOnlyAttemptIsUnsent(t *testing.T) {
+	s := newTestScheduler(3, nil)
+	arrive(s, 1000, "a", "unsafe")
+	arrive(s, 1000, "b", "unsafe")
+	endAttempt(s, 1010, "b", 0, ConnectFailed)
+	for _, action := range tickAt(s, 8980) {
+		assert.Equal(t, action.Kind == Fail, action.RejectIfUnsent, "%v of %s", action.Kind, action.Request)
+	}
+	s = newTestScheduler(3, func(s *Settings) { s.Classes[1].DedupScope, s.Classes[1].DedupWindowMS = DedupZone, 9000 })
+	arrive(s, 1000, "c", "keyed")
+	endAttempt(s, 1010, "c", 0, ConnectionLost)
+	actions := tickAt(s, 8980)
+	assert.Contains(t, actionKinds(actions), Fail)
+	for _, action := range actions {
+		assert.False(t, action.RejectIfUnsent, "%v: the first attempt may have run", action.Kind)
+	}
+}
+
 func TestScheduler_RepeatsOnlyAsIdempotencyAllows(t *testing.T) {
 	for _, test := range []struct {
 		class   string
--- a/scheduler/requests.go
+++ b/scheduler/requests.go
@@ -177,6 +177,12 @@
 	return r.prior.At != 0 || slices.ContainsFunc(r.attempts[:r.attemptCount], ran)
 }
 
+// mayHaveRunBefore reports whether an attempt at a request that has ended, or its prior attempt, may have run.
+func (r *request) mayHaveRunBefore() bool {
+	ran := func(a attempt) bool { return a.mayHaveRun && !a.inFlight }
+	return r.prior.At != 0 || slices.ContainsFunc(r.attempts[:r.attemptCount], ran)
+}
+
 // collectQueue starts a dispatch pass: it collects the queued requests with their value densities, and the holders of
 // table groups.
 func (s *Scheduler) collectQueue() {
