chaostest: a soak that fails prints what the kernel and the controller say

Cause: the soak's known failure (no reply to 71 requests until the kill) could not be traced: the output had the first 3,000 characters of the log, and neither states of threads nor pressure on processor, disk and memory.

Change: each 100 ms from the first client on, schedstat, major faults, state and wait channel of each thread and the machine's pressure are kept and printed if the run fails, with the whole log. A controller that owes replies at the kill gets SIGQUIT first, which prints its goroutines and ends it; SIGKILL follows within 300 ms.

--- a/internal/chaostest/soak_test.go
+++ b/internal/chaostest/soak_test.go
@@ -65,6 +65,7 @@
 	cluster     *Cluster
 	lastNumber  atomic.Uint64
 	suspensions []timeSpan // of the first controller
+	process     processSamples
 
 	mu         sync.Mutex
 	stopping   bool
@@ -103,6 +104,8 @@
 	if s.config.handoff {
 		waitForHandoffReady(s.t, s.cluster)
 	}
+	stopSampling := s.sampleProcess(s.cluster.PID(0))
+	defer stopSampling()
 	finished := make(chan struct{})
 	var clients sync.WaitGroup
 	s.startClients(&clients, finished)
@@ -206,8 +209,7 @@
 			s.addViolation("the first controller ended its graceful stop with exit code %d", code)
 		}
 	case <-time.After(time.Until(s.stopAt.Add(killDelay))):
-		_ = syscall.Kill(pid, syscall.SIGKILL)
-		<-c.exited
+		s.killFirst(c, pid)
 		s.t.Logf("seed %d: killed %v after SIGTERM", s.seed, killDelay)
 	}
 	c.cmd = nil
@@ -368,9 +370,9 @@
 			s.run()
 			t.Logf("%+v: %d sent, %v", config, len(s.sent), s.outcomes)
 			if len(s.violations) > 0 {
-				t.Errorf("%d violations; to repeat this run, set LIFTSHIFT_SOAK_FIRST=%d LIFTSHIFT_SOAK_SEEDS=1\n%s\n%.3000s",
-					len(s.violations), seed,
-					strings.Join(s.violations[:min(len(s.violations), 10)], "\n"), cluster.Controllers[0].Log())
+				t.Errorf("%d violations; to repeat this run, set LIFTSHIFT_SOAK_FIRST=%d LIFTSHIFT_SOAK_SEEDS=1\n%s\n%s\n%s",
+					len(s.violations), seed, strings.Join(s.violations[:min(len(s.violations), 10)], "\n"),
+					strings.Join(s.process.samples, "\n"), cluster.Controllers[0].Log())
 			}
 		})
 	}
