Try again where an attempt was not recorded in time and the request could only fail

Callers saw: retries of keyed requests failed (written off) at successors whose disks stalled for a second, though executors drop repeats and the deadline was 12 s away.

Cause: an attempt that waits over 300 ms for its record is not sent, and its request was given up at once; one that may have run before can't be rejected, so it failed. On a disk known to be slow it failed without an attempt.

Change: the attempt ends as Unrecorded, and the scheduler tries again with its local backoff where rejecting is not allowed, unless it shuts down. The ledger admits keys in doubt on a failing disk. Why it works: a stall of the disk that ends in time costs time, and no attempt leaves without its record.

--- a/internal/chaostest/versions_slowdisk_test.go
+++ b/internal/chaostest/versions_slowdisk_test.go
@@ -14,8 +14,12 @@
 const (
 	diskSlowForOwner      = "slow 150ms"
 	diskSlowForSuccessors = "slow 200ms"
+	diskStalled           = "slow 400ms"
 )
 
+// diskStall is how long disks stall, so that attempts wait for their records longer than they may.
+const diskStall = time.Second
+
 // A keyed request that has not run is not reported as failed when its controller is killed while that controller's disk
 // is slow: its attempt waits for the disk, and replicas must not take it for sent.
 func TestVersions_KillWithSlowDiskFailsNoUnsentRequest(t *testing.T) {
@@ -59,6 +63,43 @@
 	}
 }
 
+// Where executors drop repeats, keyed requests are handled although the disks of the successors stall for a time while
+// they adopt: an attempt that was not recorded in time is tried again.
+func TestVersions_SuccessorsHandleRequestsAfterDiskStall(t *testing.T) {
+	oldProgram, currentProgram := faultsTagVersions.programs(t)
+	for _, test := range []struct{ name, killed string }{
+		{"old version killed", oldProgram},
+		{"current version killed", currentProgram},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			cluster := startAdoptionCluster(t, executorDedupTime, []string{currentProgram, currentProgram, test.killed})
+			waitForReplies := submitKeyedAll(cluster, killedController, "a", numberedKeys("m", adoptedRequests))
+			waitForStableRuns(t, cluster, 1)
+			cluster.Kill(killedController)
+			waitForRetries := submitKeyedAll(cluster, 0, "b", disconnectedKeys(t, waitForReplies()))
+			require.GreaterOrEqual(t, cluster.waitForSuccessor(killedController, successorTimeout), 0)
+			stallDisks(t, cluster, diskStall)
+			for _, r := range waitForRetries() {
+				assert.NoError(t, r.err, "retry of %s", r.key)
+				assert.Zero(t, r.reply.Code, "%s", r)
+			}
+			assert.Equal(t, oneRunPerKey(numberedKeys("m", adoptedRequests)), runsByKey(cluster), "runs of each key")
+		})
+	}
+}
+
+// stallDisks makes the disks of the successors very slow for a time.
+func stallDisks(t *testing.T, cluster *Cluster, duration time.Duration) {
+	t.Helper()
+	for _, state := range []string{diskStalled, "sound"} {
+		for successor := range killedController {
+			require.NoError(t, cluster.SetDiskState(successor, state))
+		}
+		time.Sleep(duration)
+	}
+}
+
 // runWithAndWithoutDeduplication runs a test in parallel with executors that drop repeats and with others that don't.
 func runWithAndWithoutDeduplication(t *testing.T, name string, run func(t *testing.T, dedupWindow time.Duration)) {
 	t.Helper()
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -60,7 +60,7 @@
 	case running == nil:
 		l.endAttempt(state, number, scheduler.LocalFailure)
 	case decided.blockAttempt:
-		l.failAttempt(state.ID, number)
+		l.failAttempt(state.ID, number, attemptBlocked)
 	case held: // sent at ReleaseAttempt
 		l.permitLastHolders(state, number)
 	case delayMS > 0:
@@ -100,9 +100,17 @@
 	l.notify(Event{Kind: AttemptPermitted, Request: &state.Request, Attempt: number})
 }
 
+// unsentReason is why a held attempt was not sent.
+type unsentReason int
+
+const (
+	attemptBlocked    unsentReason = iota // no attempt of the request may be sent
+	attemptUnrecorded                     // it was not recorded in time; another attempt may be
+)
+
 // failAttempt ends a held attempt that an extension does not permit. The attempt was not sent, and its event tells the
-// scheduler to send no other attempt of the request.
-func (l *Loop) failAttempt(id string, number int) {
+// scheduler why.
+func (l *Loop) failAttempt(id string, number int, reason unsentReason) {
 	state := l.requests[id]
 	if state == nil || number >= state.started || state.attempts[number].running == nil {
 		return
@@ -111,7 +119,8 @@
 	l.cancelAttempt(state, number, scheduler.NeverSent)
 	for k := first; k < len(l.pending); k++ {
 		invariant.Check(l.pending[k].Event.Outcome == scheduler.NeverSent, "a held attempt has not left")
-		l.pending[k].Event.Blocked = true
+		l.pending[k].Event.Blocked = reason == attemptBlocked
+		l.pending[k].Event.Unrecorded = reason == attemptUnrecorded
 	}
 }
 
--- a/internal/dispatch/command.go
+++ b/internal/dispatch/command.go
@@ -89,7 +89,7 @@
 	case ReleaseAttempt:
 		l.releaseAttempt(command.ID, command.Attempt)
 	case FailAttempt:
-		l.failAttempt(command.ID, command.Attempt)
+		l.failAttempt(command.ID, command.Attempt, attemptUnrecorded)
 	case RestoreState:
 		l.pending = append(l.pending, QueueItem{Event: command.Event})
 	case OfferRequest, CapPriority:
--- a/internal/dispatch/extension.go
+++ b/internal/dispatch/extension.go
@@ -125,7 +125,8 @@
 	Consume
 	// ReleaseAttempt permits sending Attempt of request ID after HoldAttempt.
 	ReleaseAttempt
-	// FailAttempt forbids sending Attempt of request ID after HoldAttempt.
+	// FailAttempt forbids sending Attempt of request ID after HoldAttempt, as it was not recorded in time. The scheduler
+	// may send another attempt.
 	FailAttempt
 	// RestoreState passes Event, which carries recovered state, to the scheduler.
 	RestoreState
--- a/internal/ledger/event.go
+++ b/internal/ledger/event.go
@@ -76,7 +76,7 @@
 	Sync                               // make the records of this step durable, then send RecordsStored with Token
 	HoldAttempt                        // hold this attempt until ReleaseAttempt or FailAttempt
 	ReleaseAttempt                     // send the attempt
-	FailAttempt                        // send neither this attempt nor another one of the request for now
+	FailAttempt                        // do not send this attempt
 	Admit                              // admit the request; Prior may have run under its idempotency key
 	AdmitBlocked                       // admit the request, but send no attempt for it
 	AnswerFromRecord                   // answer the request or the query with the recorded Outcome and Body
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -174,6 +174,25 @@
 	assert.NotEmpty(t, after.logged)
 }
 
+// TestLedger_AdmitsKeyInDoubtWhileTheDiskFails checks that a request whose key may have run is admitted although the disk
+// is failing: it could only be reported as failed. Its attempt is held like any other.
+func TestLedger_AdmitsKeyInDoubtWhileTheDiskFails(t *testing.T) {
+	l := newTestLedger(1000)
+	l.receive(1000, "mark", "a", "m")
+	held := l.step(1000, Event{Kind: AttemptStarting, ID: "a", Executor: 1})
+	l.step(1010, Event{Kind: RecordsStored, Token: held[0].Token})
+	require.True(t, l.Counts().DiskFailing)
+	prior := scheduler.PriorAttempt{At: 900, Zone: "here"}
+	admitted := l.step(1100, Event{Kind: RequestReceived, ID: "b", IdempotencyKey: "m2", Class: "mark", Deadline: 6000,
+		Prior: prior})
+	require.Len(t, admitted, 1)
+	assert.Equal(t, Admit, admitted[0].Kind)
+	assert.Equal(t, prior.At, admitted[0].Prior.At)
+	starting := l.step(1100, Event{Kind: AttemptStarting, ID: "b", Executor: 1})
+	require.Len(t, starting, 1)
+	assert.Equal(t, HoldAttempt, starting[0].Kind)
+}
+
 // TestLedger_ShedsDurableWorkWhileTheDiskFails checks that a failing or slow disk fails the held attempt and blocks
 // keyed and non-idempotent requests, but not idempotent ones, until a record is durable again.
 func TestLedger_ShedsDurableWorkWhileTheDiskFails(t *testing.T) {
--- a/internal/ledger/request.go
+++ b/internal/ledger/request.go
@@ -164,12 +164,13 @@
 }
 
 // mustBlock returns whether no attempt of a request may be sent for now: its record would not become durable, there
-// is no room for it, or a record of its idempotency key may be missing.
+// is no room for it, or a record of its idempotency key may be missing. A request whose key is in doubt is admitted
+// while the disk is failing, since it could only be reported as failed. Its attempts are held and may be tried again.
 func (l *Ledger) mustBlock(class *requestClass, keyText string, decision keyDecision) bool {
 	if !class.mustPersist() {
 		return false
 	}
-	if l.disk == diskFailing && !l.skipDiskWait {
+	if l.disk == diskFailing && !l.skipDiskWait && decision != decisionAdmitRetry {
 		return true
 	}
 	if max(l.requests.Len(), l.keys.Len()) >= l.maxRecords {
--- a/scheduler/attempts.go
+++ b/scheduler/attempts.go
@@ -109,7 +109,7 @@
 	switch {
 	case ev.Final:
 		s.applyToRequest(slot, inputFinished)
-	case ev.Blocked:
+	case ev.Blocked, ev.Unrecorded && !s.awaitsRecord(r):
 		s.applyToRequest(slot, inputUnservable)
 	case r.state != requestDone && r.inFlight == 0:
 		s.applyToRequest(slot, inputAttemptFailed)
@@ -129,6 +129,10 @@
 		s.updateEstimates(r, class, e, a, ev)
 	case Overloaded:
 		e.avoidUntil = s.now + avoidMS
+	case NeverSent:
+		if ev.Unrecorded {
+			s.recordLocalFailure(r, a)
+		}
 	case LocalFailure:
 		e.avoidUntil = s.now + avoidMS // another executor may already have an open connection
 		s.recordLocalFailure(r, a)
--- a/scheduler/retry.go
+++ b/scheduler/retry.go
@@ -1,5 +1,7 @@
 package scheduler
 
+import "math"
+
 // The retry budget bounds the retries of a controller within a sliding window to a floor plus a share of its arrivals.
 // An attempt is cancelled to be replaced only where the budget also covers all requests that already wait for a
 // retry. Otherwise work that might still succeed would be discarded.
@@ -35,6 +37,13 @@
 	return r.attemptCount < attemptCapacity && r.startedCount() < s.settings.MaxAttempts
 }
 
+// awaitsRecord reports whether a request whose attempt was not recorded in time is tried again. One that may be rejected
+// is not: its client tries again by itself. For the others, waiting for the records is better than a failure.
+func (s *Scheduler) awaitsRecord(r *request) bool {
+	shuttingDown := !math.IsInf(s.shutdownDeadline, 1)
+	return !s.mayReject(r) && !shuttingDown
+}
+
 // recordLocalFailure removes an attempt that was never sent from the retry count, and delays the next attempt at its
 // request with exponential backoff.
 func (s *Scheduler) recordLocalFailure(r *request, a *attempt) {
--- a/scheduler/retry_test.go
+++ b/scheduler/retry_test.go
@@ -6,6 +6,43 @@
 	"github.com/stretchr/testify/assert"
 )
 
+// A request that may have run waits for its next attempt to be recorded, with a growing delay, where executors drop the
+// repeat. One that may be rejected is, so that its client can go elsewhere. No request waits during a shutdown.
+func TestScheduler_TriesAgainIfAttemptWasNotRecorded(t *testing.T) {
+	unrecorded := func(s *Scheduler, now float64, id string, attempt int) []ActionKind {
+		ev := Event{Kind: AttemptEnded, Request: id, Attempt: attempt, Outcome: NeverSent, Unrecorded: true}
+		return actionKinds(s.Step(now, &ev, nil))
+	}
+	for name, test := range map[string]struct {
+		class    string
+		prior    PriorAttempt
+		shutDown bool
+		want     []ActionKind
+	}{
+		"never sent":               {"keyed", PriorAttempt{}, false, []ActionKind{Reject}},
+		"may have run":             {"keyed", PriorAttempt{At: 900, Zone: "here"}, false, nil},
+		"may have run, at the end": {"keyed", PriorAttempt{At: 900, Zone: "here"}, true, []ActionKind{Fail}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestScheduler(2, func(s *Settings) { s.Classes[1].DedupScope = DedupZone })
+			if test.shutDown {
+				s.Step(1000, &Event{Kind: ShutdownStarted, Deadline: 4000}, nil)
+			}
+			s.Step(1000, &Event{Kind: RequestArrived, Request: "a", Class: test.class, WorkMS: 100, Deadline: 9000,
+				Prior: test.prior}, nil)
+			assert.Equal(t, test.want, unrecorded(s, 1300, "a", 0))
+			if test.want != nil {
+				return
+			}
+			assert.Empty(t, actionKinds(tickAt(s, 1310)), "before the delay is over")
+			assert.Equal(t, []ActionKind{SetResources, Send}, actionKinds(tickAt(s, 1340)))
+			assert.Empty(t, unrecorded(s, 1640, "a", 1))
+			assert.Empty(t, actionKinds(tickAt(s, 1680)), "the delay doubles")
+			assert.Equal(t, []ActionKind{SetResources, Send}, actionKinds(tickAt(s, 1700)))
+		})
+	}
+}
+
 func TestScheduler_KeepsToRetryBudget(t *testing.T) {
 	s := newTestScheduler(3, func(s *Settings) {
 		s.RetryBudget.WindowMS = 10000
