handoffnet: report a batch that waited too long as lost

Seen: the known failure of TestPeerStream_FallsBackToCallsAndReturns, no answer within 3 s to one of the first requests.

Cause: a stream drops a batch that is over 200 ms old when its goroutine gets to it, as the ages in it are wrong then, and told nobody. With the goroutine stopped for 230 ms (TestPeerStream_ReportsBatchThatWaitedTooLong) the old code gives just the picture of the entry, "fewer than N answers were posted" after 3 s.

Change: the stream posts that the batch was lost, so the manager counts it; its resends go on as before. The test of the entry still fails if its goroutine stands still for 200 ms, and says so within that time instead of after 3 s.

--- a/internal/handoffnet/peerstream.go
+++ b/internal/handoffnet/peerstream.go
@@ -92,7 +92,7 @@
 		if first := s.next; first != nil {
 			s.next = nil
 			if first.isStale(a.clock.Now()) {
-				a.dropped.Add(1)
+				s.dropStale(a, first.batch)
 			} else {
 				s.send(a, *first)
 			}
@@ -215,7 +215,7 @@
 			return next
 		}
 		if expired.isStale(now) {
-			a.dropped.Add(1)
+			s.dropStale(a, expired.batch)
 		} else {
 			s.sendByCall(a, expired.outgoingBatch)
 		}
@@ -285,14 +285,24 @@
 	}
 }
 
+// dropStale drops a batch that was queued too long, and tells the manager that it was lost.
+func (s *peerStream) dropStale(a *Agent, batch *handoff.Batch) {
+	a.dropped.Add(1)
+	s.postAnswer(a, batch, nil)
+}
+
 // sendByCall sends a batch by a call and posts the reply to the dispatch loop.
 func (s *peerStream) sendByCall(a *Agent, outgoing outgoingBatch) {
 	a.calls.Add(1)
-	reply := s.callMember(a, outgoing.data)
+	s.postAnswer(a, outgoing.batch, s.callMember(a, outgoing.data))
+}
+
+// postAnswer posts the reply to a batch, nil if there is none, to the dispatch loop.
+func (s *peerStream) postAnswer(a *Agent, batch, reply *handoff.Batch) {
 	select {
 	case <-a.stop:
 	default:
-		a.post(batchAnswered{s.to, outgoing.batch, reply})
+		a.post(batchAnswered{s.to, batch, reply})
 	}
 }
 
--- a/internal/handoffnet/peerstream_test.go
+++ b/internal/handoffnet/peerstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -109,6 +110,23 @@
 	assert.EqualValues(t, maxUnanswered+2, a.agent.calls.Load(), "a further call was made")
 }
 
+// The manager learns that a batch was lost that waited too long because the stream's goroutine did not run.
+func TestPeerStream_ReportsBatchThatWaitedTooLong(t *testing.T) {
+	a, _, recorder := startPair(t)
+	s := a.agent.stream("b")
+	s.mu.Lock()
+	a.sendQuery("first") // the goroutine takes this one out of the queue and stops at the lock
+	require.Eventually(t, func() bool { return len(s.queue) == 0 }, 3*time.Second, time.Millisecond)
+	a.sendQuery("queued")
+	time.Sleep((maxQueuedMS + answerTimeoutMS) * time.Millisecond)
+	s.mu.Unlock()
+	answers := recorder.waitForAnswers(t, 2)
+	lost := slices.IndexFunc(answers, func(answer batchAnswered) bool { return answer.reply == nil })
+	require.GreaterOrEqual(t, lost, 0, "no batch was reported as lost")
+	assert.Equal(t, handoff.KeyOf("queued", ""), answers[lost].sent.Items[0].Key)
+	assert.EqualValues(t, 1, a.agent.dropped.Load())
+}
+
 // Batches and replies that are too long for a datagram go by a call.
 func TestPeerStream_CallsForLongBatchesAndReplies(t *testing.T) {
 	a, b, recorder := startPair(t)
