drains: keep a presumed notification until nothing that it closed can open again

Callers: while the endpoint list is out of reach, an executor that may be draining got attempts again for up to one drain grace, some 7 s after it had been closed, a break of the rule on drains.

Cause: recordPresumedNotification dropped a time after PresumedNotifiedAfterMS, but an executor whose last attempt was accepted just before that time is closed by the ordinary rule only one DrainGraceMS later.

Evidence: TestScheduler_KeepsExecutorClosedAfterPresumedNotification failed before (open again from 10475 to 10675).

--- a/scheduler/drains.go
+++ b/scheduler/drains.go
@@ -31,9 +31,10 @@
 }
 
 // recordPresumedNotification stores the time at which this controller is presumed notified of pending list updates; 0
-// stands for none. It drops stored times that are more than PresumedNotifiedAfterMS ago.
+// stands for none. It drops stored times that no longer close any executor: one that accepted an attempt before such a
+// time is closed by then in any case, as PresumedNotifiedAfterMS and the drain grace have passed since.
 func (s *Scheduler) recordPresumedNotification(at float64) {
-	oldest := s.now - s.settings.PresumedNotifiedAfterMS
+	oldest := s.now - s.settings.PresumedNotifiedAfterMS - s.settings.DrainGraceMS
 	isOld := func(presumed float64) bool { return presumed < oldest }
 	s.presumedNotifiedAt = slices.DeleteFunc(s.presumedNotifiedAt, isOld)
 	if at > 0 && len(s.presumedNotifiedAt) < maxPresumedNotifications {
--- a/scheduler/drains_test.go
+++ b/scheduler/drains_test.go
@@ -53,6 +53,25 @@
 		"without PresumedNotifiedAfterMS, the controller isn't presumed notified of drains")
 }
 
+// An executor that was closed because this controller is presumed notified of a drain stays closed: without news from the
+// list, no later time may open it again.
+func TestScheduler_KeepsExecutorClosedAfterPresumedNotification(t *testing.T) {
+	s := newTestScheduler(1, func(settings *Settings) {
+		settings.PresumedNotifiedAfterMS = 7000
+		settings.DrainGraceMS = 500
+	})
+	e := &s.executors[0]
+	lost := Event{Kind: EndpointsUpdated, List: ListUnavailable, Deadline: 1400, PresumedNotifiedAt: 3400}
+	s.Step(1500, &lost, nil)
+	e.acceptedAt = 3200
+	closedAt := s.drainSafeUntil(e)
+	assert.Equal(t, 3400+500-float64(answerMarginMS), closedAt)
+	for now := closedAt; now < 12000; now += 100 {
+		s.Step(now, &Event{Kind: EndpointsUpdated, List: ListUnavailable, Deadline: 1400}, nil)
+		assert.Less(t, s.drainSafeUntil(e), now+1, "at %v the executor is open again", now)
+	}
+}
+
 // List updates that were pending when the list became unavailable have their own time from which on the controller is
 // presumed notified of them. From then on, executors that have not accepted an attempt since are closed. An executor
 // that has accepted one stays open until the next such time or until PresumedNotifiedAfterMS has passed.
