--- a/internal/store/snapshot.go
+++ b/internal/store/snapshot.go
@@ -51,13 +51,15 @@
 // snapshot is due.
 func (s *Store) startSnapshot() {
 	err := s.rotate()
+	if err != nil {
+		s.countSnapshot(err) // before the waiters of Snapshot look
+	}
 	s.mu.Lock()
 	s.snapshotWanted = false
 	s.snapshotRunning = err == nil
 	s.snapshotChanged.Broadcast()
 	s.mu.Unlock()
 	if err != nil {
-		s.countSnapshot(err)
 		return
 	}
 	id := s.active.id
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -177,6 +177,24 @@
 	assert.ErrorIs(t, err, ErrDamaged, "a store with a damaged record must not open")
 }
 
+// TestStore_SnapshotReportsThatNoLogFileCouldBeCreated guards against a snapshot that is reported as made although it was
+// never begun.
+func TestStore_SnapshotReportsThatNoLogFileCouldBeCreated(t *testing.T) {
+	disk := vfs.NewMemory()
+	s, _, _ := requireOpen(t, disk, smallOptions)
+	require.NoError(t, writeOne(s, 1, "one"))
+	disk.Fail = func(op vfs.Op) error {
+		if op.Call == "create" {
+			return syscall.ENOSPC
+		}
+		return nil
+	}
+	for n := range 50_000 {
+		require.Error(t, s.Snapshot(), "request %d", n)
+	}
+	require.NoError(t, s.Close())
+}
+
 // TestStore_RefusesFoldersInUseOrOfANewerVersion checks that a directory has one owner, that Survey works beside it,
 // and that neither Open nor Repair accepts a newer format.
 func TestStore_RefusesFoldersInUseOrOfANewerVersion(t *testing.T) {
