--- a/internal/store/repair.go
+++ b/internal/store/repair.go
@@ -155,8 +155,5 @@
 	if _, err := file.WriteAt(header.encode(), 0); err != nil {
 		return err
 	}
-	if err := errors.Join(file.Sync(), fs.Rename(name+temporarySuffix, name)); err != nil {
-		return err
-	}
-	return fs.SyncDir()
+	return publish(fs, file, name)
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -346,6 +346,40 @@
 	})
 }
 
+// TestRepair_NeverNamesASnapshotWhoseSyncFailed guards against a snapshot in the store whose content a crash may lose.
+func TestRepair_NeverNamesASnapshotWhoseSyncFailed(t *testing.T) {
+	disk, _ := storedWorkload(t)
+	names, err := disk.List()
+	require.NoError(t, err)
+	for _, name := range names {
+		if strings.HasSuffix(name, snapshotSuffix) {
+			damaged := disk.Bytes(name)
+			damaged[headerSize+recordHeaderSize] ^= 0x41
+			disk.SetFile(name, damaged)
+			break
+		}
+	}
+	disk.Fail = func(op vfs.Op) error {
+		if op.Call == "sync" && strings.HasSuffix(op.Name, snapshotSuffix+temporarySuffix) {
+			return syscall.EIO
+		}
+		return nil
+	}
+	_, err = Repair(disk, smallOptions)
+	require.ErrorIs(t, err, syscall.EIO)
+	after, err := disk.List()
+	require.NoError(t, err)
+	for _, name := range after {
+		if strings.HasSuffix(name, snapshotSuffix) {
+			assert.Contains(t, names, name, "the snapshot that was not synced has its final name")
+		}
+	}
+	disk.Fail = nil
+	result, err := Repair(disk, smallOptions)
+	require.NoError(t, err)
+	assert.True(t, result.Needed)
+}
+
 // TestRepair_LeavesAnUndamagedStoreUnchanged also checks that Open returns an error of the file system that is not
 // transient.
 func TestRepair_LeavesAnUndamagedStoreUnchanged(t *testing.T) {
