ledger: an imported attempt takes no success and no answer from a key

Callers: a repeat of a keyed request that had succeeded here would run again or fail, once another controller had an earlier attempt of the key on record. Found by reading. Cause: importPriorAttempt replaced the key's whole record where the imported attempt was the earlier one. Change: time, zone and cell of the first attempt are taken over; success and answer stay.

--- a/internal/ledger/idempotencykey.go
+++ b/internal/ledger/idempotencykey.go
@@ -148,7 +148,7 @@
 }
 
 // importPriorAttempt records an attempt of another controller that may have run under the idempotency key of a
-// request. Of the imported attempt and one already recorded, the earlier one counts.
+// request. Of the imported attempt and one already recorded, the earlier one counts. A success and its answer stay.
 func (l *Ledger) importPriorAttempt(ev *Event, index int, class *requestClass) {
 	if ev.Prior.At == 0 {
 		return
@@ -159,11 +159,11 @@
 		return
 	}
 	key, _ := l.keys.Put(storeKey, clampMS(l.now+class.windowMS+l.retentionMS))
-	l.answerBytes -= len(key.answer)
-	*key = idempotencyKey{
-		text: ev.IdempotencyKey, class: index, firstAt: firstAt, lastAt: l.now, zone: ev.Prior.Zone, cell: ev.Prior.Cell,
-		unresolved: 1,
+	if !key.succeeded {
+		*key = idempotencyKey{text: ev.IdempotencyKey, class: index, unresolved: 1}
 	}
+	key.firstAt, key.lastAt = firstAt, l.now
+	key.zone, key.cell = ev.Prior.Zone, ev.Prior.Cell
 	l.persistKey(storeKey, key)
 }
 
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -174,6 +174,22 @@
 	assert.NotEmpty(t, after.logged)
 }
 
+// TestLedger_KeepsAnswerOfKeyThatSucceeded checks that an earlier attempt at another controller takes nothing from a key
+// that has succeeded here: its answer is given again.
+func TestLedger_KeepsAnswerOfKeyThatSucceeded(t *testing.T) {
+	l := newTestLedger(1000)
+	l.receive(1000, "mark", "a", "m")
+	require.True(t, l.startAttempt(1000, "a", 0, 1))
+	l.step(1100, Event{Kind: AttemptEnded, ID: "a"})
+	l.step(1100, Event{Kind: RequestClosed, ID: "a", Outcome: Succeeded, Body: []byte("rows")})
+	repeated := l.step(1200, Event{Kind: RequestReceived, ID: "b", IdempotencyKey: "m", Class: "mark", Deadline: 6000,
+		Prior: scheduler.PriorAttempt{At: 900, Zone: "there"}})
+	require.Len(t, repeated, 1)
+	assert.Equal(t, AnswerFromRecord, repeated[0].Kind)
+	assert.Equal(t, Succeeded, repeated[0].Outcome)
+	assert.Equal(t, "rows", string(repeated[0].Body))
+}
+
 // TestLedger_AdmitsKeyInDoubtWhileTheDiskFails checks that a request whose key may have run is admitted although the disk
 // is failing: it could only be reported as failed. Its attempt is held like any other.
 func TestLedger_AdmitsKeyInDoubtWhileTheDiskFails(t *testing.T) {
