clusternet: a failed call no longer ends other calls to the same member

Seen: nothing that was traced to it; found by reading. An error answer or a timeout of one call ended all others in flight to that member (copies of requests, votes, exchanges of the view), which then had to be sent again. Cause: calls to a member share a connection, and connectionCache.drop closed it at once at any failure.

--- a/internal/clusternet/client.go
+++ b/internal/clusternet/client.go
@@ -9,7 +9,10 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/wrapperspb"
 )
 
@@ -53,19 +56,28 @@
 	defer cancel()
 	reply := &wrapperspb.BytesValue{}
 	if err := conn.Invoke(ctx, method, wrapperspb.Bytes(data), reply); err != nil {
-		t.clients.drop(to, conn)
+		if !isAnswer(err, conn) {
+			t.clients.drop(to, conn)
+		}
 		return nil, err
 	}
 	return reply.GetValue(), nil
 }
 
+// isAnswer reports whether a failed call was answered by the member: its handler's errors are sent as Unavailable, and
+// the connection goes on.
+func isAnswer(err error, conn *grpc.ClientConn) bool {
+	return status.Code(err) == codes.Unavailable && conn.GetState() == connectivity.Ready
+}
+
 // connectionCache holds client connections by address.
 type connectionCache struct {
 	localAddr *net.TCPAddr // source address of connections: the IP address at which this member listens
 
 	mu            sync.Mutex
 	conns         map[string]*grpc.ClientConn
-	creationOrder []string // addresses, the oldest connection first
+	creationOrder []string                      // addresses, the oldest connection first
+	retired       map[*grpc.ClientConn]struct{} // no longer in conns; calls that are in flight on them may end
 }
 
 // get returns the connection to an address and creates one if there is none. Past maxConnections, it closes the oldest.
@@ -78,7 +90,7 @@
 	if len(c.creationOrder) >= maxConnections {
 		oldest := c.creationOrder[0]
 		c.creationOrder = slices.Delete(c.creationOrder, 0, 1)
-		_ = c.conns[oldest].Close()
+		c.retire(c.conns[oldest])
 		delete(c.conns, oldest)
 	}
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
@@ -96,7 +108,11 @@
 	return conn, nil
 }
 
-// drop closes a connection on which a call failed, so that gRPC's backoff does not delay the next call.
+func newConnectionCache() connectionCache {
+	return connectionCache{conns: map[string]*grpc.ClientConn{}, retired: map[*grpc.ClientConn]struct{}{}}
+}
+
+// drop takes a connection on which a call failed out of use, so that gRPC's backoff does not delay the next call.
 func (c *connectionCache) drop(address string, conn *grpc.ClientConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -107,7 +123,18 @@
 	if at := slices.Index(c.creationOrder, address); at >= 0 {
 		c.creationOrder = slices.Delete(c.creationOrder, at, at+1)
 	}
-	_ = conn.Close()
+	c.retire(conn)
+}
+
+// retire closes a connection once the calls that are in flight on it have ended. The caller holds mu.
+func (c *connectionCache) retire(conn *grpc.ClientConn) {
+	c.retired[conn] = struct{}{}
+	time.AfterFunc(callTimeout, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.retired, conn)
+		_ = conn.Close()
+	})
 }
 
 // close closes all connections when the transport stops.
@@ -117,4 +144,7 @@
 	for _, conn := range c.conns {
 		_ = conn.Close()
 	}
+	for conn := range c.retired {
+		_ = conn.Close()
+	}
 }
--- a/internal/clusternet/transport.go
+++ b/internal/clusternet/transport.go
@@ -89,7 +89,7 @@
 		stop:      make(chan struct{}),
 		done:      make(chan struct{}),
 		callSlots: make(chan struct{}, maxOutgoingCalls),
-		clients:   connectionCache{conns: map[string]*grpc.ClientConn{}},
+		clients:   newConnectionCache(),
 		OnEffect:  func(float64, membership.Effect) {},
 	}
 }
