chaostest: the adoption test kills once requests have been sent, not after 300 ms

Seen: TestHandoff_AdoptsRequestsOfKilledController failed once beside three writers: no retry failed, though some request must have been sent before the kill. Cause: the disk held syncs for over 300 ms, so nothing had been sent when the test killed; replicas no longer take such attempts for sent (the log has the disk's warning). Checks are as before.

--- a/internal/chaostest/handoff_test.go
+++ b/internal/chaostest/handoff_test.go
@@ -89,7 +89,7 @@
 	for _, dedupWindow := range []time.Duration{20 * time.Second, -1} {
 		cluster := startHandoffCluster(t, "copies = 2", dedupWindow)
 		inFlight := submitAll(cluster, 4, 30, classKeyed, "a", true)
-		time.Sleep(300 * time.Millisecond)
+		waitForStableRuns(t, cluster, 1)
 		cluster.Kill(4)
 		assert.Equal(t, 30, countResults(inFlight())[ResultDisconnected], "requests in flight at the kill")
 		retries := submitAll(cluster, 0, 30, classKeyed, "b", true)
