handoff: a replica stores the record of an attempt only while the attempt may still leave

What callers saw: a controller was killed after both successors had been stopped for some tenths of a second. Retries of keyed requests failed (written_off) although no executor had got them.

Cause: a replica stored the record "may have run" of an attempt however late it came to it. The owner holds an attempt for 300 ms at most and fails it then, so that a record stored later can release nothing; it only makes the successor fail a request that nobody has sent. The owner also sent the record again in the very tick in which it failed the attempt.

Change: replies carry the replica's clock, from which an owner knows a lower bound of that clock. A record that an attempt waits for says until when, by the replica's own clock, it may be stored: while the attempt is held, and for two usual round trips and 15 ms at most. Later it is refused as "late", and an owner that lives sends it again at once. A refused record is as one that was lost, so that nothing new can run twice. Members of the version before leave the two new fields out and get none. Records of failed attempts are not sent again, and members are asked for their clock before the first attempt.

Evidence: TestManager_PausedReplicasStoreNoExpiredRecord (both cases) and TestManager_SendsNoRecordOfFailedAttempt failed before.

--- a/internal/handoff/attempts.go
+++ b/internal/handoff/attempts.go
@@ -50,6 +50,7 @@
 		return
 	}
 	held.replicating = true
+	req.recordUntil = max(req.recordUntil, held.since+holdTimeoutMS)
 	if req.RunState == NotRun {
 		req.setAttempt(attemptState{runState: MayHaveRun, firstAt: m.now, zone: held.zone, cell: held.cell})
 	}
@@ -90,6 +91,7 @@
 		case !held.replicating:
 			remaining = append(remaining, held)
 		case m.leaseHeld:
+			req.recordUntil = 0
 			m.emit(Effect{Kind: ReleaseAttempt, ID: req.ID, Attempt: held.attempt})
 		default:
 			m.failAttempt(req, held.attempt)
@@ -122,6 +124,9 @@
 	req.heldAttempts = slices.DeleteFunc(req.heldAttempts, func(held heldAttempt) bool {
 		return held.attempt == ev.Attempt
 	})
+	if !slices.ContainsFunc(req.heldAttempts, func(held heldAttempt) bool { return held.replicating }) {
+		req.recordUntil = 0
+	}
 	if ev.Attempt >= maxTrackedAttempts || req.attemptsInFlight&(1<<ev.Attempt) == 0 {
 		return // replicas have not been told of it
 	}
--- a/internal/handoff/batch.go
+++ b/internal/handoff/batch.go
@@ -10,6 +10,7 @@
 	reasonIncomplete = "nothing in it" // the copy lacks what a successor needs
 	reasonFull       = "full"          // this replica stores as many copies as it may
 	reasonNotClaimed = "not claimed"   // the sender has not claimed the partition that it adopts from
+	reasonExpired    = "late"          // the message came after the time until which it could be stored
 )
 
 // refusal returns the reply that refuses a message for a reason.
@@ -19,7 +20,7 @@
 // no item is handled: the reply says so, and this controller fetches the placement if its own may be the older one.
 func (m *Manager) handleBatch(ev *Event) {
 	batch := ev.Batch
-	reply := &Batch{From: m.self}
+	reply := &Batch{From: m.self, Clock: m.now}
 	if m.table != nil {
 		reply.Version = m.table.Version
 		reply.PlacementStep = m.table.Step
@@ -92,6 +93,10 @@
 	if !m.leaseHeld {
 		return refusal(reasonNoLease)
 	}
+	if item.expired(m.now) {
+		m.counts.RecordsExpired++
+		return refusal(reasonExpired)
+	}
 	stored := m.copies[item.Key]
 	switch item.Op {
 	case OpQuery:
--- a/internal/handoff/closing.go
+++ b/internal/handoff/closing.go
@@ -69,6 +69,7 @@
 		m.counts.AdoptionsDone++
 	}
 	req.phase = phaseClosing
+	req.recordUntil = 0
 	req.Outcome = outcome
 	req.Sequence++
 	req.sends = 0
--- a/internal/handoff/helpers_test.go
+++ b/internal/handoff/helpers_test.go
@@ -21,6 +21,7 @@
 	down      map[int]bool                      // members that process no events
 	drops     func(from, to int, it *Item) bool // reports whether an item is lost in transit
 	dropAcks  bool                              // replies with an OpStored are lost in transit
+	paused    map[int][]func()                  // by paused member, the deliveries that wait for it
 	effects   []map[EffectKind][]Effect         // by member, the effects that step does not carry out
 	proposals []Effect                          // proposals that are not agreed on yet
 }
@@ -28,7 +29,7 @@
 // newCluster returns a cluster of n members whose table asks for the given number of copies. Change may modify the
 // settings.
 func newCluster(t *testing.T, n, copies int, change func(*Settings)) *testCluster {
-	c := &testCluster{t: t, now: 1000, down: map[int]bool{}}
+	c := &testCluster{t: t, now: 1000, down: map[int]bool{}, paused: map[int][]func(){}}
 	settings := DefaultSettings()
 	settings.Classes = []scheduler.RequestClass{
 		{Name: "keyed", Idempotency: scheduler.Keyed, DedupWindowMS: 20e3, DeadlineMS: 5e3},
@@ -72,12 +73,32 @@
 	c.announce()
 }
 
+// pause stops members that receive what is sent to them meanwhile when they resume.
+func (c *testCluster) pause(members ...int) {
+	for _, k := range members {
+		c.paused[k] = []func(){}
+	}
+}
+
+// resume ends the pause of members.
+func (c *testCluster) resume(members ...int) {
+	for _, k := range members {
+		deliveries := c.paused[k]
+		delete(c.paused, k)
+		for _, deliver := range deliveries {
+			deliver()
+		}
+	}
+}
+
 // tick advances the time in steps of 100 ms, and agrees to all proposals.
 func (c *testCluster) tick(ms float64) {
 	for until := c.now + ms; c.now < until; {
 		c.now += 100
 		for k := range c.managers {
-			c.step(k, &Event{Kind: Ticked})
+			if _, paused := c.paused[k]; !paused {
+				c.step(k, &Event{Kind: Ticked})
+			}
 		}
 		c.applyProposals()
 	}
@@ -151,6 +172,16 @@
 		deliverReply(nil)
 		return
 	}
+	receive := func() { c.receive(to, data, deliverReply) }
+	if deliveries, paused := c.paused[to]; paused {
+		c.paused[to] = append(deliveries, receive)
+		return
+	}
+	receive()
+}
+
+// receive has a member handle an encoded batch, and delivers its reply.
+func (c *testCluster) receive(to int, data []byte, deliverReply func(*Batch)) {
 	batch, err := ReadBatch(data, c.now)
 	require.NoError(c.t, err)
 	for i := range batch.Items {
--- a/internal/handoff/manager.go
+++ b/internal/handoff/manager.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"hash/crc32"
+	"maps"
 	"slices"
 
 	"liftshift/internal/placement"
@@ -64,7 +65,8 @@
 	// The state of this controller as an owner.
 	owned           map[Key]*ownedRequest
 	ownedByID       map[string]*ownedRequest
-	unacknowledged  []*ownedRequest // requests whose latest message not all replicas have acknowledged
+	peerClocks      map[string]*peerClock // by member name
+	unacknowledged  []*ownedRequest       // requests whose latest message not all replicas have acknowledged
 	withdrawals     []*withdrawal
 	withdrawalsByID map[withdrawalID]*withdrawal
 	waiting         []*waitingRequest
@@ -124,6 +126,7 @@
 		quorumLostAt:      map[int]float64{},
 		owned:             map[Key]*ownedRequest{},
 		ownedByID:         map[string]*ownedRequest{},
+		peerClocks:        map[string]*peerClock{},
 		withdrawalsByID:   map[withdrawalID]*withdrawal{},
 		recentOpen:        map[string]struct{}{},
 		queuedForAdoption: map[Key]struct{}{},
@@ -237,6 +240,7 @@
 	slices.Sort(names)
 	for _, name := range names {
 		batch := m.outgoing[name]
+		batch.sentAt = m.now
 		m.emit(Effect{Kind: SendBatch, To: name, Batch: batch})
 		m.counts.MessagesSent += uint64(len(batch.Items))
 		delete(m.outgoing, name)
@@ -279,6 +283,7 @@
 	for i := range ev.Members {
 		m.members[ev.Members[i].Name] = &ev.Members[i]
 	}
+	maps.DeleteFunc(m.peerClocks, func(name string, _ *peerClock) bool { return m.members[name] == nil })
 	if !m.hasPlacement() {
 		return
 	}
@@ -308,6 +313,7 @@
 	}
 	m.resendUnacknowledged()
 	m.resendWithdrawals()
+	m.learnClocks()
 	m.copyLongRunning()
 	m.pollWaiting()
 	m.followPlacement()
--- a/internal/handoff/message.go
+++ b/internal/handoff/message.go
@@ -73,8 +73,12 @@
 	More           bool
 	Reason         string // why a message is refused, or reasonNotReady
 	Copies         []Copy
+	StoreUntil     float64 // time by the receiver's clock after which it refuses the message; 0: never
 }
 
+// expired reports whether a message reached this replica too late to be stored.
+func (item *Item) expired(now float64) bool { return item.StoreUntil != 0 && now > item.StoreUntil }
+
 // attempt returns what the item says of the first attempt that may have run.
 func (item *Item) attempt() attemptState {
 	return attemptState{item.RunState, item.FirstAttemptAt, item.Zone, item.Cell}
@@ -93,6 +97,9 @@
 	PlacementStep  uint64 // the lowest table step that the receiver must know; in a reply, the replica's step
 	StalePlacement bool   // in a reply: the two members know different placements, and no item was handled
 	Items          []Item
+	Clock          float64 // in a reply: the replica's clock, in ms
+
+	sentAt float64 // when the owner sent the batch, by its own clock
 }
 
 // Counts are the counters of a Manager. CopiesReceived = Settled + Adopted + Failed + Dropped + Open.
@@ -106,6 +113,8 @@
 	AdoptionClaims, AdoptionsStarted, AdoptionsDone, LateSuccesses uint64
 	// Attempts that left without any replica knowing of them.
 	AttemptsUnreplicated uint64
+	// Attempt records that reached this replica too late to be stored.
+	RecordsExpired uint64
 	// Messages sent to other members, batches without a reply, and copies taken over from other replicas.
 	MessagesSent, MessagesLost, CopiesFetched uint64
 	// Current numbers, not counted up.
--- /dev/null
+++ b/internal/handoff/pause_test.go
@@ -0,0 +1,70 @@
+package handoff
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// pausedSuccessors returns a cluster of three in which a request at member 2 is registered, both other members are
+// paused, and member 2 has asked them to store the record of its first attempt.
+func pausedSuccessors(t *testing.T) *testCluster {
+	c := newCluster(t, 3, 1, nil)
+	c.tick(100)
+	c.submitRequest(2, "keyed", "a", "m")
+	require.Len(t, c.effectsFor(2, Resume, "a"), 1)
+	c.pause(0, 1)
+	require.False(t, c.startAttempt(2, "a"), "an attempt was released without a quorum")
+	return c
+}
+
+// assertSent checks that one successor adopts request a of lost member 2, and may send it as one that has not run.
+func assertSent(t *testing.T, c *testCluster) {
+	t.Helper()
+	c.declareLost(2)
+	c.tick(2000)
+	successors := c.adopters("a")
+	require.Len(t, successors, 1)
+	adopt := c.effectsFor(successors[0], Adopt, "a")
+	require.Len(t, adopt, 1)
+	assert.Zero(t, adopt[0].Prior, "an attempt that was never sent counts as one that may have run")
+	c.checkCounts()
+}
+
+// Guards against a request that was never sent being failed because its successors were paused, and stored the record of
+// its attempt when nobody waited for their replies any more.
+func TestManager_PausedReplicasStoreNoExpiredRecord(t *testing.T) {
+	for name, pauseMS := range map[string]float64{"short": 50, "long": 300} {
+		t.Run(name, func(t *testing.T) {
+			c := pausedSuccessors(t)
+			c.now += pauseMS
+			c.down[2] = true
+			c.resume(0, 1)
+			assertSent(t, c)
+			assert.NotZero(t, c.managers[0].Counts().RecordsExpired)
+		})
+	}
+}
+
+// Guards against an attempt failing because a replica refuses a record that reached it too late: its owner sends the
+// record again.
+func TestManager_SendsExpiredRecordAgain(t *testing.T) {
+	c := pausedSuccessors(t)
+	c.now += 100
+	c.resume(0)
+	assert.Len(t, c.effectsFor(2, ReleaseAttempt, "a"), 1, "a quorum has stored the record")
+}
+
+// Guards against replicas that resume storing the record of an attempt that its owner has failed meanwhile.
+func TestManager_SendsNoRecordOfFailedAttempt(t *testing.T) {
+	c := pausedSuccessors(t)
+	c.tick(400)
+	require.Len(t, c.effectsFor(2, FailAttempt, "a"), 1)
+	c.down[2] = true
+	c.resume(0, 1)
+	for k := range 2 {
+		assert.Equal(t, NotRun, c.managers[k].copies[KeyOf("m", "")].RunState, "run state at n%d", k)
+	}
+	assertSent(t, c)
+}
--- a/internal/handoff/replication.go
+++ b/internal/handoff/replication.go
@@ -11,6 +11,7 @@
 		m.counts.MessagesLost++
 		return
 	}
+	m.observePeerClock(ev.Sent, reply)
 	if reply.StalePlacement || reply.Version != m.table.Version {
 		if reply.Version > m.table.Version || reply.PlacementStep > m.table.Step {
 			m.emit(Effect{Kind: RefreshPlacement})
@@ -73,6 +74,10 @@
 		}
 		req.refusals = append(req.refusals, from)
 	default:
+		if reply.Reason == reasonExpired {
+			m.sendToReplica(req, from.Name, m.currentItem(req))
+			return false
+		}
 		if reply.Reason != reasonNoLease { // a replica without a lease may regain it and accept the message
 			req.refusals = append(req.refusals, from)
 		}
@@ -102,7 +107,7 @@
 	switch {
 	case req.Complete && req.phase == phaseActive:
 		item := Item{Op: OpRegister, Key: req.key, Sequence: req.Sequence, Copy: &req.Copy, From: req.Owner}
-		m.send(to.Name, item)
+		m.sendToReplica(req, to.Name, item)
 	case req.phase == phaseClosing:
 		m.send(to.Name, m.currentItemWithCopy(req))
 	}
@@ -226,6 +231,16 @@
 		return
 	}
 	for _, name := range m.notAcknowledged(req.key.Partition(), req.acks) {
-		m.send(name, item)
+		m.sendToReplica(req, name, item)
+	}
+}
+
+// sendToReplica sends a replica the latest message of a request. A record that an attempt waits for may be stored only
+// for as long as the attempt can still be released.
+func (m *Manager) sendToReplica(req *ownedRequest, replica string, item Item) {
+	if req.recordUntil != 0 && m.now > req.recordUntil {
+		return
 	}
+	item.StoreUntil = m.storeUntil(req, replica)
+	m.send(replica, item)
 }
--- a/internal/handoff/request.go
+++ b/internal/handoff/request.go
@@ -36,6 +36,7 @@
 	uncertainAttempts int      // attempts that may have run, or are in flight and known to replicas
 	attemptsInFlight  uint8    // a bit per attempt number; only attempts that replicas know of
 	heldAttempts      []heldAttempt
+	recordUntil       float64 // while attempts wait for replicas to store them: when the last one fails; else 0
 	withheld          *withheldAnswer
 	unreplicated      bool // admitted without registration, so no replica stores it
 	bestEffort        bool // copies are sent without retries, and nothing waits for acknowledgements
@@ -144,6 +145,6 @@
 		names = names[:min(len(names), max(1, m.table.Copies))]
 	}
 	for _, name := range names {
-		m.send(name, item)
+		m.sendToReplica(req, name, item)
 	}
 }
--- a/internal/handoff/wire.go
+++ b/internal/handoff/wire.go
@@ -54,6 +54,7 @@
 	itemMore         protowire.Number = 15
 	itemReason       protowire.Number = 16
 	itemCopies       protowire.Number = 17
+	itemStoreUntil   protowire.Number = 18
 
 	batchFrom           protowire.Number = 1
 	batchIncarnation    protowire.Number = 2
@@ -61,6 +62,7 @@
 	batchPlacementStep  protowire.Number = 4
 	batchStalePlacement protowire.Number = 5
 	batchItem           protowire.Number = 6
+	batchClock          protowire.Number = 7
 )
 
 // Bounds of decoded values, which a faulty peer may send out of range.
@@ -216,6 +218,7 @@
 		item.Copies[i].append(&encoded, now)
 		fields.bytes(itemCopies, encoded)
 	}
+	fields.float(itemStoreUntil, item.StoreUntil)
 }
 
 // readItem decodes an item whose times are relative to now. It returns errMalformed if data cannot be decoded or a
@@ -261,10 +264,12 @@
 			parsed, err := readCopy(val.bytes, now)
 			item.Copies = append(item.Copies, parsed)
 			return err
+		case itemStoreUntil:
+			item.StoreUntil = val.float()
 		}
 		return nil
 	})
-	if math.IsNaN(item.FirstAttemptAt) {
+	if math.IsNaN(item.FirstAttemptAt + item.StoreUntil) {
 		return item, errMalformed
 	}
 	return item, err
@@ -283,6 +288,7 @@
 		b.Items[i].append(&item, now)
 		fields.bytes(batchItem, item)
 	}
+	fields.float(batchClock, b.Clock)
 	return fields
 }
 
@@ -306,9 +312,14 @@
 			item, err := readItem(val.bytes, now)
 			batch.Items = append(batch.Items, item)
 			return err
+		case batchClock:
+			batch.Clock = val.float()
 		}
 		return nil
 	})
+	if math.IsNaN(batch.Clock) || math.IsInf(batch.Clock, 0) {
+		return batch, errMalformed
+	}
 	return batch, err
 }
 
