handoff: an owner's later report on a request supersedes its earlier one elsewhere

What callers saw: an owner that got no quorum for an attempt in time gave it up, told its client that the request was rejected, and was killed. If its later report had reached one successor and only the record of the attempt the other, the client's retry failed (written_off) although nobody had sent it.

Cause: of two copies, one that may have run took precedence over one that cannot have, whatever their sequence. That is right between copies of different owners or registrations, one of which may not know of an earlier attempt. It is wrong for two reports of the same owner on the same request.

Change: moreRecent goes by the sequence where both copies are of the same owner and request and the later one is confirmed or ended. An owner reports so only after a quorum has registered the request and told it of earlier attempts, so that the later report knows all that the earlier one knew.

--- a/internal/handoff/manager.go
+++ b/internal/handoff/manager.go
@@ -361,12 +361,28 @@
 // Table returns the latest agreed table known here, or nil if there is none.
 func (m *Manager) Table() *placement.Table { return m.table }
 
-// moreRecent reports whether copy a supersedes copy b of the same key. A request that may have run takes precedence
-// over one that cannot have, then the higher sequence does, and then the copy that records a successful run.
+// moreRecent reports whether copy a supersedes copy b of the same key. A report of the owner supersedes its earlier ones.
+// Otherwise a request that may have run takes precedence over one that cannot have, then the higher sequence does, and
+// then the copy that records a successful run.
 func moreRecent(a, b *Copy) bool {
+	switch {
+	case reportsAfter(a, b):
+		return true
+	case reportsAfter(b, a):
+		return false
+	}
 	return cmp.Or(
 		cmp.Compare(min(a.RunState, MayHaveRun), min(b.RunState, MayHaveRun)),
 		cmp.Compare(a.Sequence, b.Sequence),
 		cmp.Compare(a.RunState, b.RunState),
 	) > 0
 }
+
+// reportsAfter reports whether copy a has what the owner of both copies said of the same request after copy b. Only a
+// confirmed or ended request is a report: the owner of one that is being registered may not know of earlier attempts.
+func reportsAfter(a, b *Copy) bool {
+	if a.Owner != b.Owner || a.ID != b.ID || a.Sequence <= b.Sequence {
+		return false
+	}
+	return a.Confirmed || a.Outcome != Open
+}
--- a/internal/handoff/pause_test.go
+++ b/internal/handoff/pause_test.go
@@ -68,3 +68,18 @@
 	}
 	assertSent(t, c)
 }
+
+// Guards against a replica's older record of an attempt overruling the owner's later report to another replica that the
+// attempt has not run.
+func TestManager_LaterReportOfOwnerSupersedesRecord(t *testing.T) {
+	c := newCluster(t, 3, 1, nil)
+	c.submitRequest(2, "keyed", "a", "m")
+	c.dropAcks = true // the owner learns of no quorum
+	require.False(t, c.startAttempt(2, "a"))
+	c.dropAcks = false
+	c.drops = func(from, to int, _ *Item) bool { return from == 2 && to == 0 }
+	c.step(2, &Event{Kind: AttemptEnded, ID: "a", NeverRan: true})
+	require.Equal(t, MayHaveRun, c.managers[0].copies[KeyOf("m", "")].RunState)
+	require.Equal(t, NotRun, c.managers[1].copies[KeyOf("m", "")].RunState)
+	assertSent(t, c)
+}
