handoff: a lost owner's end of a request ends its adoption, known to one replica or more

What callers saw: a controller rejected keyed requests, one of its two successors was stopped meanwhile and missed that, and the controller was killed. For as long as the lost controller was away nobody could have these keys: each try of a client was rejected at its deadline, 12 s later, with two sound controllers running.

Cause: the successor that had the request as open asked to adopt it. Its own replica agreed, the other one refused, as it knew the end, and the third was the lost owner itself. One for and one against of three are neither a quorum nor the proof that there can be none, so the adoption was sent again for ever, and each further request of the key waited behind it.

Change: that the owner itself ended the request, under its lease, is a fact and needs no quorum. One replica that knows it ends the adoption, and the successor takes the outcome into its own copy. The next request with the key is registered as a new one.

--- a/internal/handoff/pause_test.go
+++ b/internal/handoff/pause_test.go
@@ -83,3 +83,35 @@
 	require.Equal(t, NotRun, c.managers[1].copies[KeyOf("m", "")].RunState)
 	assertSent(t, c)
 }
+
+// Guards against a request that its owner ended, and that one of two live replicas still has as open, being asked for
+// again and again, so that its key can't be used.
+func TestManager_KeyIsFreeAfterEndThatOneReplicaMissed(t *testing.T) {
+	for name, test := range map[string]struct {
+		missed  int
+		outcome Outcome
+	}{
+		"first replica, rejected":  {0, Rejected},
+		"second replica, rejected": {1, Rejected},
+		"first replica, failed":    {0, Failed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 3, 1, nil)
+			c.submitRequest(2, "keyed", "a", "m")
+			c.drops = func(from, to int, _ *Item) bool { return from == 2 && to == test.missed }
+			c.finishRequest(2, "a", test.outcome, "")
+			c.drops = nil
+			c.declareLost(2)
+			c.tick(2000)
+			assert.Empty(t, c.adopters("a"), "a request that has ended was sent again")
+			for k := range 2 {
+				assert.Equal(t, test.outcome, c.managers[k].copies[KeyOf("m", "")].Outcome, "outcome at n%d", k)
+				assert.Empty(t, c.managers[k].OrphanedRequests(), "orphaned requests at n%d", k)
+			}
+			c.submitRequest(test.missed, "keyed", "b", "m")
+			c.tick(500)
+			assert.Len(t, c.effectsFor(test.missed, Resume, "b"), 1, "the client's next request must be registered")
+			c.checkCounts()
+		})
+	}
+}
--- a/internal/handoff/replication.go
+++ b/internal/handoff/replication.go
@@ -72,6 +72,9 @@
 		if reply.Copy != nil && m.correctReplica(req, from, sent, reply.Copy) {
 			return false
 		}
+		if reply.Copy != nil && m.endByKnownCopy(req, reply.Copy) {
+			return false
+		}
 		req.refusals = append(req.refusals, from)
 	default:
 		if reply.Reason == reasonExpired {
@@ -85,6 +88,16 @@
 	return true
 }
 
+// endByKnownCopy ends an adoption if a single replica knows that the lost owner ended the request itself, however many
+// others accept the adoption. It reports whether it did.
+func (m *Manager) endByKnownCopy(req *ownedRequest, known *Copy) bool {
+	if req.phase != phaseAdopting || known.Outcome == Open || known.Owner != req.previousOwner || known.ID != req.ID {
+		return false
+	}
+	m.cancelAdoption(req)
+	return true
+}
+
 // recordAck records that a replica has stored the latest message, along with the earlier attempt that it reports.
 func recordAck(req *ownedRequest, from Member, reply *Item) bool {
 	if reply.Reason == reasonNotReady {
