handoff: a key's answer that one live replica has is given to the client

A client that repeated an answered keyed request at a successor was rejected after 1 s, and so was each further try, although a live controller had the answer: the other live replica had missed the request, and the third was the lost owner.

Change: a copy with an answer is a fact. One replica that has it ends the registration, and the client gets the answer.

Evidence: TestManager_AnswersFromSingleReplica failed before.

--- a/internal/handoff/pause_test.go
+++ b/internal/handoff/pause_test.go
@@ -115,3 +115,19 @@
 		})
 	}
 }
+
+// Guards against a client being rejected for ever although one of two live replicas has the answer of its key.
+func TestManager_AnswersFromSingleReplica(t *testing.T) {
+	c := newCluster(t, 3, 1, nil)
+	c.drops = func(from, to int, _ *Item) bool { return from == 2 && to == 0 }
+	c.submitRequest(2, "keyed", "a", "m")
+	require.True(t, c.startAttempt(2, "a"))
+	c.finishRequest(2, "a", Succeeded, "rows")
+	c.drops = nil
+	c.declareLost(2)
+	c.submitRequest(0, "keyed", "b", "m")
+	answers := c.effectsFor(0, AnswerSuspended, "b")
+	require.Len(t, answers, 1)
+	assert.Equal(t, Succeeded, answers[0].Outcome)
+	assert.Equal(t, "rows", string(answers[0].Answer))
+}
--- a/internal/handoff/replication.go
+++ b/internal/handoff/replication.go
@@ -88,13 +88,19 @@
 	return true
 }
 
-// endByKnownCopy ends an adoption if a single replica knows that the lost owner ended the request itself, however many
-// others accept the adoption. It reports whether it did.
+// endByKnownCopy ends a registration or an adoption that a single replica shows to be void, however many others accept
+// it: the key has an answer, or the lost owner ended the request itself. It reports whether it did.
 func (m *Manager) endByKnownCopy(req *ownedRequest, known *Copy) bool {
-	if req.phase != phaseAdopting || known.Outcome == Open || known.Owner != req.previousOwner || known.ID != req.ID {
+	answered := known.Outcome == Succeeded && known.Answer != nil
+	endedByOwner := known.Outcome != Open && known.Owner == req.previousOwner && known.ID == req.ID
+	switch {
+	case req.phase == phaseRegistering && answered:
+		m.yieldToOwner(req)
+	case req.phase == phaseAdopting && endedByOwner:
+		m.cancelAdoption(req)
+	default:
 		return false
 	}
-	m.cancelAdoption(req)
 	return true
 }
 
