handoffnet: what says that nothing ran goes out beside an unanswered call

An owner gave up an attempt, rejected the request and was killed; its successors, stopped meanwhile, knew the record of the attempt alone and failed the client's retry.

Cause: a peer stream makes one call at a time. While a member does not answer one, for up to a second, what is queued behind it is not on the wire, and is lost with the owner.

Change: a batch that says that no attempt ran goes out as a datagram at once, too, while a call is unanswered. Its reply is ignored; the batch in the queue is sent as before. Messages may come twice and overtake one another by design.

--- a/internal/handoff/message.go
+++ b/internal/handoff/message.go
@@ -1,6 +1,9 @@
 package handoff
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // Op is the operation of an Item: a message to a replica, or a kind of reply.
 type Op uint8
@@ -102,6 +105,14 @@
 	sentAt float64 // when the owner sent the batch, by its own clock
 }
 
+// SaysNothingRan reports whether the batch tells replicas that no attempt of a request can have run. They may have stored
+// an earlier message that says otherwise.
+func (b *Batch) SaysNothingRan() bool {
+	return slices.ContainsFunc(b.Items, func(item Item) bool {
+		return (item.Op == OpAttempt || item.Op == OpClose) && item.RunState == NotRun
+	})
+}
+
 // Counts are the counters of a Manager. CopiesReceived = Settled + Adopted + Failed + Dropped + Open.
 type Counts struct {
 	// Copies stored here as a replica, by what became of them.
--- a/internal/handoffnet/peerstream.go
+++ b/internal/handoffnet/peerstream.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"liftshift/internal/clusternet"
@@ -40,6 +41,8 @@
 	to    string
 	queue chan outgoingBatch
 	wake  chan struct{} // tells the stream's goroutine to check the datagrams in flight
+	// calling is set while the stream's goroutine waits for the reply to a call.
+	calling atomic.Bool
 
 	// State of the stream's goroutine.
 	next     *outgoingBatch // a batch that was taken from the queue and not sent yet
@@ -54,13 +57,32 @@
 // sendBatch queues a batch for a member. It never blocks: if the queue is full, the batch is dropped.
 func (a *Agent) sendBatch(to string, batch *handoff.Batch, now float64) {
 	outgoing := outgoingBatch{batch, batch.Append(nil, now), now}
+	s := a.stream(to)
+	if s.calling.Load() && batch.SaysNothingRan() {
+		s.sendUntracked(a, outgoing)
+	}
 	select {
-	case a.stream(to).queue <- outgoing:
+	case s.queue <- outgoing:
 	default:
 		a.dropped.Add(1)
 	}
 }
 
+// sendUntracked sends a batch as a datagram whose reply is ignored, besides the one that waits in the queue. The member
+// may not answer for as long as it is paused: what is sent now is received then, even if this controller is lost before.
+func (s *peerStream) sendUntracked(a *Agent, outgoing outgoingBatch) {
+	addresses := a.addresses.Load()
+	if addresses == nil || len(outgoing.data) > maxDatagramBatch || !suitsDatagram(outgoing.batch) {
+		return
+	}
+	to, err := netip.ParseAddrPort((*addresses)[s.to])
+	if err != nil {
+		return
+	}
+	a.datagrams.Add(1)
+	a.transport.SendHandoff(to, encodeFrame(frameBatch, a.lastDatagramNumber.Add(1), outgoing.data))
+}
+
 // stream returns the stream to a member and starts it if there is none. At maxStreams, it first closes another stream.
 func (a *Agent) stream(to string) *peerStream {
 	a.mu.Lock()
@@ -294,7 +316,10 @@
 // sendByCall sends a batch by a call and posts the reply to the dispatch loop.
 func (s *peerStream) sendByCall(a *Agent, outgoing outgoingBatch) {
 	a.calls.Add(1)
-	s.postAnswer(a, outgoing.batch, s.callMember(a, outgoing.data))
+	s.calling.Store(true)
+	reply := s.callMember(a, outgoing.data)
+	s.calling.Store(false)
+	s.postAnswer(a, outgoing.batch, reply)
 }
 
 // postAnswer posts the reply to a batch, nil if there is none, to the dispatch loop.
--- a/internal/handoffnet/peerstream_test.go
+++ b/internal/handoffnet/peerstream_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -127,6 +128,41 @@
 	assert.EqualValues(t, 1, a.agent.dropped.Load())
 }
 
+// Guards against a member that does not answer learning only from the record of an attempt, and not that the attempt was
+// given up, if the owner is lost meanwhile.
+func TestPeerStream_SaysNothingRanBesideUnansweredCall(t *testing.T) {
+	a, b, _ := startPair(t)
+	owner := handoff.Member{Name: "a", Incarnation: 1}
+	key := handoff.KeyOf("m", "")
+	send := func(item handoff.Item) {
+		item.Key, item.From = key, owner
+		a.agent.sendBatch("b", &handoff.Batch{From: owner, Version: 1, Items: []handoff.Item{item}}, a.agent.clock.Now())
+	}
+	resumed := make(chan struct{})
+	resume := sync.OnceFunc(func() { close(resumed) })
+	t.Cleanup(resume)
+	b.dropsDatagrams.Store(true)
+	go b.loop.Call(func(float64) { <-resumed })
+	send(handoff.Item{Op: handoff.OpRegister, Sequence: 1, Copy: &handoff.Copy{
+		RequestData: handoff.RequestData{ID: "x", IdempotencyKey: "m", Class: "mark"},
+		Owner:       owner, Sequence: 1, Deadline: a.agent.clock.Now() + 5000, Complete: true,
+		RunState: handoff.MayHaveRun, FirstAttemptAt: a.agent.clock.Now(),
+	}})
+	require.Eventually(t, func() bool { return a.agent.calls.Load() == 1 }, 3*time.Second, time.Millisecond)
+	b.dropsDatagrams.Store(false)
+	send(handoff.Item{Op: handoff.OpClose, Sequence: 2, Outcome: handoff.Rejected})
+	require.Eventually(t, func() bool { return a.agent.datagrams.Load() == 2 }, 500*time.Millisecond, time.Millisecond,
+		"the end was not sent before the call was answered")
+	resume()
+	require.Eventually(t, func() (closed bool) {
+		b.loop.Call(func(float64) {
+			known := b.agent.Manager().Explain("m")
+			closed = len(known) == 1 && known[0].Copy.Outcome == handoff.Rejected
+		})
+		return closed
+	}, 2*time.Second, 5*time.Millisecond, "the member does not know that the request ended")
+}
+
 // Batches and replies that are too long for a datagram go by a call.
 func TestPeerStream_CallsForLongBatchesAndReplies(t *testing.T) {
 	a, b, recorder := startPair(t)
