--- a/internal/chaostest/versions_build_test.go
+++ b/internal/chaostest/versions_build_test.go
@@ -104,8 +104,8 @@
 	return buildPrograms(ctx, source, v.oldDirectory, v.tags)
 }
 
-// buildPrograms builds liftshift and liftshift-full of a source tree with build tags. The tree's other commands are not needed, and
-// their names differ between v.
+// buildPrograms builds liftshift and liftshift-full of a source tree with build tags. The tree's other commands are not
+// needed, and their names differ between versions.
 func buildPrograms(ctx context.Context, source, target, tags string) error {
 	if err := os.Mkdir(target, 0o700); err != nil {
 		return err
--- a/internal/chaostest/versions_slowdisk_test.go
+++ b/internal/chaostest/versions_slowdisk_test.go
@@ -115,11 +115,17 @@
 
 // waitForFirstAttempts waits until all requests have replicas and their first attempts wait for a slow disk.
 func waitForFirstAttempts(t *testing.T, cluster *Cluster) {
+	t.Helper()
+	waitForRegistrations(t, cluster)
+	time.Sleep(100 * time.Millisecond) // less than a write and a sync of diskSlowForOwner
+}
+
+// waitForRegistrations waits until all requests have replicas.
+func waitForRegistrations(t *testing.T, cluster *Cluster) {
 	t.Helper()
 	require.Eventually(t, func() bool {
 		return handoffCounter(t, cluster, killedController, counterRegistered) >= adoptedRequests
 	}, 5*time.Second, 5*time.Millisecond, "all requests must have replicas")
-	time.Sleep(100 * time.Millisecond) // less than a write and a sync of diskSlowForOwner
 }
 
 // retryAfterKill sends keyed requests to a controller, kills it after waitForKill, and calls afterKill. It returns how
@@ -127,9 +133,17 @@
 func retryAfterKill(t *testing.T, cluster *Cluster, waitForKill, afterKill func()) (
 	ran map[string]int, retries []keyedRequest,
 ) {
+	t.Helper()
+	return retryAfterKillRecording(t, cluster, &submissions{}, waitForKill, afterKill)
+}
+
+// retryAfterKillRecording is like retryAfterKill and records what the clients send to the controller that is killed.
+func retryAfterKillRecording(
+	t *testing.T, cluster *Cluster, sent *submissions, waitForKill, afterKill func(),
+) (ran map[string]int, retries []keyedRequest) {
 	t.Helper()
 	keys := numberedKeys("m", adoptedRequests)
-	waitForReplies := submitKeyedAll(cluster, killedController, "a", keys)
+	waitForReplies := submitKeyedRecording(cluster, killedController, "a", keys, sent)
 	waitForKill()
 	cluster.Kill(killedController)
 	afterKill()
--- a/internal/chaostest/versions_test.go
+++ b/internal/chaostest/versions_test.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -128,12 +128,53 @@
 // submitKeyedAll sends a request for each key to a controller, each by a client of its own, and returns a function that
 // waits for the replies. Clients whose requests are rejected retry until retryTimeout. Request IDs begin with the tag.
 func submitKeyedAll(cluster *Cluster, controller int, tag string, keys []string) (wait func() []keyedRequest) {
-	return submitKeyedCounting(cluster, controller, tag, keys, &atomic.Int64{})
+	return submitKeyedRecording(cluster, controller, tag, keys, &submissions{})
 }
 
-// submitKeyedCounting is like submitKeyedAll and counts the rejections while the requests run.
-func submitKeyedCounting(
-	cluster *Cluster, controller int, tag string, keys []string, rejections *atomic.Int64,
+// submissions records what clients send while they run.
+type submissions struct {
+	mu         sync.Mutex
+	ids        []string // of all requests, retries included
+	rejections int
+}
+
+// add records a request that is about to be sent.
+func (s *submissions) add(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ids = append(s.ids, id)
+}
+
+// addRejection counts a request that was rejected.
+func (s *submissions) addRejection() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rejections++
+}
+
+// rejected returns the number of rejections.
+func (s *submissions) rejected() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rejections
+}
+
+// countKnown returns how many of the requests a controller knows by their id, so that they were registered.
+func (s *submissions) countKnown(cluster *Cluster, controller int) (known int) {
+	s.mu.Lock()
+	ids := slices.Clone(s.ids)
+	s.mu.Unlock()
+	for _, id := range ids {
+		if cluster.QueryOutcome(controller, id, "") != outcomeUnknown {
+			known++
+		}
+	}
+	return known
+}
+
+// submitKeyedRecording is like submitKeyedAll and records what the clients send while the requests run.
+func submitKeyedRecording(
+	cluster *Cluster, controller int, tag string, keys []string, sent *submissions,
 ) (wait func() []keyedRequest) {
 	requests := make([]keyedRequest, len(keys))
 	var clients sync.WaitGroup
@@ -144,11 +185,12 @@
 			until := time.Now().Add(retryTimeout)
 			for attempt := 0; ; attempt++ {
 				id := fmt.Sprintf("%s-%d-%d", tag, n, attempt)
+				sent.add(id)
 				requests[n] = submitKeyed(cluster.Controllers[controller].ClientAddress, id, key)
 				if requests[n].err != nil || requests[n].reply.Code != testservers.CodeRejected || time.Now().After(until) {
 					return
 				}
-				rejections.Add(1)
+				sent.addRejection()
 				time.Sleep(100 * time.Millisecond)
 			}
 		}()
@@ -273,6 +315,24 @@
 	return cluster
 }
 
+// assertRegistrations checks that each request is registered once, and each retry of a rejected one that was registered:
+// a controller whose disk stalls rejects requests, and their clients retry.
+func assertRegistrations(t *testing.T, cluster *Cluster, sent *submissions) {
+	t.Helper()
+	if sent.rejected() == 0 {
+		assert.Equal(t, adoptedRequests, handoffCounter(t, cluster, killedController, counterRegistered),
+			"requests with replicas at successors")
+		return
+	}
+	registered, known := 0, 0
+	require.Eventually(t, func() bool { // retries go on meanwhile
+		registered = handoffCounter(t, cluster, killedController, counterRegistered)
+		known = sent.countKnown(cluster, 0)
+		return registered == known && known >= adoptedRequests
+	}, 5*time.Second, 5*time.Millisecond, "requests with replicas at successors, and those that a successor knows")
+	t.Logf("%d rejections; %d of %d requests were registered", sent.rejected(), registered, len(sent.ids))
+}
+
 // assertAdoption kills a controller with keyed requests in flight and checks the retries of its clients. If executors
 // deduplicate, all requests must be handled. If they don't (dedupWindow is below 0), a request that ran before the kill
 // must fail without being sent again, and a successor must handle the others.
@@ -281,13 +341,10 @@
 	const killed, requests = killedController, adoptedRequests
 	cluster := startAdoptionCluster(t, dedupWindow, programs[:3])
 	keys := numberedKeys("m", requests)
-	var rejections atomic.Int64
-	waitForReplies := submitKeyedCounting(cluster, killed, "a", keys, &rejections)
+	var sent submissions
+	waitForReplies := submitKeyedRecording(cluster, killed, "a", keys, &sent)
 	waitForStableRuns(t, cluster, 1)
-	// A request that was rejected, because the machine's disk stalled, is registered again when its client retries.
-	registered := handoffCounter(t, cluster, killed, counterRegistered)
-	assert.GreaterOrEqual(t, registered, requests, "requests with replicas at successors")
-	assert.LessOrEqual(t, registered, requests+int(rejections.Load()), "requests with replicas, retries included")
+	assertRegistrations(t, cluster, &sent)
 	cluster.Kill(killed)
 	ran := runsByKey(cluster)
 	inFlight := disconnectedKeys(t, waitForReplies())
