handoff: a close that comes late does not end the next request with its key

What callers saw: found by review. A rejected keyed request frees its key, and the client's next request with the key may have an attempt in flight. If the close of the first one then came to a replica a second time (messages may come twice), the replica took it for the end of the second. With the owner lost after that, the key could run twice.

Cause: a replica applied a close of the owner's whatever its sequence.

Change: only one that comes after the state that is stored, for lost owners' late reports of success, too.

--- a/internal/handoff/batch.go
+++ b/internal/handoff/batch.go
@@ -128,7 +128,7 @@
 	if item.Op != OpClose || item.Outcome != Succeeded {
 		return describe(stored)
 	}
-	if stored.Owner == owner && stored.state.awaitsAdoption() {
+	if stored.Owner == owner && stored.state.awaitsAdoption() && item.Sequence > stored.Sequence {
 		m.counts.LateSuccesses++
 		return m.closeCopy(stored, item)
 	}
--- a/internal/handoff/copystore.go
+++ b/internal/handoff/copystore.go
@@ -248,9 +248,9 @@
 		return m.closeUnmatched(stored, owner, item)
 	}
 	switch {
-	case item.Op == OpClose:
+	case item.Op == OpClose && item.Sequence > stored.Sequence:
 		return m.closeCopy(stored, item)
-	case item.Sequence < stored.Sequence: // overtaken by a later message
+	case item.Op == OpClose, item.Sequence < stored.Sequence: // overtaken by a later message
 	case item.Op == OpWithdraw:
 		m.withdrawCopy(stored, item)
 	case item.Sequence > stored.Sequence:
--- a/internal/handoff/manager_test.go
+++ b/internal/handoff/manager_test.go
@@ -231,3 +231,40 @@
 	}
 	cluster.checkCounts()
 }
+
+// Guards against a close that comes twice, the second time late, closing the next request with the key, so that what is
+// known of its attempt is lost and it runs twice.
+func TestManager_LateCloseDoesNotEndNextRequest(t *testing.T) {
+	c := newCluster(t, 3, 1, nil)
+	c.tick(100)
+	key := KeyOf("m", "")
+	var closes []Item
+	c.drops = func(from, to int, it *Item) bool {
+		if from == 2 && to == 1 && it.Op == OpClose {
+			closes = append(closes, *it)
+		}
+		return false
+	}
+	c.submitRequest(2, "keyed", "a", "m")
+	c.finishRequest(2, "a", Rejected, "")
+	require.NotEmpty(t, closes)
+	c.drops = func(from, to int, _ *Item) bool { return from == 2 && to == 0 } // n0 misses what follows
+	c.submitRequest(2, "keyed", "b", "m")
+	require.True(t, c.startAttempt(2, "b"), "b must be sent, known to n1 and n2")
+	require.Equal(t, MayHaveRun, c.managers[1].copies[key].RunState)
+	late := &Batch{From: Member{"n2", 1}, Version: c.table.Version, Items: closes[:1]}
+	c.step(1, &Event{Kind: BatchReceived, Batch: late, Token: 9}) // the close of a, once more
+	known := c.managers[1].copies[key]
+	t.Logf("n1 knows of %s: sequence %d, outcome %v, %v", known.ID, known.Sequence, known.Outcome, known.RunState)
+	c.drops = nil
+	c.declareLost(2)
+	c.tick(100)
+	c.submitRequest(1, "keyed", "c", "m") // the client repeats b
+	c.tick(2000)
+	resumed := c.effectsFor(1, Resume, "c")
+	for _, effect := range resumed {
+		assert.NotZero(t, effect.Prior, "c is sent as a request that has not run, though b may have run")
+	}
+	t.Logf("resumed %d, adopters of b %v", len(resumed), c.adopters("b"))
+	assert.Equal(t, MayHaveRun, known.RunState)
+}
