handoff: the time that a record may take counts from its sending, and grows where it is late

A record whose datagram was lost was refused as late when a call repeated it, as both sent the same bytes: an attempt failed where replicas write to disk. Where the way to the replicas took 60 ms at once, no record came through within the hold.

Change: the limit of the hold stands in each record, and the limit of the way in the batch, restated whenever the batch is sent. A pause counts once in the average of round trips.

Evidence: TestPeerStream_LostDatagramOfRecordIsMadeGoodByCall and TestManager_ReleasesAttemptsOnSlowerWay failed before this commit and passed on.

--- a/internal/handoff/batch.go
+++ b/internal/handoff/batch.go
@@ -42,7 +42,7 @@
 func (m *Manager) handleItems(batch *Batch) (replies []Item) {
 	remainingBytes := maxReplyPages * maxPageBytes
 	for i := range batch.Items {
-		reply := m.handleItem(batch.From, &batch.Items[i])
+		reply := m.handleItem(batch, &batch.Items[i])
 		if reply.Op == OpPage {
 			for k := range reply.Copies {
 				remainingBytes -= len(reply.Copies[k].Body) + len(reply.Copies[k].Answer)
@@ -58,8 +58,8 @@
 
 // handleItem handles one item and returns the reply, which is marked with reasonNotReady if this replica may lack
 // copies of the partition.
-func (m *Manager) handleItem(from Member, item *Item) Item {
-	reply := m.applyItem(from, item)
+func (m *Manager) handleItem(batch *Batch, item *Item) Item {
+	reply := m.applyItem(batch, item)
 	if reply.Op != OpRefused && !m.isReady(item.targetPartition()) {
 		reply.Reason = reasonNotReady
 	}
@@ -85,7 +85,8 @@
 
 // applyItem applies one item to the copies stored here and returns the reply. Without the lease it refuses: this
 // replica may have been declared lost and replaced, so that its reply must not count towards a quorum.
-func (m *Manager) applyItem(from Member, item *Item) Item {
+func (m *Manager) applyItem(batch *Batch, item *Item) Item {
+	from := batch.From
 	partition := item.targetPartition()
 	if partition < 0 || partition >= len(m.table.Partitions) || !m.isReplica(partition) {
 		return refusal(reasonNotReplica)
@@ -93,7 +94,7 @@
 	if !m.leaseHeld {
 		return refusal(reasonNoLease)
 	}
-	if item.expired(m.now) {
+	if item.expired(m.now, batch) {
 		m.counts.RecordsExpired++
 		return refusal(reasonExpired)
 	}
--- a/internal/handoff/manager.go
+++ b/internal/handoff/manager.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"hash/crc32"
-	"maps"
 	"slices"
 
 	"liftshift/internal/placement"
@@ -66,6 +65,7 @@
 	owned           map[Key]*ownedRequest
 	ownedByID       map[string]*ownedRequest
 	peerClocks      map[string]*peerClock // by member name
+	clocksToLearn   []string              // members that are to be asked for their clock
 	unacknowledged  []*ownedRequest       // requests whose latest message not all replicas have acknowledged
 	withdrawals     []*withdrawal
 	withdrawalsByID map[withdrawalID]*withdrawal
@@ -241,6 +241,7 @@
 	for _, name := range names {
 		batch := m.outgoing[name]
 		batch.sentAt = m.now
+		m.limitRecords(name, batch)
 		m.emit(Effect{Kind: SendBatch, To: name, Batch: batch})
 		m.counts.MessagesSent += uint64(len(batch.Items))
 		delete(m.outgoing, name)
@@ -250,7 +251,7 @@
 // send queues an item for a member. An item for this controller itself is processed at once, and its reply is queued.
 func (m *Manager) send(name string, item Item) {
 	if name == m.self.Name {
-		reply := m.handleItem(m.self, &item)
+		reply := m.handleItem(&Batch{From: m.self}, &item)
 		m.loopback = append(m.loopback, loopbackMessage{item, reply})
 		return
 	}
@@ -283,10 +284,10 @@
 	for i := range ev.Members {
 		m.members[ev.Members[i].Name] = &ev.Members[i]
 	}
-	maps.DeleteFunc(m.peerClocks, func(name string, _ *peerClock) bool { return m.members[name] == nil })
 	if !m.hasPlacement() {
 		return
 	}
+	m.updatePeerClocks()
 	m.updateLostOwners()
 	m.updateClaimedPartitions()
 	m.renewRegistrations()
--- a/internal/handoff/message.go
+++ b/internal/handoff/message.go
@@ -1,9 +1,6 @@
 package handoff
 
-import (
-	"fmt"
-	"slices"
-)
+import "fmt"
 
 // Op is the operation of an Item: a message to a replica, or a kind of reply.
 type Op uint8
@@ -76,11 +73,16 @@
 	More           bool
 	Reason         string // why a message is refused, or reasonNotReady
 	Copies         []Copy
-	StoreUntil     float64 // time by the receiver's clock after which it refuses the message; 0: never
+	StoreUntil     float64 // of an attempt record: time by the receiver's clock until which it may be stored; 0: no limit
 }
 
-// expired reports whether a message reached this replica too late to be stored.
-func (item *Item) expired(now float64) bool { return item.StoreUntil != 0 && now > item.StoreUntil }
+// expired reports whether a message of a batch reached this replica too late to be stored.
+func (item *Item) expired(now float64, batch *Batch) bool {
+	if item.StoreUntil == 0 {
+		return false
+	}
+	return now > item.StoreUntil || batch.StoreUntil != 0 && now > batch.StoreUntil
+}
 
 // attempt returns what the item says of the first attempt that may have run.
 func (item *Item) attempt() attemptState {
@@ -101,16 +103,22 @@
 	StalePlacement bool   // in a reply: the two members know different placements, and no item was handled
 	Items          []Item
 	Clock          float64 // in a reply: the replica's clock, in ms
+	StoreUntil     float64 // limits all attempt records with a StoreUntil, as that does; 0: no further limit
 
-	sentAt float64 // when the owner sent the batch, by its own clock
+	sentAt float64 // when the Manager sent the batch, by its own clock
 }
 
-// SaysNothingRan reports whether the batch tells replicas that no attempt of a request can have run. They may have stored
-// an earlier message that says otherwise.
+// SaysNothingRan reports whether the batch tells replicas that no attempt of a request can have run: the owner gave an
+// attempt up, or rejected the request. They may have stored an earlier message that says otherwise.
 func (b *Batch) SaysNothingRan() bool {
-	return slices.ContainsFunc(b.Items, func(item Item) bool {
-		return (item.Op == OpAttempt || item.Op == OpClose) && item.RunState == NotRun
-	})
+	for i := range b.Items {
+		item := &b.Items[i]
+		gaveUp := item.Op == OpAttempt || item.Op == OpClose && item.Outcome == Rejected
+		if gaveUp && item.RunState == NotRun {
+			return true
+		}
+	}
+	return false
 }
 
 // Counts are the counters of a Manager. CopiesReceived = Settled + Adopted + Failed + Dropped + Open.
--- a/internal/handoff/pause_test.go
+++ b/internal/handoff/pause_test.go
@@ -1,6 +1,7 @@
 package handoff
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -131,3 +132,61 @@
 	assert.Equal(t, Succeeded, answers[0].Outcome)
 	assert.Equal(t, "rows", string(answers[0].Answer))
 }
+
+// Guards against attempts failing when the way to the replicas takes longer from one moment to the next: each message is
+// in transit for wayMS, each reply comes at once.
+func TestManager_ReleasesAttemptsOnSlowerWay(t *testing.T) {
+	for _, wayMS := range []float64{20, 30, 40, 60, 80, 100} {
+		t.Run(fmt.Sprint(wayMS), func(t *testing.T) {
+			c := newCluster(t, 3, 1, nil)
+			c.tick(100)
+			for n := range 20 { // round trips of 0 ms are known
+				c.submitRequest(2, "keyed", fmt.Sprint("w", n), fmt.Sprint("w", n))
+			}
+			c.submitRequest(2, "keyed", "a", "m")
+			require.Len(t, c.effectsFor(2, Resume, "a"), 1)
+			c.pause(0, 1)
+			c.startAttempt(2, "a")
+			began, nextTick := c.now, c.now+100
+			for len(c.effectsFor(2, ReleaseAttempt, "a")) == 0 && len(c.effectsFor(2, FailAttempt, "a")) == 0 {
+				deliveries := append(c.paused[0], c.paused[1]...)
+				c.now += wayMS
+				c.pause(0, 1)
+				for _, deliver := range deliveries {
+					deliver()
+				}
+				if c.now >= nextTick {
+					nextTick += 100
+					c.step(2, &Event{Kind: Ticked})
+				}
+				require.Less(t, c.now, began+1000)
+			}
+			t.Logf("way %g ms: released %d, failed %d after %g ms; refused as late: %d", wayMS,
+				len(c.effectsFor(2, ReleaseAttempt, "a")), len(c.effectsFor(2, FailAttempt, "a")), c.now-began,
+				c.managers[0].Counts().RecordsExpired)
+			assert.Len(t, c.effectsFor(2, ReleaseAttempt, "a"), 1, "the attempt must be sent")
+		})
+	}
+}
+
+// Guards against a pause under load stretching the time for which records may be stored in the next pause.
+func TestManager_SecondPauseStoresNoExpiredRecord(t *testing.T) {
+	c := newCluster(t, 3, 1, nil)
+	c.tick(100)
+	c.pause(0, 1)
+	for n := range 50 {
+		c.submitRequest(2, "keyed", fmt.Sprint("w", n), fmt.Sprint("w", n))
+		c.now += 5
+	}
+	c.resume(0, 1)
+	c.submitRequest(2, "keyed", "a", "m")
+	require.Len(t, c.effectsFor(2, Resume, "a"), 1)
+	c.pause(0, 1)
+	require.False(t, c.startAttempt(2, "a"))
+	c.now += 100 // as in TestManager_PausedReplicasStoreNoExpiredRecord
+	c.down[2] = true
+	c.resume(0, 1)
+	for k := range 2 {
+		assert.Equal(t, NotRun, c.managers[k].copies[KeyOf("m", "")].RunState, "run state at n%d", k)
+	}
+}
--- a/internal/handoff/peerclock_test.go
+++ b/internal/handoff/peerclock_test.go
@@ -13,7 +13,7 @@
 	incarnation        uint64
 }
 
-// The estimate of a member's clock is never ahead of it, and not behind it by more than the shortest reply took.
+// The estimate of a member's clock is behind it by what the quickest reply took, and follows a drift of the clocks.
 func TestPeerClock_EstimatesLowerBound(t *testing.T) {
 	for name, test := range map[string]struct {
 		exchanges []exchange
@@ -37,13 +37,16 @@
 	}
 }
 
-// A reply that took long, as after a pause, does not stretch the time for which later records may be stored.
-func TestPeerClock_BoundsWeightOfSlowReply(t *testing.T) {
+// Replies that took long after a pause do not stretch the time for which later records may be stored.
+func TestPeerClock_CountsPauseOnce(t *testing.T) {
 	clock := &peerClock{}
 	for n := range 10 {
 		at := 1000 * float64(n)
 		clock.observe(at+1, &Batch{sentAt: at}, &Batch{From: Member{"n1", 1}, Clock: at + 0.5})
 	}
-	clock.observe(20_000, &Batch{sentAt: 19_000}, &Batch{From: Member{"n1", 1}, Clock: 19_999})
+	for n := range 50 {
+		at := 19_000 + 10*float64(n)
+		clock.observe(20_000, &Batch{sentAt: at}, &Batch{From: Member{"n1", 1}, Clock: 19_999})
+	}
 	assert.Less(t, clock.roundTripMS, 5.0)
 }
--- a/internal/handoff/request.go
+++ b/internal/handoff/request.go
@@ -36,7 +36,7 @@
 	uncertainAttempts int      // attempts that may have run, or are in flight and known to replicas
 	attemptsInFlight  uint8    // a bit per attempt number; only attempts that replicas know of
 	heldAttempts      []heldAttempt
-	recordUntil       float64 // while attempts wait for replicas to store them: when the last one fails; else 0
+	recordUntil       float64 // when the last of the attempts that wait for replicas fails; 0: none waits
 	withheld          *withheldAnswer
 	unreplicated      bool // admitted without registration, so no replica stores it
 	bestEffort        bool // copies are sent without retries, and nothing waits for acknowledgements
--- a/internal/handoff/wire.go
+++ b/internal/handoff/wire.go
@@ -63,6 +63,7 @@
 	batchStalePlacement protowire.Number = 5
 	batchItem           protowire.Number = 6
 	batchClock          protowire.Number = 7
+	batchStoreUntil     protowire.Number = 8
 )
 
 // Bounds of decoded values, which a faulty peer may send out of range.
@@ -289,6 +290,18 @@
 		fields.bytes(batchItem, item)
 	}
 	fields.float(batchClock, b.Clock)
+	fields.float(batchStoreUntil, b.StoreUntil)
+	return fields
+}
+
+// AppendDelay appends to the encoded batch that it is sent some ms after it was encoded, so that the limit on its attempt
+// records counts from now on. The value that is read last replaces the one before.
+func (b *Batch) AppendDelay(out []byte, delayMS float64) []byte {
+	if b.StoreUntil == 0 {
+		return out
+	}
+	fields := writer(out)
+	fields.float(batchStoreUntil, b.StoreUntil+delayMS)
 	return fields
 }
 
@@ -314,10 +327,12 @@
 			return err
 		case batchClock:
 			batch.Clock = val.float()
+		case batchStoreUntil:
+			batch.StoreUntil = val.float()
 		}
 		return nil
 	})
-	if math.IsNaN(batch.Clock) || math.IsInf(batch.Clock, 0) {
+	if math.IsNaN(batch.Clock+batch.StoreUntil) || math.IsInf(batch.Clock, 0) {
 		return batch, errMalformed
 	}
 	return batch, err
--- a/internal/handoffnet/peerstream.go
+++ b/internal/handoffnet/peerstream.go
@@ -27,6 +27,11 @@
 // isStale reports whether a batch was queued so long ago that the ages encoded in it have become wrong.
 func (b *outgoingBatch) isStale(now float64) bool { return now > b.queuedAt+maxQueuedMS }
 
+// encoded returns the encoding of a batch that is sent now.
+func (b *outgoingBatch) encoded(now float64) []byte {
+	return b.batch.AppendDelay(slices.Clip(b.data), max(0, now-b.queuedAt))
+}
+
 // datagram is a batch that was sent as a datagram and has not been answered.
 type datagram struct {
 	outgoingBatch
@@ -188,6 +193,9 @@
 			// Concatenated protobuf messages are read as one: repeated fields are joined, and of other fields the last
 			// value counts.
 			merged.data = append(merged.data, outgoing.data...)
+			if batch.StoreUntil == 0 && outgoing.batch.StoreUntil != 0 {
+				batch.StoreUntil = outgoing.batch.StoreUntil - (outgoing.queuedAt - merged.queuedAt)
+			}
 			batch.Items = append(batch.Items, outgoing.batch.Items...)
 		default:
 			return merged
@@ -224,7 +232,7 @@
 	s.inFlight = append(s.inFlight, number)
 	s.mu.Unlock()
 	a.datagrams.Add(1)
-	a.transport.SendHandoff(s.addrPort, encodeFrame(frameBatch, number, outgoing.data))
+	a.transport.SendHandoff(s.addrPort, encodeFrame(frameBatch, number, outgoing.encoded(a.clock.Now())))
 	return true
 }
 
@@ -317,7 +325,7 @@
 func (s *peerStream) sendByCall(a *Agent, outgoing outgoingBatch) {
 	a.calls.Add(1)
 	s.calling.Store(true)
-	reply := s.callMember(a, outgoing.data)
+	reply := s.callMember(a, outgoing.encoded(a.clock.Now()))
 	s.calling.Store(false)
 	s.postAnswer(a, outgoing.batch, reply)
 }
--- a/internal/handoffnet/peerstream_test.go
+++ b/internal/handoffnet/peerstream_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"liftshift/internal/handoff"
+	"liftshift/internal/vfs"
 )
 
 func TestTransportPath_Transitions(t *testing.T) {
@@ -259,3 +260,57 @@
 	time.Sleep(20 * time.Millisecond)
 	assert.Len(t, recorder.answers(), 1)
 }
+
+// stepManager passes a's manager an event and sends the batches that result.
+func (m *testMember) stepManager(event *handoff.Event) {
+	m.loop.Call(func(now float64) {
+		event.LeaseHeld = true
+		for _, effect := range m.agent.manager.Step(now, event) {
+			if effect.Kind == handoff.SendBatch {
+				m.agent.sendBatch(effect.To, effect.Batch, now)
+			}
+		}
+	})
+}
+
+// Guards against a record of an attempt whose datagram was lost being refused as late when it is repeated by a call, so
+// that an attempt waits for a further exchange for each lost datagram, or fails.
+func TestPeerStream_LostDatagramOfRecordIsMadeGoodByCall(t *testing.T) {
+	for name, persisted := range map[string]bool{"in memory": false, "on disk": true} {
+		t.Run(name, func(t *testing.T) {
+			a, b := startMember(t, "a", nil), startMember(t, "b", nil)
+			a.agent.addresses.Store(&map[string]string{"b": b.address})
+			b.agent.addresses.Store(&map[string]string{"a": a.address})
+			if persisted {
+				a.loop.Call(func(float64) {
+					require.NoError(t, a.agent.PersistCopies(vfs.NewMemory(), func(message any) { a.agent.post(message) }))
+				})
+			}
+			a.stepManager(&handoff.Event{Kind: handoff.RequestArriving, ID: "x", Copy: &handoff.Copy{
+				RequestData: handoff.RequestData{ID: "x", IdempotencyKey: "m", Class: "mark"},
+				Deadline:    a.agent.clock.Now() + 5000,
+			}})
+			state := func(m *testMember) (known []handoff.CopyStatus) {
+				m.loop.Call(func(float64) { known = m.agent.manager.Explain("m") })
+				return known
+			}
+			require.Eventually(t, func() bool { return len(state(b)) == 1 }, time.Second, time.Millisecond)
+			time.Sleep(20 * time.Millisecond) // the reply has come back
+			b.dropsDatagrams.Store(true)
+			began := time.Now()
+			a.stepManager(&handoff.Event{Kind: handoff.AttemptStarting, ID: "x"})
+			a.stepManager(&handoff.Event{Kind: handoff.AttemptPermitted, ID: "x"})
+			stored := func() bool { return state(b)[0].Copy.RunState == handoff.MayHaveRun }
+			for !stored() && time.Since(began) < 2*time.Second {
+				time.Sleep(time.Millisecond)
+			}
+			var expired, withheld uint64
+			b.loop.Call(func(float64) { expired = b.agent.manager.Counts().RecordsExpired })
+			a.loop.Call(func(float64) { withheld = a.agent.manager.Counts().AttemptsWithheld })
+			t.Logf("stored %v after %v; refused as late %d, attempts failed %d; datagrams %d, unanswered %d, calls %d", stored(),
+				time.Since(began), expired, withheld, a.agent.datagrams.Load(), a.agent.unanswered.Load(), a.agent.calls.Load())
+			assert.Zero(t, expired, "the call was refused as late")
+			assert.EqualValues(t, 1, a.agent.unanswered.Load(), "datagrams lost for one record")
+		})
+	}
+}
