--- a/internal/handoff/closing.go
+++ b/internal/handoff/closing.go
@@ -48,7 +48,11 @@
 			m.abandonOwned(req)
 			return
 		}
-		m.closeOwned(req, ev.Outcome, ev.Answer)
+		answer := ev.Answer
+		if answer == nil {
+			answer = []byte{}
+		}
+		m.closeOwned(req, ev.Outcome, answer)
 	}
 	delete(m.recentOpen, ev.ID)
 }
@@ -62,7 +66,7 @@
 	return req.adopted || req.RunState == MayHaveRun && req.IdempotencyKey != ""
 }
 
-// closeOwned ends a request with an outcome and sends the outcome to the replicas.
+// closeOwned ends a request with an outcome and sends the outcome to the replicas. A nil answer is not known here.
 func (m *Manager) closeOwned(req *ownedRequest, outcome Outcome, answer []byte) {
 	if req.adopted && req.phase != phaseClosing {
 		m.adoptionsInFlight--
@@ -79,7 +83,7 @@
 		if req.FirstAttemptAt == 0 {
 			req.FirstAttemptAt = m.now
 		}
-		if len(answer) <= m.maxAnswerBytes {
+		if answer != nil && len(answer) <= m.maxAnswerBytes {
 			req.Answer = append([]byte{}, answer...)
 		}
 	case outcome == Rejected && req.uncertainAttempts == 0:
--- a/internal/handoff/pause_test.go
+++ b/internal/handoff/pause_test.go
@@ -190,3 +190,38 @@
 		assert.Equal(t, NotRun, c.managers[k].copies[KeyOf("m", "")].RunState, "run state at n%d", k)
 	}
 }
+
+// Guards against a replica that an adoption reaches after its withdrawal storing the request under a controller that does
+// not own it. The withdrawal is sent on the first reply, while the adoption is on its way to the other replicas.
+func TestManager_KeyIsFreeAfterWithdrawalOvertookAdoption(t *testing.T) {
+	c := newCluster(t, 5, 2, nil)
+	c.tick(100)
+	key := KeyOf("m", "")
+	c.submitRequest(4, "keyed", "a", "m")
+	c.drops = func(from, to int, _ *Item) bool { return from == 4 && to != 0 }
+	c.finishRequest(4, "a", Rejected, "")
+	c.drops = nil
+	c.down[0] = true // n0 knows the end, and comes back after another one has claimed the partition
+	c.drops = func(_, _ int, it *Item) bool { return it.Op == OpAdopt }
+	c.declareLost(4)
+	c.tick(1500)
+	c.down[0] = false
+	c.announceTo(0)
+	c.drops = nil
+	c.tick(3000)
+	assert.Empty(t, c.adopters("a"))
+	for k, m := range c.managers[:4] {
+		t.Logf("n%d: owner %v, state %s, outcome %v, owned %v", k, m.copies[key].Owner, m.copies[key].state,
+			m.copies[key].Outcome, m.owned[key] != nil)
+	}
+	t.Logf("claims %+v", c.table.Claims)
+	for k := range 4 {
+		if stored := c.managers[k].copies[key]; stored.state.open() {
+			owner := stored.Owner.Name
+			assert.Failf(t, "a copy is open", "n%d stores it for %s", k, owner)
+		}
+	}
+	c.submitRequest(1, "keyed", "b", "m")
+	c.tick(500)
+	assert.Len(t, c.effectsFor(1, Resume, "b"), 1, "the client's next request must be registered")
+}
