handoff: a key is free at its own owner once a quorum knows the end, not all replicas

While one replica of three was stopped, the next request with a rejected request's key was rejected at its deadline, 5 s later in the test, at the very controller that had rejected the first.

Cause: a new request waited for as long as the end of the earlier one was being sent, which goes on until all live replicas have it, or 40 times.

Change: once a quorum has the end, the new request is registered with a higher sequence. A replica that missed the end replaces its copy by the new request and keeps the attempt that it knew of, as it does with an ended one.

Evidence: TestManager_RejectedKeyIsFreeWhileReplicaIsPaused failed before; TestManager_NextRequestKeepsAttemptOfMissedEnd fails without the last clause.

--- a/internal/handoff/copystore.go
+++ b/internal/handoff/copystore.go
@@ -218,8 +218,12 @@
 // replaceCopy replaces an open copy by a later complete one from the same owner.
 func (m *Manager) replaceCopy(stored *storedCopy, owner Member, latest *Copy) {
 	m.unindexOpen(stored)
+	replaced := stored.Copy
 	stored.Copy = *latest
 	stored.Owner = owner
+	if replaced.RunState > stored.RunState && !stored.Confirmed {
+		stored.setAttempt(replaced.attempt()) // of an earlier request, whose end this replica has missed
+	}
 	if stored.adoptionUnconfirmed {
 		stored.adoptionUnconfirmed = false
 		stored.previous = nil
--- a/internal/handoff/pause_test.go
+++ b/internal/handoff/pause_test.go
@@ -225,3 +225,37 @@
 	c.tick(500)
 	assert.Len(t, c.effectsFor(1, Resume, "b"), 1, "the client's next request must be registered")
 }
+
+// Guards against a rejected request's key being blocked at its own owner while one replica is stopped.
+func TestManager_RejectedKeyIsFreeWhileReplicaIsPaused(t *testing.T) {
+	c := newCluster(t, 3, 1, nil)
+	c.tick(100)
+	c.submitRequest(2, "keyed", "a", "m")
+	c.pause(0)
+	c.finishRequest(2, "a", Rejected, "")
+	began := c.now
+	c.submitRequest(2, "keyed", "b", "m")
+	for len(c.effectsFor(2, Resume, "b"))+len(c.effectsFor(2, AnswerSuspended, "b")) == 0 {
+		c.tick(100)
+	}
+	t.Logf("answered %v after %g ms", c.effectsFor(2, AnswerSuspended, "b"), c.now-began)
+	assert.Len(t, c.effectsFor(2, Resume, "b"), 1)
+}
+
+// Guards against a replica that missed the end of a request forgetting its attempt when the next request with the key is
+// registered.
+func TestManager_NextRequestKeepsAttemptOfMissedEnd(t *testing.T) {
+	c := newCluster(t, 3, 1, nil)
+	c.submitRequest(2, "keyed", "a", "m")
+	require.True(t, c.startAttempt(2, "a"))
+	c.drops = func(_, to int, item *Item) bool {
+		return to == 0 && item.Op == OpClose || to == 1 && item.Op == OpRegister
+	}
+	c.finishRequest(2, "a", Failed, "")
+	c.submitRequest(2, "keyed", "b", "m")
+	require.Len(t, c.effectsFor(2, Resume, "b"), 1, "n0 has registered the request")
+	assert.NotZero(t, c.effectsFor(2, Resume, "b")[0].Prior)
+	known := c.managers[0].copies[KeyOf("m", "")]
+	assert.Equal(t, "b", known.ID)
+	assert.Equal(t, MayHaveRun, known.RunState)
+}
--- a/internal/handoff/registration.go
+++ b/internal/handoff/registration.go
@@ -33,11 +33,15 @@
 }
 
 // register asks the replicas to register a request. If this controller already owns a request with the same key, the
-// new one waits for it instead.
+// new one waits for it instead, unless a quorum knows that it has ended.
 func (m *Manager) register(waiter *waitingRequest) {
-	if m.owned[waiter.key] != nil {
-		m.addWaiting(waiter)
-		return
+	if earlier := m.owned[waiter.key]; earlier != nil {
+		if !m.hasEndedForQuorum(earlier) {
+			m.addWaiting(waiter)
+			return
+		}
+		waiter.Sequence = max(waiter.Sequence, earlier.Sequence+1)
+		m.removeOwned(earlier) // replicas that missed its end replace it by the new request
 	}
 	if !m.canRegister(waiter.key) {
 		m.admitOrRejectUnreplicated(waiter)
@@ -49,6 +53,13 @@
 	m.replicate(req)
 }
 
+// hasEndedForQuorum reports whether a quorum of replicas has stored the end of a request of this controller, and nothing
+// but the acknowledgements of others is missing.
+func (m *Manager) hasEndedForQuorum(req *ownedRequest) bool {
+	return req.phase == phaseClosing && req.withheld == nil && req.Owner == m.self &&
+		m.hasQuorum(req.key.Partition(), req.acks)
+}
+
 // canRegister reports whether a request with this key can be registered: that takes the lease, a reachable quorum of
 // replicas, and room for another owned request.
 func (m *Manager) canRegister(key Key) bool {
--- a/internal/handoff/waiting.go
+++ b/internal/handoff/waiting.go
@@ -107,7 +107,9 @@
 		if m.updateWaiting(waiter, from, reply) {
 			continue
 		}
-		if m.hasQuorum(sent.Key.Partition(), waiter.replicasWithoutOwner) && m.owned[waiter.key] == nil {
+		owned := m.owned[waiter.key]
+		isFree := owned == nil || m.hasEndedForQuorum(owned)
+		if isFree && m.hasQuorum(sent.Key.Partition(), waiter.replicasWithoutOwner) {
 			m.waiting = append(m.waiting, waiting[i+1:]...) // other requests with the key now wait for this one
 			waiter.lastPolledAt = 0
 			m.register(waiter)
