handoff: repeated adoptions of a request do not pass the end that a replica knows

What callers saw: found by review; rare. A request that its owner had rejected could be sent by a successor that had begun its adoption three times while the one replica that knew the end did not answer.

Cause: each attempt at an adoption raises its sequence, so that a withdrawal of an earlier one does not match it. A replica that has the request as ended took a sequence far enough above the end for a later request with the key.

Change: an adoption names the sequence of the copy that it adopts, in a field of its own, and that is compared. Members of the version before leave it out.

--- a/internal/handoff/adoption.go
+++ b/internal/handoff/adoption.go
@@ -159,6 +159,7 @@
 		key:           orphan.key,
 		phase:         phaseAdopting,
 		previousOwner: orphan.owner,
+		baseSequence:  stored.Sequence,
 		adopted:       true,
 		startedAt:     m.now,
 	}
--- a/internal/handoff/copystore.go
+++ b/internal/handoff/copystore.go
@@ -395,7 +395,7 @@
 			return describe(stored)
 		}
 		m.adoptOpen(stored, from, item.Copy)
-	case stored.state == stateSettled && adoptionIsOfLaterRequest(&stored.Copy, item.Copy):
+	case stored.state == stateSettled && adoptsLaterRequest(&stored.Copy, item):
 		stored.Copy = *item.Copy
 		stored.Owner = from
 		stored.state = stateAdopted
@@ -423,10 +423,14 @@
 	m.extendAndPersist(stored)
 }
 
-// adoptionIsOfLaterRequest reports whether an adopted copy belongs to a later request than the ended one with the same
-// key. An ended request that ran is not replaced by one that is not known to have run.
-func adoptionIsOfLaterRequest(ended, adopted *Copy) bool {
-	return ended.Sequence+1 < adopted.Sequence && !(ended.RunState == Ran && adopted.RunState != Ran)
+// adoptsLaterRequest reports whether an adoption is of a later request than the ended one with the same key. An ended
+// request that ran is not replaced by one that is not known to have run.
+func adoptsLaterRequest(ended *Copy, item *Item) bool {
+	base := item.BaseSequence
+	if base == 0 { // the sender is of a version that does not send it
+		base = item.Copy.Sequence - 1
+	}
+	return ended.Sequence < base && !(ended.RunState == Ran && item.Copy.RunState != Ran)
 }
 
 // storeIDMapping handles OpMapID: it stores the idempotency key of a request id, so that queries by id find the
--- a/internal/handoff/pause_test.go
+++ b/internal/handoff/pause_test.go
@@ -259,3 +259,27 @@
 	assert.Equal(t, "b", known.ID)
 	assert.Equal(t, MayHaveRun, known.RunState)
 }
+
+// Guards against a request that its owner rejected being adopted and sent, as repeated adoptions raise the sequence past
+// that of the end which a replica knows.
+func TestManager_RepeatedAdoptionsDoNotPassKnownEnd(t *testing.T) {
+	c := newCluster(t, 3, 1, nil)
+	c.tick(100)
+	c.submitRequest(2, "keyed", "a", "m")
+	c.drops = func(from, to int, _ *Item) bool { return from == 2 && to == 0 }
+	c.finishRequest(2, "a", Rejected, "")
+	c.drops = func(_, to int, it *Item) bool { return to == 1 && it.Op == OpAdopt }
+	require.Equal(t, Rejected, c.managers[1].copies[KeyOf("m", "")].Outcome)
+	require.Equal(t, Open, c.managers[0].copies[KeyOf("m", "")].Outcome)
+	c.declareLost(2)
+	c.tick(500)
+	for range 3 { // the claim ends before the adoption is answered, and is made again
+		c.table.Claims = nil
+		c.announce()
+		c.tick(700)
+		t.Logf("claims %+v, adoption attempts %d", c.table.Claims, c.managers[0].copies[KeyOf("m", "")].adoptionAttempts)
+	}
+	c.drops = nil
+	c.tick(1500)
+	assert.Empty(t, c.adopters("a"), "a request that its owner rejected is sent")
+}
--- a/internal/handoff/replication.go
+++ b/internal/handoff/replication.go
@@ -143,8 +143,15 @@
 	case missedAdoption(req, known):
 		c := req.Copy
 		c.Sequence, c.Outcome, c.Complete = req.Sequence-1, Open, req.phase == phaseActive
-		item := Item{Op: OpAdopt, Key: req.key, Sequence: c.Sequence, Copy: &c, From: req.previousOwner, More: true}
-		m.send(to.Name, item)
+		m.send(to.Name, Item{
+			Op:           OpAdopt,
+			Key:          req.key,
+			Sequence:     c.Sequence,
+			BaseSequence: req.baseSequence,
+			Copy:         &c,
+			From:         req.previousOwner,
+			More:         true,
+		})
 	case m.missedRegistration(req, sent, known), assumedFailure(req, sent, known):
 		m.send(to.Name, m.currentItemWithCopy(req))
 	default:
--- a/internal/handoff/request.go
+++ b/internal/handoff/request.go
@@ -26,6 +26,7 @@
 	phase             requestPhase
 	adopted           bool
 	previousOwner     Member   // the lost owner of an adopted request
+	baseSequence      uint64   // of the lost owner's copy that was adopted
 	startedAt         float64  // when the registration or adoption began
 	sentAt            float64  // when the latest message was last sent
 	sends             int      // sends of messages so far; reset when the request starts to close
@@ -100,6 +101,7 @@
 		item.Op, item.Copy = OpRegister, req.snapshot()
 	case phaseAdopting:
 		item.Op, item.Copy, item.From = OpAdopt, req.snapshot(), req.previousOwner
+		item.BaseSequence = req.baseSequence
 	case phaseActive:
 		item.Op = OpAttempt
 		if req.bestEffort && req.sends == 0 {
--- a/internal/handoff/wire.go
+++ b/internal/handoff/wire.go
@@ -55,6 +55,7 @@
 	itemReason       protowire.Number = 16
 	itemCopies       protowire.Number = 17
 	itemStoreUntil   protowire.Number = 18
+	itemBaseSequence protowire.Number = 19
 
 	batchFrom           protowire.Number = 1
 	batchIncarnation    protowire.Number = 2
@@ -220,6 +221,7 @@
 		fields.bytes(itemCopies, encoded)
 	}
 	fields.float(itemStoreUntil, item.StoreUntil)
+	fields.number(itemBaseSequence, item.BaseSequence)
 }
 
 // readItem decodes an item whose times are relative to now. It returns errMalformed if data cannot be decoded or a
@@ -267,6 +269,8 @@
 			return err
 		case itemStoreUntil:
 			item.StoreUntil = val.float()
+		case itemBaseSequence:
+			item.BaseSequence = val.number
 		}
 		return nil
 	})
