handoff: requests of a lost owner whose lost successor's adoption one replica knows are adopted

What callers saw: found by review. With two copies, a controller and then its successor lost, requests whose adoption had reached one replica were adopted by nobody: their keys could not be used for as long as the two were away, though the design promises one outcome with two lost for good.

Cause: three live replicas of five. Two had the owner's copy, one the successor's; whoever adopted the one was refused by the others, and a quorum is three.

Change: a replica that is asked for a lost owner's open requests also reports those that a successor has begun to adopt, so that the next one adopts the latest copy. A replica that still has the copy of the owner before, which is lost as well, accepts that adoption. Both rest on the quorum that the adopter has read, each of whose members knows the losses.

--- a/internal/handoff/copystore.go
+++ b/internal/handoff/copystore.go
@@ -114,6 +114,12 @@
 	return Item{Op: OpKnown, Copy: &known}
 }
 
+// belongsTo reports whether an open copy is of an owner's request, or of one that a successor of that owner has begun to
+// adopt.
+func (s *storedCopy) belongsTo(owner Member) bool {
+	return s.Owner == owner || s.adoptionUnconfirmed && s.previous != nil && s.previous.Owner == owner
+}
+
 // addCopy stores a copy in the initial state. The caller sets its state and adds it to the index of open copies.
 func (m *Manager) addCopy(key Key, received *Copy) *storedCopy {
 	stored := &storedCopy{Copy: *received, key: key}
@@ -390,7 +396,7 @@
 		stored.adoptionUnconfirmed = true
 		m.openCopy(stored)
 	case stored.Owner == from && stored.state.open(): // adopted already
-	case stored.state.open() && stored.Owner == item.From:
+	case stored.state.open() && (stored.Owner == item.From || m.supersedesOrphan(stored, item)):
 		if moreRecent(&stored.Copy, item.Copy) && stored.Sequence >= item.Copy.Sequence && !item.More {
 			return describe(stored)
 		}
@@ -406,6 +412,12 @@
 	return Item{Op: OpStored}
 }
 
+// supersedesOrphan reports whether an adoption is of a lost successor's copy, and this replica still stores that of the
+// owner before, which is lost as well.
+func (m *Manager) supersedesOrphan(stored *storedCopy, item *Item) bool {
+	return m.isLost(stored.Owner) && stored.Sequence < item.BaseSequence && !moreRecent(&stored.Copy, item.Copy)
+}
+
 // adoptOpen replaces the open copy of a lost owner by that of its successor, which may lack the request data.
 func (m *Manager) adoptOpen(stored *storedCopy, from Member, adopted *Copy) {
 	m.unindexOpen(stored)
--- a/internal/handoff/pause_test.go
+++ b/internal/handoff/pause_test.go
@@ -283,3 +283,44 @@
 	c.tick(1500)
 	assert.Empty(t, c.adopters("a"), "a request that its owner rejected is sent")
 }
+
+// Guards against a request that its owner and then its successor left open being asked for again and again: two of five
+// are lost, and the first successor's adoption reached one replica.
+func TestManager_AdoptsAfterSuccessorWhoseAdoptionOneReplicaKnows(t *testing.T) {
+	c := newCluster(t, 5, 2, nil)
+	c.tick(100)
+	key := KeyOf("m", "")
+	c.submitRequest(4, "keyed", "a", "m")
+	require.Len(t, c.effectsFor(4, Resume, "a"), 1)
+	var successor, informed = -1, -1
+	c.drops = func(from, to int, it *Item) bool {
+		if it.Op != OpAdopt {
+			return false
+		}
+		successor = from
+		if informed < 0 {
+			informed = to
+		}
+		return to != informed
+	}
+	c.declareLost(4)
+	for range 20 {
+		c.tick(100)
+		if successor >= 0 {
+			break
+		}
+	}
+	require.GreaterOrEqual(t, successor, 0)
+	require.Empty(t, c.adopters("a"))
+	c.drops = nil
+	c.declareLost(successor)
+	c.tick(4000)
+	for k, m := range c.managers {
+		if !c.down[k] {
+			t.Logf("n%d: owner %v, state %s, outcome %v", k, m.copies[key].Owner, m.copies[key].state, m.copies[key].Outcome)
+		}
+	}
+	t.Logf("claims %+v", c.table.Claims)
+	assert.Len(t, c.adopters("a"), 1, "nobody has adopted the request")
+	c.checkCounts()
+}
--- a/internal/handoff/transfer.go
+++ b/internal/handoff/transfer.go
@@ -148,12 +148,15 @@
 	return reply
 }
 
-// keysAfter returns the sorted keys that an OpFetch asks for: of one owner's open requests, or of all copies.
+// keysAfter returns the sorted keys that an OpFetch asks for: of one owner's open requests, those included that a
+// successor has begun to adopt, or of all copies.
 func (m *Manager) keysAfter(item *Item) (keys []Key) {
 	if item.From.Name != "" {
-		for key := range m.openByOwner[item.From].inPartition(item.Partition) {
-			if key.compare(item.After) > 0 {
-				keys = append(keys, key)
+		for _, set := range m.openByOwner {
+			for key, stored := range set.inPartition(item.Partition) {
+				if stored.belongsTo(item.From) && key.compare(item.After) > 0 {
+					keys = append(keys, key)
+				}
 			}
 		}
 	} else {
