consensus: a voter that fails rejects what waits for it as a leader

What callers saw: found by reading, then forced. The disk of the leading voter failed. Controllers whose lease requests waited there for a quorum got no answer until their time-out of 600 ms. Later requests were rejected with the failed leader's own name as the hint and came back to it. By reading: a failed follower kept asking the leader that it last knew.

Cause: fail only set a flag. A failed voter takes no more batches from the Raft library, and these alone answer the requests that wait for a read index and tell of another leader.

Change: fail has the voter forget the leader. If it led, it steps down, which rejects all that wait. Its own last hint goes too if it names itself.

Evidence: TestGroup_FailedLeaderRejectsLeaseRequests (a request waits for the first entry of the term, whose write then fails) and TestGroup_FailedFollowerForgetsLeader failed before: no answer, leader "a" and hint "a"; leader "b".

--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -148,6 +148,37 @@
 	}
 }
 
+// A leader whose disk fails answers the lease requests that wait for a quorum, and no longer names itself the leader.
+func TestGroup_FailedLeaderRejectsLeaseRequests(t *testing.T) {
+	g := newOnlyVoter(DefaultSettings())
+	now, firstEntry := electOnlyVoter(t, g)
+	waiting := g.Step(now, &Event{Kind: LeaseRequested, Token: 7, Name: "x", Incarnation: 1})
+	require.Zero(t, firstEffect(waiting, ReplyLease).Token, "the request waits for the first entry of the term")
+	failed := g.Step(now+1, &Event{Kind: Stored, Token: firstEntry.Token, Failed: true})
+	require.NotEmpty(t, firstEffect(failed, VoterFailed).Reason)
+	rejected := Effect{Kind: ReplyLease, Token: 7, Reply: LeaseReply{Verdict: NotLeader}}
+	assert.Equal(t, rejected, firstEffect(failed, ReplyLease))
+	assert.Contains(t, failed, Effect{Kind: LeaderChanged}, "the failed voter knows no leader")
+	assert.Empty(t, g.Status(now+1).Leader)
+	later := g.Step(now+2, &Event{Kind: LeaseRequested, Token: 8, Name: "x", Incarnation: 1})
+	rejected.Token = 8
+	assert.Equal(t, rejected, firstEffect(later, ReplyLease))
+}
+
+// A follower that fails forgets the leader, of whose successors it would not learn.
+func TestGroup_FailedFollowerForgetsLeader(t *testing.T) {
+	g, _ := newFounder()
+	heartbeat := &raftpb.Message{Type: raftpb.MsgHeartbeat.Enum(), To: proto.Uint64(g.nodeID),
+		From: proto.Uint64(NodeID("b", "fb")), Term: proto.Uint64(9), Commit: proto.Uint64(1)}
+	data, err := proto.Marshal(heartbeat)
+	require.NoError(t, err)
+	following := g.Step(2, &Event{Kind: MessageReceived, Name: "b", Data: data})
+	require.Equal(t, "b", g.Status(2).Leader)
+	g.Step(3, &Event{Kind: Stored, Token: persistEffects(following)[0].Token, Failed: true})
+	assert.True(t, g.Status(3).Failed)
+	assert.Empty(t, g.Status(3).Leader)
+}
+
 // Messages that are truncated or for another node are ignored. A message that contradicts the log stops the voter, not
 // the process.
 func TestGroup_ContradictingMessageFailsVoterOnly(t *testing.T) {
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -56,6 +56,22 @@
 	g.postponeElection()
 }
 
+// forgetLeader is called when this voter fails and no longer learns from Raft who leads. A leader steps down.
+func (g *Group) forgetLeader() {
+	if g.isLeader {
+		g.isLeader = false
+		g.stepDown()
+	}
+	if g.lease.leaderHint == g.name {
+		g.lease.leaderHint = ""
+	}
+	if g.leaderID != 0 {
+		g.leaderID = 0
+		g.rejectedLeader = ""
+		g.emit(Effect{Kind: LeaderChanged})
+	}
+}
+
 // leaderName returns the name of the leader that Raft knows, or "".
 func (g *Group) leaderName() string {
 	if g.leaderID == 0 {
--- a/internal/consensus/golden_test.go
+++ b/internal/consensus/golden_test.go
@@ -171,16 +171,9 @@
 // The encodings of entries that only the leader proposes, and of its configuration changes, are compatible with earlier
 // versions.
 func TestGolden_ConsensusLeader(t *testing.T) {
-	onlyVoter := []Voter{{ID: NodeID("a", "fa"), Name: "a"}}
-	snapshot := &raftpb.Snapshot{
-		Data: must(json.Marshal(&Record{Members: map[string]Member{}, Voters: onlyVoter, Founders: onlyVoter})),
-		Metadata: &raftpb.SnapshotMetadata{ConfState: &raftpb.ConfState{Voters: []uint64{onlyVoter[0].ID}},
-			Index: proto.Uint64(1), Term: proto.Uint64(1)},
-	}
-	state := &raftpb.HardState{Term: proto.Uint64(1), Commit: proto.Uint64(1)}
 	settings := DefaultSettings()
 	settings.Copies = 1
-	group := New(0, "a", 1, "fa", []string{"a"}, PersistedState{Snapshot: snapshot, State: state}, settings, 1)
+	group := newOnlyVoter(settings)
 	now, logged := 0.0, map[string]bool{}
 	var handle func(event Event)
 	handle = func(event Event) {
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -119,6 +119,7 @@
 	if !g.failed {
 		g.failed = true
 		g.emit(Effect{Kind: VoterFailed, Reason: reason})
+		g.forgetLeader()
 	}
 }
 
