consensus: the release of a lease is granted only if the leader accepts it

What callers saw: nothing yet; found by reading, then forced. A controller that shuts down was told Granted by a member that does not lead, and by a leader whose proposal Raft had refused. Its requests are then adopted only once it is declared lost and its lease is over.

Cause: releaseLease ignored the result of propose.

Change: the reply is NotLeader in both cases, from a follower with the leader's name. The wire format is the same, and Node.ReleaseLease goes on at any reply as before; that it could ask the leader named there is on the roadmap.

Evidence: TestGroup_RefusedReleaseIsNotGranted failed before: a heartbeat of a later term arrives while the leader's entry is being stored, then the release; both that leader and, later, the follower said Granted.

--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -165,6 +165,35 @@
 	assert.Equal(t, rejected, firstEffect(later, ReplyLease))
 }
 
+// The reply to the release of a lease is Granted only if the leader has accepted that the member left. Here Raft has
+// made the leader a follower, which shows only once the entry in flight is stored.
+func TestGroup_RefusedReleaseIsNotGranted(t *testing.T) {
+	release := Event{Kind: LeaseRequested, Token: 7, Name: "x", Incarnation: 1, Release: true}
+	for _, steppedDown := range []bool{false, true} {
+		g := newOnlyVoter(DefaultSettings())
+		now, firstEntry := electOnlyVoter(t, g)
+		g.record.Members["x"] = Member{Incarnation: 1, Term: 1}
+		want := Granted
+		if steppedDown {
+			want = NotLeader
+			data, err := proto.Marshal(&raftpb.Message{Type: raftpb.MsgHeartbeat.Enum(), To: proto.Uint64(g.nodeID),
+				From: proto.Uint64(NodeID("b", "fb")), Term: proto.Uint64(9)})
+			require.NoError(t, err)
+			g.Step(now, &Event{Kind: MessageReceived, Name: "b", Data: data})
+		}
+		require.True(t, g.isLeader)
+		reply := firstEffect(g.Step(now, &release), ReplyLease)
+		assert.Equal(t, uint64(7), reply.Token)
+		assert.Equal(t, want, reply.Reply.Verdict, "leader stepped down: %v", steppedDown)
+		if steppedDown {
+			g.Step(now, &Event{Kind: Stored, Token: firstEntry.Token})
+			require.False(t, g.isLeader)
+			reply = firstEffect(g.Step(now, &release), ReplyLease)
+			assert.Equal(t, LeaseReply{Verdict: NotLeader, Leader: "b"}, reply.Reply, "the reply of a follower")
+		}
+	}
+}
+
 // A follower that fails forgets the leader, of whose successors it would not learn.
 func TestGroup_FailedFollowerForgetsLeader(t *testing.T) {
 	g, _ := newFounder()
--- a/internal/consensus/lease_grants.go
+++ b/internal/consensus/lease_grants.go
@@ -40,13 +40,21 @@
 }
 
 // releaseLease handles a member that releases its lease because it shuts down. The leader forgets the grant and
-// proposes that the member has left.
+// proposes that the member has left. The reply is Granted if the proposal was accepted or is not needed.
 func (g *Group) releaseLease(event *Event) {
-	if m := g.record.Members[event.Name]; g.isLeader && m.Incarnation == event.Incarnation && !m.Lost {
+	reply := LeaseReply{Verdict: Granted}
+	m := g.record.Members[event.Name]
+	isCurrent := m.Incarnation == event.Incarnation && !m.Lost
+	switch {
+	case !g.isLeader:
+		reply = LeaseReply{Verdict: NotLeader, Leader: g.leaderName()}
+	case isCurrent:
 		delete(g.grantedUntil, event.Name)
-		g.propose(entry{Kind: EntryLeft, Name: event.Name, Incarnation: event.Incarnation})
+		if !g.propose(entry{Kind: EntryLeft, Name: event.Name, Incarnation: event.Incarnation}) {
+			reply = LeaseReply{Verdict: NotLeader}
+		}
 	}
-	g.emit(Effect{Kind: ReplyLease, Token: event.Token, Reply: LeaseReply{Verdict: Granted}})
+	g.emit(Effect{Kind: ReplyLease, Token: event.Token, Reply: reply})
 }
 
 // requestReadIndex starts one read index request, which has a quorum confirm the leadership, for all waiting lease
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -83,7 +83,7 @@
 
 // Verdicts on a lease request. The numbers are part of the wire format.
 const (
-	// Granted is the verdict on a lease that was granted, and the answer to the release of a lease.
+	// Granted is the verdict on a lease that was granted, and on the release of a lease if the leader has accepted it.
 	Granted Verdict = 0
 	// NotLeader is the verdict of a member that does not lead the group.
 	NotLeader Verdict = 1
