consensus: a request to replace a voter that can't be met blocks no other

What callers saw: found by reading, then forced. After `consensus move` with the leader as the voter to replace, or with a new member that is a voter already or not there, the group replaced no lost voter any more; once a majority is lost so, no controller gets a lease. An eligible new member took the place of the next lost voter instead, whatever its zone.

Cause: the request stayed set until some replacement had ended, which it prevented: chooseLearner took its member for whichever voter was replaced. It outlived the leadership too, and the end of any other replacement cleared it.

Change: the request's member is chosen only for the request's voter. A request that could not begin within ReplaceVoterMS, not counting a replacement under way, is dropped, and so it is by a new leader. Only a replacement that makes its member a voter ends it early.

Evidence: TestConsensusCluster_UnmetReplacementBlocksNoOther failed before in all six cases (a voter that was killed right after the request was still a voter 60 s later in four, replaced by the request's member in two), TestConsensusCluster_MeetsReplacementRequestedDuringAnother (the request comes while a learner is in the configuration; it was not met) and TestGroup_ReplacementRequestEndsWithLeadership (it was still set).

For operators: a request waited for its new member before; now it has to be repeated if that member is not there within `replace`. On the roadmap: such a request is still accepted without an error, and a learner that never catches up holds back other replacements.

--- a/internal/clustersim/consensus_test.go
+++ b/internal/clustersim/consensus_test.go
@@ -1,10 +1,13 @@
 package clustersim
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"liftshift/internal/consensus"
 )
 
 // The loss of a member must be declared, and the group must elect a new leader after the loss of its leader.
@@ -76,16 +79,9 @@
 	c.RunUntil(c.Now + 16_500) // the replacement is about to catch up
 	c.Kill(2)
 	c.RunUntil(c.Now + 60_000)
-	voters := func() (names []string) {
-		leader := c.ConsensusNodes[c.nodeIndexOf(c.Leader)]
-		for _, voter := range leader.Group.Status(c.Now).Record.Voters {
-			names = append(names, voter.Name)
-		}
-		return names
-	}
-	assert.NotContains(t, voters(), "n1")
-	assert.NotContains(t, voters(), "n2")
-	assert.Len(t, voters(), 5)
+	assert.NotContains(t, voterNames(c), "n1")
+	assert.NotContains(t, voterNames(c), "n2")
+	assert.Len(t, voterNames(c), 5)
 	c.WipeDisk(1)
 	c.Start(1)
 	c.RunUntil(c.Now + 10_000)
@@ -98,6 +94,52 @@
 	assert.Empty(t, c.Violations)
 }
 
+// A request to replace a voter that can't be met must not keep the group from replacing a lost voter, nor choose the
+// member that takes its place.
+func TestConsensusCluster_UnmetReplacementBlocksNoOther(t *testing.T) {
+	for _, test := range []struct{ name, from, to string }{
+		{"the leader by an unknown member", "leader", "unknown"},
+		{"the leader by a voter", "leader", "other voter"},
+		{"the leader by a member", "leader", "n6"},
+		{"no voter", "unknown", "n6"},
+		{"a voter by an unknown member", "other voter", "unknown"},
+		{"a voter by itself", "other voter", "other voter"},
+	} {
+		c := startConsensusCluster(t, 7, 3, 3)
+		leader := c.nodeIndexOf(c.Leader)
+		lost, other := (leader+1)%3, (leader+2)%3
+		names := strings.NewReplacer("leader", c.Leader, "other voter", c.Nodes[other].Name)
+		c.stepConsensus(leader, consensus.Event{Kind: consensus.VoterReplacementRequested,
+			Name: names.Replace(test.from), To: names.Replace(test.to)})
+		c.Kill(lost)
+		c.RunUntil(c.Now + 60_000)
+		voters := voterNames(c)
+		assert.Len(t, voters, 3, test.name)
+		assert.NotContains(t, voters, c.Nodes[lost].Name, test.name)
+		assert.NotContains(t, voters, "n6", "%s: n6 is not the first by name in the lost voter's zone", test.name)
+		assert.Empty(t, c.Violations, test.name)
+	}
+}
+
+// A request to replace a voter that comes during another replacement must be met after it.
+func TestConsensusCluster_MeetsReplacementRequestedDuringAnother(t *testing.T) {
+	c := startConsensusCluster(t, 7, 3, 3)
+	leader := c.nodeIndexOf(c.Leader)
+	lost, other := (leader+1)%3, c.Nodes[(leader+2)%3].Name
+	c.Kill(lost)
+	for deadline := c.Now + 30_000; len(voterNames(c)) == 3 && c.Now < deadline; {
+		c.RunUntil(c.Now + 1)
+	}
+	require.Len(t, voterNames(c), 4, "the learner that replaces the lost voter is in the configuration")
+	c.stepConsensus(leader, consensus.Event{Kind: consensus.VoterReplacementRequested, Name: other, To: "n6"})
+	c.RunUntil(c.Now + 60_000)
+	assert.Len(t, voterNames(c), 3)
+	assert.NotContains(t, voterNames(c), c.Nodes[lost].Name)
+	assert.NotContains(t, voterNames(c), other)
+	assert.Contains(t, voterNames(c), "n6")
+	assert.Empty(t, c.Violations)
+}
+
 // A node that starts while all seeds are down must join through the members that contact it. With this random seed a
 // join has failed before.
 func TestRunConsensus_JoinsWithoutSeeds(t *testing.T) {
--- a/internal/clustersim/faults.go
+++ b/internal/clustersim/faults.go
@@ -20,8 +20,8 @@
 	FaultHeal                       // repairs the network and all disks
 	FaultLoss                       // drops a share of all messages
 	FaultDiskFull                   // makes the writes to a node's disk fail
-	// FaultStallAtDial suspends a node of a HandoffCluster once an attempt of a keyed request waits for a new connection
-	// there, which may be later than the time of the fault. Other clusters ignore it.
+	// FaultStallAtDial suspends a node of a HandoffCluster once an attempt of a keyed request waits for a new
+	// connection there, which may be later than the time of the fault. Other clusters ignore it.
 	FaultStallAtDial
 )
 
--- a/internal/clustersim/helpers_test.go
+++ b/internal/clustersim/helpers_test.go
@@ -70,3 +70,12 @@
 	}
 	return c
 }
+
+// voterNames returns the names of the voters and learners in the record of the leader.
+func voterNames(c *ConsensusCluster) (names []string) {
+	leader := c.ConsensusNodes[c.nodeIndexOf(c.Leader)]
+	for _, voter := range leader.Group.Status(c.Now).Record.Voters {
+		names = append(names, voter.Name)
+	}
+	return names
+}
--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -194,6 +194,18 @@
 	}
 }
 
+// An operator's request to replace a voter ends with the leadership. A member that leads again must not act on it.
+func TestGroup_ReplacementRequestEndsWithLeadership(t *testing.T) {
+	g := newOnlyVoter(DefaultSettings())
+	now, firstEntry := electOnlyVoter(t, g)
+	g.Step(now, &Event{Kind: Stored, Token: firstEntry.Token})
+	g.Step(now, &Event{Kind: VoterReplacementRequested, Name: "b", To: "c"})
+	require.NotZero(t, g.requestedReplacement)
+	g.stepDown()
+	g.becomeLeader()
+	assert.Zero(t, g.requestedReplacement)
+}
+
 // A follower that fails forgets the leader, of whose successors it would not learn.
 func TestGroup_FailedFollowerForgetsLeader(t *testing.T) {
 	g, _ := newFounder()
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -44,6 +44,7 @@
 	clear(g.proposedLost)
 	g.learner = Hello{}
 	g.replacedID = 0
+	g.requestedReplacement = voterReplacement{}
 	g.confChangeProposedAt = 0
 	g.nextReviewAt = g.now
 }
--- a/internal/consensus/voters.go
+++ b/internal/consensus/voters.go
@@ -13,7 +13,23 @@
 const maxLearnerLag = 16
 
 // voterReplacement is an operator's request to replace the voter from by the member to, both by name.
-type voterReplacement struct{ from, to string }
+type voterReplacement struct {
+	from, to  string
+	expiresAt float64 // the request is dropped if its learner has not been added by then; 0: not reviewed yet
+}
+
+// expireRequestedReplacement drops an operator's request that could not be started within ReplaceVoterMS. It is called
+// while no other replacement is under way.
+func (g *Group) expireRequestedReplacement() {
+	requested := &g.requestedReplacement
+	switch {
+	case *requested == voterReplacement{}:
+	case requested.expiresAt == 0:
+		requested.expiresAt = g.now + g.settings.ReplaceVoterMS
+	case g.now >= requested.expiresAt:
+		*requested = voterReplacement{}
+	}
+}
 
 // reviewVoters replaces a voter that has been unreachable for ReplaceVoterMS or that an operator wants replaced, and
 // fills vacant places, one voter at a time. The new member is a learner first and becomes a voter once it has received
@@ -26,6 +42,7 @@
 		g.promoteLearner()
 		return
 	}
+	g.expireRequestedReplacement()
 	replaced := g.voterToReplace()
 	if replaced == nil && len(g.confState.GetVoters()) >= g.settings.Voters {
 		return
@@ -73,10 +90,11 @@
 // isRecentlyActive reports whether the leader has recently received Raft messages from a voter.
 func (g *Group) isRecentlyActive(id uint64) bool { return g.node.Status().Progress[id].RecentActive }
 
-// chooseLearner returns the name of the member that is to become a voter, or "". It is the member that an operator
-// named, or else, of the eligible members in the zones with the fewest voters, the first by name.
+// chooseLearner returns the name of the member that is to become a voter, or "". If an operator requested the
+// replacement of the replaced voter, it is the member that the operator named. Otherwise it is, of the eligible members
+// in the zones with the fewest voters, the first by name.
 func (g *Group) chooseLearner(replaced *Voter) string {
-	if to := g.requestedReplacement.to; to != "" {
+	if to := g.requestedReplacement.to; to != "" && replaced != nil && replaced.Name == g.requestedReplacement.from {
 		if o, observed := g.observations[to]; observed && o.Alive && o.CanVote {
 			return to
 		}
@@ -149,9 +167,11 @@
 	progress, isLearning := g.node.Status().Progress[g.learner.ID]
 	switch {
 	case slices.Contains(g.confState.GetVoters(), g.learner.ID):
+		if g.learner.Name == g.requestedReplacement.to {
+			g.requestedReplacement = voterReplacement{}
+		}
 		g.learner = Hello{}
 		g.replacedID = 0
-		g.requestedReplacement = voterReplacement{}
 	case isLearning && progress.Match+maxLearnerLag >= g.appliedIndex:
 		g.proposeLearnerChange(raftpb.ConfChangeAddNode)
 	case !isLearning:
