comments: reasons that the rewording of the code dropped are put back

The old comments of membership, gossip, quota, quotashare, waitestimate, vrrp, connpool, store, index, discovery, service, settings, retry, clusternet, raftnode, localityagent, ledgerstore, placement, simproto, vfs, handoffnet, netconn and resp were read, and those that gave a reason looked up, mostly for constants, in the present code.

14 reasons are put back, each still true by the code. The comment on RestoredExecutor is corrected: the reworded one named executors that are not listed, which restoreExecutor ignores. No code changes.

--- a/internal/handoff/closing.go
+++ b/internal/handoff/closing.go
@@ -58,7 +58,7 @@
 }
 
 // leftToSuccessor reports whether a request that failed during the shutdown of this controller stays open on the
-// replicas, so that a successor can continue it.
+// replicas, so that a successor can continue it. The successor has more time for it than this controller.
 func (m *Manager) leftToSuccessor(req *ownedRequest, outcome Outcome) bool {
 	if !m.shuttingDown || outcome != Failed {
 		return false
--- a/internal/handoff/pacer.go
+++ b/internal/handoff/pacer.go
@@ -14,7 +14,7 @@
 	paceSampling       = 4     // while nothing is adopted, one in so many idempotent requests is timed
 	paceSlowWeight     = 0.03  // weight of the latest request in the moving share of slow ones
 	paceSlowUsual      = 0.5   // share of slow requests under unchanged load: slow means longer than the median
-	paceSlowLimit      = 0.68  // share of slow requests from which the limit is cut: well above the noise of the share
+	paceSlowLimit      = 0.68  // slow share from which the limit is cut: a sixteenth above paceSlowUsual would be noise
 	paceLateFactor     = 1.1   // a request is late if it takes longer than this times the usual 99th percentile
 	paceLateAllowance  = 0.006 // share of late requests that is tolerated
 	paceLateLimit      = 2     // late requests beyond the allowance from which the limit is cut
--- a/internal/index/wheel.go
+++ b/internal/index/wheel.go
@@ -6,7 +6,7 @@
 	wheelBits         = 6                    // log2 of the slots per wheel
 	wheelLevels       = 5                    // number of wheels; they span 64^5 ticks, about 4 years
 	tickMS            = 128                  // length of a tick in ms
-	maxTicksPerExpire = 1 << (2 * wheelBits) // after a longer pause Expire checks each entry instead of each tick
+	maxTicksPerExpire = 1 << (2 * wheelBits) // 9 minutes; after a longer pause Expire checks entries instead of ticks
 )
 
 // wheelSlotAt returns the slot of a tick on the wheel of a level, as an index into Table.wheels.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -25,7 +25,7 @@
 type Ledger struct {
 	settings         Settings
 	classes          []requestClass
-	longestWindowMS  float64 // the longest deduplication window or deadline of a keyed class
+	longestWindowMS  float64 // within it a key may be repeated: the longest dedup window or deadline of a keyed class
 	retentionMS      float64 // Settings.RetentionMS
 	maxAnswerBytes   int
 	maxRecords       int
--- a/internal/locality/monitor.go
+++ b/internal/locality/monitor.go
@@ -190,7 +190,8 @@
 }
 
 // setOrderExpiry sets when orders with a SpanMS end: that long after they become known to this controller. Orders that
-// become known soon after the start may be older, so their end by the wall clock applies if it is earlier.
+// become known soon after the start may be older, so their end by the wall clock applies if it is earlier. The wall
+// clock is the only evidence of their age, and never extends an order.
 func (m *Monitor) setOrderExpiry(orders []Order) {
 	maps.DeleteFunc(m.orderUntil, func(o Order, _ float64) bool { return !slices.Contains(orders, o) })
 	for _, o := range orders {
--- a/internal/membership/suspicion.go
+++ b/internal/membership/suspicion.go
@@ -7,7 +7,8 @@
 )
 
 const (
-	// A suspicion lasts at least suspicionLogFactor probe intervals times the decimal logarithm of the number of members.
+	// A suspicion lasts at least suspicionLogFactor probe intervals times the decimal logarithm of the number of
+	// members, as a refutation needs that long to spread.
 	suspicionLogFactor      = 2.0
 	maxSuspicionFactor      = 6.0 // length of a suspicion with a single accuser, as a multiple of the minimum
 	accusersForMinSuspicion = 3   // accusers that shorten a suspicion to the minimum
--- a/internal/waitestimate/waitestimate.go
+++ b/internal/waitestimate/waitestimate.go
@@ -8,8 +8,8 @@
 import "math"
 
 const (
-	targetCoverage    = 0.93 // share of waits that should stay within their estimates
-	sketchMargin      = 1.05 // factor that covers the error of the sketches
+	targetCoverage    = 0.93 // share of waits that should stay within their estimates: a little more than nine in ten
+	sketchMargin      = 1.05 // factor that covers the error of the sketches: twice sketchAccuracy, and the binning
 	minWaitMS         = 5    // lower bound of a wait: the time that a message takes
 	quantileRefreshMS = 250  // how long computed quantiles are used; computing them is costly
 	minChangeShare    = 0.3  // share by which an estimate must differ to be sent again
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -75,7 +75,7 @@
 }
 
 // isTooLateToQueue reports whether a request will miss its soft deadline in any case and its class earns too little
-// for a late answer to keep the request queued.
+// for a late answer to keep the request queued. Such a request would only fill the queue.
 func (s *Scheduler) isTooLateToQueue(r *request) bool {
 	class := &s.classes[r.class]
 	return class.lateValueShare < minLateValueShare && s.now+class.minRunMS(r) > r.softDeadline
--- a/scheduler/ejection.go
+++ b/scheduler/ejection.go
@@ -11,11 +11,11 @@
 )
 
 const (
-	lateProgressIntervals   = 1.5 // progress intervals after which a report is late
+	lateProgressIntervals   = 1.5 // progress intervals after which a report is late: one, and the phase of the reports
 	silentProgressIntervals = 3.0 // progress intervals without any activity, though health checks are answered
 	progressSlackMS         = 100 // added to both, for reports in transit
 	probeIntervalMS         = 500
-	probesToRecover         = 2   // consecutive answers, multiplied by the number of ejections
+	probesToRecover         = 2   // consecutive answers, as one may be chance; multiplied by the number of ejections
 	maxFailures             = 5   // consecutive failures; a few lost connections don't eject a healthy executor
 	avoidMS                 = 300 // time without new attempts after a failure or a refusal
 )
--- a/scheduler/estimates.go
+++ b/scheduler/estimates.go
@@ -9,7 +9,7 @@
 const (
 	smoothingFactor     = 0.1  // weight of the newest value in a moving average
 	costSmoothingFactor = 0.02 // weight of the newest cost or work: the estimates of a class are wrong in a stable way
-	maxRestoredRuns     = 64   // running times kept across a restart, enough to determine the decay onset
+	maxRestoredRuns     = 64   // running times kept across a restart: three times what the decay onset needs
 )
 
 // expectedWorkMS returns the expected work of a request: the client's estimate, corrected by the ratio of actual to
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -187,7 +187,7 @@
 	ExclusiveKinds []string // kinds missing in this controller's zone; the zone is near for classes limited to them
 }
 
-// RestoredExecutor is the persisted state of an executor that the endpoint list does not contain.
+// RestoredExecutor is the persisted state of an executor besides what the endpoint list says of it.
 type RestoredExecutor struct {
 	Executor    uint32
 	WarmupUntil float64
--- a/scheduler/loadexchange.go
+++ b/scheduler/loadexchange.go
@@ -10,7 +10,7 @@
 const (
 	aggregatorCount     = 3 // more than one, since some may be stalled or down
 	exchangeIntervalMS  = 250
-	levelThreadsPerCore = 0.2 // threads per core that one load level stands for; the highest is twice maxThreadsPerCore
+	levelThreadsPerCore = 0.2 // threads per core of a load level: the highest of the sixteen is twice maxThreadsPerCore
 
 	// failingExtraThreads is added to the threads of a failing executor in the load message, because the executor would
 	// otherwise look idle.
--- a/scheduler/slowstart.go
+++ b/scheduler/slowstart.go
@@ -12,7 +12,10 @@
 	// controllers' estimates of mean work.
 	warmupMargin = 0.9
 
-	maxWarmupPieceShare = 0.8     // largest fraction of the divided budget that is reserved for one large request
+	// maxWarmupPieceShare is the largest fraction of the divided budget that is reserved for one large request. The rest
+	// goes to small requests, which continue the warm-up.
+	maxWarmupPieceShare = 0.8
+
 	restartsPerWindow   = 2       // restarts of each controller within the window that the budget allows for
 	restartChanceFactor = 0.6     // margin on the probability with which a restarted controller uses its full share
 	smallBudgetRequests = 30      // budgets of fewer requests tolerate a larger relative excess
