handoff: a later report that comes with a whole copy supersedes an earlier record, too

What callers saw: found by forcing the order of events. A replica had missed a registration. The owner gave up an attempt, and this replica got the report that nothing ran together with the whole copy; the other one had only the record of the attempt. The owner was killed, and the client's retry failed (written_off) although nobody had sent it.

Cause: a report supersedes an earlier one only if it is confirmed. A copy that is sent after "need copy" was not marked so, although its owner sends it only once a quorum has registered or adopted the request.

Change: sendCopy marks the copy of an active request as confirmed.

Evidence: TestManager_LaterReportWithCopySupersedesRecord failed before.

--- a/internal/handoff/replication.go
+++ b/internal/handoff/replication.go
@@ -129,7 +129,9 @@
 func (m *Manager) sendCopy(req *ownedRequest, to Member) {
 	switch {
 	case req.Complete && req.phase == phaseActive:
-		item := Item{Op: OpRegister, Key: req.key, Sequence: req.Sequence, Copy: &req.Copy, From: req.Owner}
+		c := req.snapshot()
+		c.Confirmed = true // an active request is registered or adopted by a quorum
+		item := Item{Op: OpRegister, Key: req.key, Sequence: req.Sequence, Copy: c, From: req.Owner}
 		m.sendToReplica(req, to.Name, item)
 	case req.phase == phaseClosing:
 		m.send(to.Name, m.currentItemWithCopy(req))
