handoff: the end of a later request with the key ends an adoption, too

What callers saw: found by forcing the order of events. A controller rejected a keyed request, one successor missed that, and the client's next request with the key was registered by the other successor, or by the controller itself, which was then killed. Where the next request had ended, nobody could have the key at the successor that had missed it for as long as the lost controller was away, and at neither if the next request had been rejected.

Cause: one for and one against of three again. Only an end of the adopted request itself, in the lost owner's name, ended the adoption; here the copy that tells against it is that of the next request.

Change: any copy that has ended, and that a replica does not let the adoption replace, ends it. A request is closed only by one that a quorum had registered or let adopt it, and a replica refuses an adoption for the sake of an ended request only if that came later, or ran.

Evidence: TestManager_KeyIsFreeAfterNextRequestThatOneReplicaMissed and TestManager_KeyIsFreeAfterNextRequestOfSameOwner failed before, in both cases.

--- a/internal/handoff/replication.go
+++ b/internal/handoff/replication.go
@@ -89,15 +89,14 @@
 }
 
 // endByKnownCopy ends a registration or an adoption that a single replica shows to be void, however many others accept
-// it: the key has an answer, or the request was ended in the lost owner's name. It reports whether it did. The end of an
-// adoption is closed rather than withdrawn, as the adoption may still reach replicas after a withdrawal.
+// it: the key has an answer, or the adopted request or a later one with its key has ended. It reports whether it did.
+// The end of an adoption is closed rather than withdrawn, as the adoption may still reach replicas after a withdrawal.
 func (m *Manager) endByKnownCopy(req *ownedRequest, known *Copy) bool {
 	answered := known.Outcome == Succeeded && known.Answer != nil
-	endedByOwner := known.Outcome != Open && known.Owner == req.previousOwner && known.ID == req.ID
 	switch {
 	case req.phase == phaseRegistering && answered:
 		m.yieldToOwner(req)
-	case req.phase == phaseAdopting && endedByOwner:
+	case req.phase == phaseAdopting && known.Outcome != Open:
 		req.setAttempt(known.attempt())
 		req.uncertainAttempts = 0
 		m.counts.AdoptionsStarted++
