handoff: a repeat of a key waits behind one that waits already

What callers saw: found by forcing the order of events. A successor had missed the registration of a request of a lost controller, and clients repeated its key there, one each 0.3 s.

Cause: each repeat asked the replicas to register it. The one that knew the request refused, the one that had missed it agreed, and kept the registration for the 1 s after which it times out. Meanwhile it refused the adoption.

Change: a request that arrives while another one waits for the same key waits with it, and does not register before the replicas know of no other request.

--- a/internal/handoff/registration.go
+++ b/internal/handoff/registration.go
@@ -29,6 +29,10 @@
 	waiter := &waitingRequest{Copy: *c, key: KeyOf(c.IdempotencyKey, c.ID), startedAt: m.now}
 	waiter.Owner = m.self
 	waiter.Complete = true
+	if m.isAwaited(waiter.key) { // a registration would hold up the one that the earlier request waits for
+		m.addWaiting(waiter)
+		return
+	}
 	m.register(waiter)
 }
 
--- a/internal/handoff/successor_test.go
+++ b/internal/handoff/successor_test.go
@@ -79,3 +79,24 @@
 		})
 	}
 }
+
+// Guards against repeats of a key, each of which registers at the replica that missed the request, holding up its
+// adoption for as long as they come.
+func TestManager_RepeatsDoNotHoldUpAdoption(t *testing.T) {
+	for name, missed := range map[string]int{"first replica": 0, "second replica": 1} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 3, 1, nil)
+			c.drops = func(_, to int, _ *Item) bool { return to == missed }
+			c.submitRequest(2, "keyed", "a", "m")
+			require.Len(t, c.effectsFor(2, Resume, "a"), 1)
+			c.drops = nil
+			c.declareLost(2)
+			for n := range 15 {
+				c.submitRequest(missed, "keyed", fmt.Sprint("b", n), "m")
+				c.tick(300)
+			}
+			assert.Len(t, c.adopters("a"), 1)
+			c.checkCounts()
+		})
+	}
+}
--- a/internal/handoff/waiting.go
+++ b/internal/handoff/waiting.go
@@ -29,6 +29,11 @@
 	m.waiting = append(m.waiting, waiter)
 }
 
+// isAwaited reports whether a request waits for the outcome of another with this key.
+func (m *Manager) isAwaited(key Key) bool {
+	return slices.ContainsFunc(m.waiting, func(waiter *waitingRequest) bool { return waiter.key == key })
+}
+
 // answerFromCopy answers a request from a copy of its key if the copy has a successful answer. It reports whether it
 // did.
 func (m *Manager) answerFromCopy(waiter *waitingRequest, known *Copy) bool {
