clustersim: requests that nobody sent fail only if their owner is lost in an attempt

The simulation finds requests with an idempotency key that were answered as failed although no attempt of the key has left any node, with the time for which the owner of the last attempt went on after it asked for its record, and whether the attempt was released, and waited for a connection.

A history may have three nodes and one copy, and more clients, for this.

--- a/internal/clustersim/handoff.go
+++ b/internal/clustersim/handoff.go
@@ -44,6 +44,7 @@
 	IgnoreLeases  bool           // lets nodes act without a lease, to show that the checks detect it
 
 	lastExecution map[string]float64 // time of the last execution, by the keys of Executions
+	unsent        *unsentTracker
 	requestCount  int
 	settings      handoff.Settings
 }
@@ -56,6 +57,7 @@
 		Executions:       map[string]int{},
 		DedupWindowMS:    dedupWindowMS,
 		lastExecution:    map[string]float64{},
+		unsent:           newUnsentTracker(),
 		settings:         handoff.DefaultSettings(),
 	}
 	c.ConsensusSettings.LeaseMS = 2000
@@ -102,6 +104,7 @@
 // inject applies a fault to the cluster now. It ignores disk faults, which only the histories of a ConsensusCluster
 // have.
 func (c *HandoffCluster) inject(fault Fault) {
+	c.unsent.observeFault(c.Now, fault)
 	switch fault.Kind {
 	case FaultKill:
 		if c.Nodes[fault.Node].Up {
--- a/internal/clustersim/handoff_request.go
+++ b/internal/clustersim/handoff_request.go
@@ -29,6 +29,14 @@
 	finished       bool
 }
 
+// executionKey returns the key by which HandoffCluster.Executions counts the executions of the request.
+func (r *nodeRequest) executionKey() string {
+	if r.key != "" {
+		return r.key
+	}
+	return r.id
+}
+
 // unsentOutcome returns the outcome of a request whose current attempt is not sent.
 func (r *nodeRequest) unsentOutcome() handoff.Outcome {
 	if r.mayHaveRun {
@@ -86,6 +94,7 @@
 	starting := &handoff.Event{Kind: handoff.AttemptStarting, ID: request.id, Attempt: request.attempts - 1, Zone: "z"}
 	switch c.stepHandoff(nodeIndex, starting) {
 	case handoff.HoldAttempt:
+		c.unsent.recorded[request.executionKey()] = attemptRecord{nodeIndex, c.Now}
 		permitted := &handoff.Event{Kind: handoff.AttemptPermitted, ID: request.id, Attempt: request.attempts - 1}
 		c.stepHandoff(nodeIndex, permitted)
 	case handoff.BlockAttempt:
@@ -99,6 +108,7 @@
 
 // releaseAttempt sends an attempt, at once or after a wait for a new connection.
 func (c *HandoffCluster) releaseAttempt(nodeIndex int, request *nodeRequest) {
+	c.unsent.released[request.executionKey()] = true
 	if c.random.IntN(dialOneIn) > 0 {
 		c.sendAttempt(nodeIndex, request)
 		return
@@ -133,6 +143,7 @@
 		c.finishRequest(nodeIndex, request, request.unsentOutcome())
 		return
 	}
+	c.unsent.sent[request.executionKey()] = true
 	executionMS := minExecutionMS + executionSpreadMS*math.Pow(c.random.Float64(), 3)
 	if c.random.IntN(longExecutionOneIn) == 0 {
 		executionMS = longExecutionMS
@@ -156,10 +167,7 @@
 
 // execute counts an execution of a request, unless the executor drops the request as a duplicate.
 func (c *HandoffCluster) execute(request *nodeRequest) {
-	key := request.key
-	if key == "" {
-		key = request.id
-	}
+	key := request.executionKey()
 	if at, ran := c.lastExecution[key]; ran && c.Now < at+c.DedupWindowMS {
 		return
 	}
--- a/internal/clustersim/handoff_scenario.go
+++ b/internal/clustersim/handoff_scenario.go
@@ -25,6 +25,8 @@
 	DedupWindowMS float64 // see HandoffCluster
 	Faults        []Fault // nil: drawn from the seed
 	IgnoreLeases  bool    // see HandoffCluster
+	SingleCopy    bool    // three nodes that keep one copy of each open request, in place of five that keep two
+	SpacingMS     float64 // longest time between the starts of two clients; 0: maxRequestSpacingMS
 }
 
 // HandoffResult is the result of one history of a HandoffCluster. Keys counts the executed operations. Adopted and
@@ -35,12 +37,17 @@
 	Violations                              []Violation
 	Keys, Requests, Succeeded, Disconnected int
 	Adopted, AdoptionClaims                 int
+	UnsentFailures                          []UnsentFailure
 }
 
-// RunHandoff runs one history: five nodes that keep two copies of each open request, clients that retry at other
+// RunHandoff runs one history: nodes that keep copies of each other's open requests, clients that retry at other
 // nodes, and faults. At the end it heals the network, starts all stopped nodes and checks the invariants.
 func RunHandoff(scenario HandoffScenario) HandoffResult {
-	c := NewHandoffCluster(5, 2, scenario.Seed, scenario.DedupWindowMS)
+	nodes, copies := 5, 2
+	if scenario.SingleCopy {
+		nodes, copies = 3, 1
+	}
+	c := NewHandoffCluster(nodes, copies, scenario.Seed, scenario.DedupWindowMS)
 	c.IgnoreLeases = scenario.IgnoreLeases
 	c.Network.Duplication = 0
 	if scenario.Faults == nil {
@@ -49,7 +56,11 @@
 	for k := range c.Nodes {
 		c.Start(k)
 	}
-	for at := firstRequestMS; at < handoffHistoryMS; at += maxRequestSpacingMS * c.random.Float64() {
+	spacingMS := scenario.SpacingMS
+	if spacingMS == 0 {
+		spacingMS = maxRequestSpacingMS
+	}
+	for at := firstRequestMS; at < handoffHistoryMS; at += spacingMS * c.random.Float64() {
 		c.Schedule(at, c.startClient)
 	}
 	for _, fault := range scenario.Faults {
@@ -97,6 +108,9 @@
 	}
 	for _, request := range c.Requests {
 		result.checkAnswers(request, c.Executions[request.executionKey()])
+		if failure, found := c.unsent.find(request); found {
+			result.UnsentFailures = append(result.UnsentFailures, failure)
+		}
 	}
 	for k, node := range c.HandoffNodes {
 		result.checkNode(k, node.Manager)
