handoff: a repeated message is confirmed only once its copy is on disk

What callers saw: nothing yet. With replicas' disks, an attempt could leave although too few replicas had it on disk.

Cause: only a message that changes a copy waits for the disk. When an owner repeated one that had not been answered, as the disk was slow or had refused the write, nothing changed, and the replica confirmed it at once.

Change: a repeated registration, attempt or adoption is written again and confirmed after that.

Evidence: TestCopyStore_ConfirmsRepeatedMessageOnlyOnceOnDisk failed before.

--- a/internal/handoff/batch.go
+++ b/internal/handoff/batch.go
@@ -1,5 +1,7 @@
 package handoff
 
+import "slices"
+
 // The reasons in replies are part of the wire format and must not change.
 const (
 	reasonNotReady   = "new here"      // this replica has not copied the partition yet: its reply does not count
@@ -59,13 +61,34 @@
 // handleItem handles one item and returns the reply, which is marked with reasonNotReady if this replica may lack
 // copies of the partition.
 func (m *Manager) handleItem(batch *Batch, item *Item) Item {
+	before := len(m.effects)
 	reply := m.applyItem(batch, item)
+	if reply.Op == OpStored && item.attemptWaits() {
+		m.persistConfirmed(item.Key, m.effects[before:])
+	}
 	if reply.Op != OpRefused && !m.isReady(item.targetPartition()) {
 		reply.Reason = reasonNotReady
 	}
 	return reply
 }
 
+// attemptWaits reports whether an attempt may wait for the reply to a message. Nothing waits for ends and withdrawals
+// to be on disk: a copy that is restored from disk never causes an attempt.
+func (item *Item) attemptWaits() bool {
+	return item.Op == OpRegister || item.Op == OpAttempt || item.Op == OpAdopt
+}
+
+// persistConfirmed persists the copy that a reply confirms, unless the effects of the item do. The item repeats an
+// earlier one then, whose copy may not be on disk yet, or may have been refused by the disk.
+func (m *Manager) persistConfirmed(key Key, effects []Effect) {
+	persisted := slices.ContainsFunc(effects, func(effect Effect) bool {
+		return effect.Kind == PersistCopy && effect.Key == key
+	})
+	if stored := m.copies[key]; !persisted && stored != nil && !stored.idMapping {
+		m.persist(stored)
+	}
+}
+
 // targetPartition returns the partition that a message is about.
 func (item *Item) targetPartition() int {
 	if item.Op == OpFetch {
