handoff: a reply that maps an id to an idempotency key can be read

What callers saw: the outcome of a request asked for by its id was unknown, after 800 ms, at a controller that does not store the mapping of the id. Other replies in the same batch were lost with it.

Cause: the copy in such a reply had the deadline 0, which a reader refuses as out of range with clocks that count from 1970, and the whole batch with it.

Change: describe sets the deadline that the mapping is stored with.

Evidence: TestReadBatch_AcceptsIDMapping failed before.

--- a/internal/handoff/copystore.go
+++ b/internal/handoff/copystore.go
@@ -106,7 +106,11 @@
 	}
 	if stored.idMapping {
 		mapping := RequestData{ID: stored.ID, IdempotencyKey: stored.IdempotencyKey}
-		return Item{Op: OpKnown, Copy: &Copy{RequestData: mapping, Outcome: Unknown}} // Unknown marks an id mapping
+		return Item{Op: OpKnown, Copy: &Copy{
+			RequestData: mapping,
+			Outcome:     Unknown, // marks an id mapping
+			Deadline:    stored.Deadline,
+		}}
 	}
 	known := stored.Copy
 	known.Body = nil
