--- a/internal/handoff/golden_test.go
+++ b/internal/handoff/golden_test.go
@@ -75,7 +75,9 @@
 		"behind":       {From: Member{"b", 4}, Version: 9, StalePlacement: true},
 		"empty-answer": {From: Member{"a", 3}, Items: []Item{{Op: OpClose, Answer: []byte{}}}},
 		"adoption":     {From: Member{"a", 3}, Items: []Item{{Op: OpAdopt, Sequence: 9, BaseSequence: 5}}},
-		"clock":        {From: Member{"a", 3}, Clock: 1234.5, StoreUntil: 2300.5, Items: []Item{{Op: OpAttempt, StoreUntil: 2345.5}}},
+		"clock": {
+			From: Member{"a", 3}, Clock: 1234.5, StoreUntil: 2300.5, Items: []Item{{Op: OpAttempt, StoreUntil: 2345.5}},
+		},
 	}
 	for k, name := range goldenOps {
 		embedded := goldenCopy(k)
--- a/internal/handoff/manager.go
+++ b/internal/handoff/manager.go
@@ -362,9 +362,9 @@
 // Table returns the latest agreed table known here, or nil if there is none.
 func (m *Manager) Table() *placement.Table { return m.table }
 
-// moreRecent reports whether copy a supersedes copy b of the same key. A report of the owner supersedes its earlier ones.
-// Otherwise a request that may have run takes precedence over one that cannot have, then the higher sequence does, and
-// then the copy that records a successful run.
+// moreRecent reports whether copy a supersedes copy b of the same key. A report of the owner supersedes its earlier
+// ones. Otherwise a request that may have run takes precedence over one that cannot have, then the higher sequence
+// does, and then the copy that records a successful run.
 func moreRecent(a, b *Copy) bool {
 	switch {
 	case reportsAfter(a, b):
--- a/internal/handoff/message.go
+++ b/internal/handoff/message.go
@@ -74,7 +74,7 @@
 	Reason         string // why a message is refused, or reasonNotReady
 	Copies         []Copy
 	BaseSequence   uint64  // of OpAdopt: the sequence of the copy that is adopted; 0: one below Sequence
-	StoreUntil     float64 // of an attempt record: time by the receiver's clock until which it may be stored; 0: no limit
+	StoreUntil     float64 // time by the receiver's clock until which an attempt record may be stored; 0: no limit
 }
 
 // expired reports whether a message of a batch reached this replica too late to be stored.
--- a/internal/handoff/pause_test.go
+++ b/internal/handoff/pause_test.go
@@ -317,7 +317,8 @@
 	c.tick(4000)
 	for k, m := range c.managers {
 		if !c.down[k] {
-			t.Logf("n%d: owner %v, state %s, outcome %v", k, m.copies[key].Owner, m.copies[key].state, m.copies[key].Outcome)
+			known := m.copies[key]
+			t.Logf("n%d: owner %v, state %s, outcome %v", k, known.Owner, known.state, known.Outcome)
 		}
 	}
 	t.Logf("claims %+v", c.table.Claims)
--- a/internal/handoff/replication.go
+++ b/internal/handoff/replication.go
@@ -266,8 +266,8 @@
 	}
 }
 
-// sendToReplica sends a replica the latest message of a request. A record that attempts wait for may be stored only until
-// the last of them fails, and is not sent after that.
+// sendToReplica sends a replica the latest message of a request. A record that attempts wait for may be stored only
+// until the last of them fails, and is not sent after that.
 func (m *Manager) sendToReplica(req *ownedRequest, replica string, item Item) {
 	if req.recordUntil != 0 && m.now > req.recordUntil {
 		return
--- a/internal/handoff/wire.go
+++ b/internal/handoff/wire.go
@@ -298,8 +298,8 @@
 	return fields
 }
 
-// AppendDelay appends to the encoded batch that it is sent some ms after it was encoded, so that the limit on its attempt
-// records counts from now on. The value that is read last replaces the one before.
+// AppendDelay appends to the encoded batch that it is sent some ms after it was encoded, so that the limit on its
+// attempt records counts from now on. The value that is read last replaces the one before.
 func (b *Batch) AppendDelay(out []byte, delayMS float64) []byte {
 	if b.StoreUntil == 0 {
 		return out
--- a/internal/handoffnet/copystore_test.go
+++ b/internal/handoffnet/copystore_test.go
@@ -43,7 +43,8 @@
 							confirmed++
 						}
 					}
-					batch := &handoff.Batch{From: owner, Version: b.agent.manager.Table().Version, Items: []handoff.Item{item}}
+					version := b.agent.manager.Table().Version
+					batch := &handoff.Batch{From: owner, Version: version, Items: []handoff.Item{item}}
 					b.agent.Step(now, &handoff.Event{Kind: handoff.BatchReceived, Batch: batch, Token: 1})
 				})
 			}
--- a/internal/handoffnet/peerstream_test.go
+++ b/internal/handoffnet/peerstream_test.go
@@ -307,8 +307,7 @@
 			var expired, withheld uint64
 			b.loop.Call(func(float64) { expired = b.agent.manager.Counts().RecordsExpired })
 			a.loop.Call(func(float64) { withheld = a.agent.manager.Counts().AttemptsWithheld })
-			t.Logf("stored %v after %v; refused as late %d, attempts failed %d; datagrams %d, unanswered %d, calls %d", stored(),
-				time.Since(began), expired, withheld, a.agent.datagrams.Load(), a.agent.unanswered.Load(), a.agent.calls.Load())
+			t.Logf("stored %v after %v; refused as late %d, attempts failed %d", stored(), time.Since(began), expired, withheld)
 			assert.Zero(t, expired, "the call was refused as late")
 			assert.EqualValues(t, 1, a.agent.unanswered.Load(), "datagrams lost for one record")
 		})
--- a/internal/handoffnet/receive.go
+++ b/internal/handoffnet/receive.go
@@ -26,7 +26,8 @@
 	frameMustCall = 'c' // the reply is too long for a datagram; the sender has to send the batch by a call
 
 	frameHeaderBytes = 9
-	delayBytes       = 9                                                             // of what handoff.Batch.AppendDelay appends
+	delayBytes       = 9 // of what handoff.Batch.AppendDelay appends
+
 	maxDatagramBatch = clusternet.MaxDatagramPayload - frameHeaderBytes - delayBytes // bytes of an encoded batch
 )
 
