Requests that arrive after their deadline earn no retries

Cause: a client sends 200 messages under one id at once. An id is known up to its deadline; where the first one arrives after its deadline it is forgotten at once, so all 200 counted as arrivals, and a tenth of them as retries that others may have.

--- a/internal/handoff/registration.go
+++ b/internal/handoff/registration.go
@@ -18,7 +18,9 @@
 		return
 	}
 	class := &m.classes[index]
-	m.arrivals = append(m.arrivals, m.now)
+	if c.Deadline > m.now { // as for the retry budget of the scheduler
+		m.arrivals = append(m.arrivals, m.now)
+	}
 	m.pacer.start(m.now, c.ID, index, class.replicated())
 	if !class.replicated() {
 		m.trackRecent(c)
