Adopted requests without time left take no retry budget

Cause: canContinue asked the budget before the deadline. It asks last now. The test failed before: with a budget of one, the request with time left was refused behind one without.

--- a/internal/handoff/adoption.go
+++ b/internal/handoff/adoption.go
@@ -232,13 +232,13 @@
 	if class == nil || !req.Complete || !class.adoptable {
 		return false
 	}
-	if !class.replicated() && !m.takeFromRetryBudget() {
-		return false
-	}
 	if m.now >= req.Deadline-answerMarginMS {
 		return false
 	}
-	return !class.replicated() || class.effect == scheduler.Keyed || req.Confirmed
+	if !class.replicated() {
+		return m.takeFromRetryBudget()
+	}
+	return class.effect == scheduler.Keyed || req.Confirmed
 }
 
 // takeFromRetryBudget reports whether the retry budget allows one more idempotent request to run again, and if so
--- a/internal/handoff/manager_test.go
+++ b/internal/handoff/manager_test.go
@@ -232,6 +232,18 @@
 	cluster.checkCounts()
 }
 
+// Guards against adopted requests without time left using up the retry budget of those that could still run.
+func TestManager_AdoptedRequestsPastTheirDeadlineTakeNoRetryBudget(t *testing.T) {
+	m := newCluster(t, 3, 1, func(s *Settings) { s.RetryBudget.Floor, s.RetryBudget.Share = 1, 0 }).managers[0]
+	class := &m.classes[m.classIndex("idempotent")]
+	adopted := func(deadline float64) *ownedRequest {
+		return &ownedRequest{Copy: Copy{RequestData: RequestData{Class: "idempotent"}, Deadline: deadline, Complete: true}}
+	}
+	assert.False(t, m.canContinue(adopted(m.now), class))
+	assert.True(t, m.canContinue(adopted(m.now+5000), class))
+	assert.False(t, m.canContinue(adopted(m.now+5000), class), "the budget is one")
+}
+
 // Guards against requests that arrive after their deadline raising the budget for running requests again.
 func TestManager_RequestsAfterTheirDeadlineEarnNoReruns(t *testing.T) {
 	c := newCluster(t, 3, 1, func(s *Settings) { s.RetryBudget.Floor, s.RetryBudget.Share = 0, 1 })
