The answer to a cancellation is queued before its request is gone

Cause: cancel took the request off the open ones, put the event into the loop's queue, which may block, and then queued the answer; in between the connection counted as done. The answer is queued under the lock now, as reply does it.

--- a/internal/jsonrpc/concurrency_test.go
+++ b/internal/jsonrpc/concurrency_test.go
@@ -64,6 +64,32 @@
 	close(server.queue.(fullQueue).room)
 }
 
+// signallingQueue tells when Put begins, and blocks it until there is room.
+type signallingQueue struct {
+	fullQueue
+	began chan struct{}
+}
+
+func (q signallingQueue) Put(item dispatch.QueueItem) {
+	close(q.began)
+	q.fullQueue.Put(item)
+}
+
+// Guards against a race in which Done finds a request cancelled and the answer to its cancellation not queued yet.
+func TestServer_DoneSeesAnswerOfCancellation(t *testing.T) {
+	server, queue, conn, reader := newTestServer(t, Limits{})
+	blocked := signallingQueue{fullQueue{queue, make(chan struct{})}, make(chan struct{})}
+	server.queue = blocked
+	send(conn, requestCall(1, "a"))
+	queue.next(t)
+	send(conn, `{"jsonrpc":"2.0","id":2,"method":"giveUp","params":{"req":"a"}}`)
+	<-blocked.began
+	assert.False(t, server.Done(), "the answer has not been written")
+	close(blocked.room)
+	assertReply(t, reader, `{"jsonrpc":"2.0","id":2,"result":{}}`)
+	assert.Equal(t, scheduler.ClientLeft, queue.next(t).Event.Kind)
+}
+
 // A drain must deliver the last answers completely, also to a client that has sent bytes that are no longer read. It
 // must reject requests on open connections and end idle connections without a reset.
 func TestServer_DrainLosesNoAnswer(t *testing.T) {
--- a/internal/jsonrpc/request.go
+++ b/internal/jsonrpc/request.go
@@ -177,14 +177,14 @@
 		cancelled = c.openRequests[index]
 		c.openRequests = slices.Delete(c.openRequests, index, index+1)
 	}
+	if call.id != nil && string(call.id) != string(cancelled.callID) { // queued while holding mu, as in reply
+		c.Push(func(b []byte) []byte { return appendEmptyResult(b, call.id) })
+	}
 	c.mu.Unlock()
 	if index >= 0 {
 		c.abandon(cancelled)
 		c.endIfDone()
 	}
-	if call.id != nil && string(call.id) != string(cancelled.callID) {
-		c.Push(func(b []byte) []byte { return appendEmptyResult(b, call.id) })
-	}
 }
 
 // abandonOpenRequests abandons all open requests.
