--- a/internal/jsonrpc/server_test.go
+++ b/internal/jsonrpc/server_test.go
@@ -187,6 +187,23 @@
 	assert.Len(t, queue, maxOpenRequests)
 }
 
+// Guards against a client losing its open requests because later ones were rejected over a limit.
+func TestServer_RequestsOverLimitDoNotEndConnection(t *testing.T) {
+	_, queue, conn, reader := newTestServer(t, Limits{})
+	for id := 1; id <= maxOpenRequests; id++ {
+		send(conn, requestCall(id, fmt.Sprint("a", id)))
+	}
+	first := queue.next(t).Request
+	for id := range 2 * maxBadMessages {
+		send(conn, requestCall(1000+id, fmt.Sprint("b", id)))
+		got, err := readMessage(reader, nil)
+		require.NoError(t, err)
+		require.Contains(t, string(got), fmt.Sprintf(`"id":%d,"error":{"code":-32008`, 1000+id))
+	}
+	first.Client.Succeeded(first.Tag, nil)
+	assertReply(t, reader, `{"jsonrpc":"2.0","id":1,"result":{"data":""}}`)
+}
+
 // A client that does not read must not exhaust the memory: its connection is closed at a limit, and its queued bytes
 // are freed.
 func TestServer_ClosesSlowReader(t *testing.T) {
