Chaos test: pauses of all members at random around the kill of the owner

Until now the random plays paused successors alone. A key that had not run must be handled when its client retries, and none may run twice.

--- a/internal/chaostest/versions_pause_test.go
+++ b/internal/chaostest/versions_pause_test.go
@@ -1,9 +1,11 @@
 package chaostest
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"syscall"
 	"testing"
@@ -58,11 +60,7 @@
 		}
 	}, func() { p.signal(t, cluster, syscall.SIGCONT) })
 	assertNoUnsentRequestFailed(t, cluster, ran, retries, dedupWindow)
-	for _, r := range retries {
-		if ran[r.key] == 0 {
-			assert.NotEqual(t, testservers.CodeRejected, r.reply.Code, "successors that run must handle it: %s", r)
-		}
-	}
+	assertNoUnsentRequestRejected(t, ran, retries)
 }
 
 // waitForRejections waits until most requests have been rejected for the first time.
@@ -130,6 +128,83 @@
 	return play
 }
 
+// The lengths of the pauses in a memberPausesPlay.
+const (
+	shortestMemberPause = 300 * time.Millisecond
+	longestMemberPause  = 800 * time.Millisecond
+)
+
+// memberSignal is a signal to a member at a time after the requests were sent.
+type memberSignal struct {
+	at     time.Duration
+	member int
+	signal syscall.Signal
+}
+
+// memberPausesPlay is a kill of a controller around which any of the members is paused for a time.
+type memberPausesPlay struct {
+	signals []memberSignal // in the order of their times
+	killAt  time.Duration  // after the requests were sent
+}
+
+// randomMemberPauses draws a play from a seed. The controller that is killed has always been resumed by then: what it has
+// permitted and not sent when it is paused may have run, for all that its replicas can know.
+func randomMemberPauses(seed uint64) (play memberPausesPlay) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	play.killAt = shortestKillDelay + time.Duration(random.Int64N(int64(longestKillDelay-shortestKillDelay)))
+	for member := range killedController + 1 {
+		if random.IntN(2) == 0 {
+			continue
+		}
+		from := time.Duration(random.Int64N(int64(longestPauseDelay)))
+		until := from + shortestMemberPause + time.Duration(random.Int64N(int64(longestMemberPause-shortestMemberPause)))
+		if member == killedController {
+			play.killAt = max(play.killAt, until+time.Millisecond)
+		}
+		play.signals = append(play.signals, memberSignal{from, member, syscall.SIGSTOP},
+			memberSignal{until, member, syscall.SIGCONT})
+	}
+	slices.SortStableFunc(play.signals, func(a, b memberSignal) int { return cmp.Compare(a.at, b.at) })
+	return play
+}
+
+// sendSignals sends the signals that are due from one time up to another, each at its time.
+func (p *memberPausesPlay) sendSignals(t *testing.T, cluster *Cluster, sentAt time.Time, from, to time.Duration) {
+	t.Helper()
+	for _, s := range p.signals {
+		if s.at >= from && s.at < to {
+			time.Sleep(time.Until(sentAt.Add(s.at)))
+			require.NoError(t, cluster.Signal(s.member, s.signal))
+		}
+	}
+}
+
+// run plays it. Each key that had not run at the kill must be handled when its client retries, and no key may run twice.
+func (p *memberPausesPlay) run(t *testing.T, dedupWindow time.Duration) {
+	t.Helper()
+	t.Logf("signals %v, kill after %v", p.signals, p.killAt)
+	_, currentProgram := faultsTagVersions.programs(t)
+	cluster := startAdoptionCluster(t, dedupWindow, []string{currentProgram, currentProgram, currentProgram})
+	var sentAt time.Time
+	ran, retries := retryAfterKill(t, cluster, func() {
+		sentAt = time.Now()
+		p.sendSignals(t, cluster, sentAt, 0, p.killAt)
+		time.Sleep(time.Until(sentAt.Add(p.killAt)))
+	}, func() { p.sendSignals(t, cluster, sentAt, p.killAt, longestKillDelay+longestMemberPause) })
+	assertNoUnsentRequestFailed(t, cluster, ran, retries, dedupWindow)
+	assertNoUnsentRequestRejected(t, ran, retries)
+}
+
+// assertNoUnsentRequestRejected checks that successors have handled the retries of keys that had not run.
+func assertNoUnsentRequestRejected(t *testing.T, ran map[string]int, retries []keyedRequest) {
+	t.Helper()
+	for _, r := range retries {
+		if ran[r.key] == 0 {
+			assert.NotEqual(t, testservers.CodeRejected, r.reply.Code, "successors that run must handle it: %s", r)
+		}
+	}
+}
+
 // seedsFromEnv returns the first seed and the number of seeds to play.
 func seedsFromEnv(t *testing.T) (first, count uint64) {
 	t.Helper()
@@ -144,16 +219,32 @@
 	return first, count
 }
 
-// Pauses of successors at random moments around the first attempts, and a kill of the owner meanwhile, fail no request
-// that was not sent.
-func TestVersions_RandomPausesFailNoUnsentRequest(t *testing.T) {
+// playSeeds runs a play for each of the seeds, with and without deduplication, a few at a time.
+func playSeeds(t *testing.T, run func(t *testing.T, seed uint64, dedupWindow time.Duration)) {
+	t.Helper()
 	first, count := seedsFromEnv(t)
 	slots := make(chan struct{}, maxParallelPauses)
 	for seed := first; seed < first+count; seed++ {
 		runWithAndWithoutDeduplication(t, fmt.Sprint("seed ", seed), func(t *testing.T, dedupWindow time.Duration) {
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			randomPausePlay(seed).run(t, dedupWindow)
+			run(t, seed, dedupWindow)
 		})
 	}
 }
+
+// Pauses of successors at random moments around the first attempts, and a kill of the owner meanwhile, fail no request
+// that was not sent.
+func TestVersions_RandomPausesFailNoUnsentRequest(t *testing.T) {
+	playSeeds(t, func(t *testing.T, seed uint64, dedupWindow time.Duration) {
+		randomPausePlay(seed).run(t, dedupWindow)
+	})
+}
+
+// Pauses of any members around a kill fail no request that was not sent, leave no key unusable and run none twice.
+func TestVersions_RandomPausesOfAllMembersFailNoUnsentRequest(t *testing.T) {
+	playSeeds(t, func(t *testing.T, seed uint64, dedupWindow time.Duration) {
+		play := randomMemberPauses(seed)
+		play.run(t, dedupWindow)
+	})
+}
