Ids of requests that arrive after their deadline stay known for a second

The cause is met where it is now: an id was forgotten at once where its request came after its deadline, so a client that sends one id 200 times opened 200 requests. It is known for a second, and the others fail as duplicates before the scheduler, the ledger or the handoff count them.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -248,6 +248,35 @@
 	assert.Empty(t, loop.closedIDs, "an id is forgotten at the deadline of its request")
 }
 
+// Guards against a client that sends one id many times raising the retry budget of all others, where the first request
+// arrives after its deadline: each request that the scheduler gets counts as an arrival.
+func TestLoop_FailsDuplicateOfLateRequest(t *testing.T) {
+	transport, other := &fakeTransport{}, &fakeTransport{}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	reject := actionsByEvent{scheduler.RequestArrived: {{Kind: scheduler.Reject, Request: "a"}}}
+	policy := &fakePolicy{actions: reject}
+	loop := New(NewClock(), policy, log)
+	late := func(client *fakeTransport) QueueItem {
+		request := newRequest(loop, client)
+		request.Deadline = loop.clock.Now() - 5
+		loop.openCount.Add(1)
+		return requestArrived(request)
+	}
+	loop.process(late(transport))
+	assert.Equal(t, []string{"rejected"}, transport.calls)
+	for range 3 {
+		loop.process(late(other))
+	}
+	assert.Equal(t, []string{"failed", "failed", "failed"}, other.calls)
+	assert.Len(t, policy.events, 1, "the scheduler gets the id once")
+	assert.Len(t, loop.closedIDs, 1)
+	assert.InDelta(t, loop.clock.Now()+lateIDKnownMS, loop.timers[0].at, 500)
+	loop.expireRequest("a")
+	assert.Empty(t, loop.closedIDs, "the id is forgotten")
+	assert.Zero(t, loop.OpenRequests())
+}
+
 func TestLoop_HealthChecks(t *testing.T) {
 	checkOnTimer := actionsByEvent{scheduler.TimerFired: {{Kind: scheduler.HealthCheck, Executor: 7}}}
 	timerFired := QueueItem{Event: scheduler.Event{Kind: scheduler.TimerFired}}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -61,8 +61,12 @@
 	grantMB        float64
 	answered       bool
 	answerWithheld bool // answered, but an extension withholds the answer from the client
+	idKnownUntil   float64 // its deadline timer fires then, and the id is forgotten
 }
 
+// lateIDKnownMS is how long an id stays known if its request arrives after its deadline.
+const lateIDKnownMS = 1000
+
 // isKnown returns whether an id belongs to a request that is admitted or suspended.
 func (l *Loop) isKnown(id string) bool { return l.requests[id] != nil || l.suspended[id] != nil }
 
@@ -70,7 +74,9 @@
 // suspended or answered instead.
 //
 // A request with a known id fails, and the first request with that id goes on. An id stays known until the deadline of
-// its request even after that is closed, because running it again would count as another attempt.
+// its request even after that is closed, because running it again would count as another attempt. If that deadline has
+// passed, the id is known for lateIDKnownMS: each request counts as an arrival for the retry budget, and a client that
+// sent one id many times would raise the budget of all others.
 func (l *Loop) admit(request *Request, event *scheduler.Event, resumed bool) *requestState {
 	_, closed := l.closedIDs[request.ID]
 	if !resumed {
@@ -88,6 +94,10 @@
 	}
 	state := l.newRequestState()
 	*state = requestState{Request: *request, prior: event.Prior, blocked: event.Blocked}
+	state.idKnownUntil = request.Deadline
+	if now := l.clock.Now(); request.Deadline <= now {
+		state.idKnownUntil = now + lateIDKnownMS
+	}
 	l.requests[request.ID] = state
 	event.Request = request.ID
 	event.Class = request.Class
@@ -97,7 +107,7 @@
 	event.WorkMS = request.WorkMS
 	event.Deadline = request.Deadline
 	event.Retried = request.Retried
-	l.timers.push(timer{at: request.Deadline, kind: deadlineTimer, request: request.ID})
+	l.timers.push(timer{at: state.idKnownUntil, kind: deadlineTimer, request: request.ID})
 	return state
 }
 
@@ -224,7 +234,7 @@
 		return
 	}
 	delete(l.requests, state.ID)
-	if l.clock.Now() < state.Deadline { // its deadline timer has not fired yet and will delete the id
+	if l.clock.Now() < state.idKnownUntil { // its deadline timer has not fired yet and will delete the id
 		l.closedIDs[state.ID] = struct{}{}
 	}
 	*state = requestState{}
--- a/internal/handoff/registration.go
+++ b/internal/handoff/registration.go
@@ -18,9 +18,7 @@
 		return
 	}
 	class := &m.classes[index]
-	if c.Deadline > m.now { // as for the retry budget of the scheduler
-		m.arrivals = append(m.arrivals, m.now)
-	}
+	m.arrivals = append(m.arrivals, m.now)
 	m.pacer.start(m.now, c.ID, index, class.replicated())
 	if !class.replicated() {
 		m.trackRecent(c)
--- a/internal/ledger/request.go
+++ b/internal/ledger/request.go
@@ -143,9 +143,7 @@
 		admitted.Kind = AdmitBlocked
 	}
 	l.emit(admitted)
-	if ev.Deadline+l.clockOffset > l.now { // the scheduler counts no others either
-		l.retryBudget.countRequest(l.now)
-	}
+	l.retryBudget.countRequest(l.now)
 	// Past maxRecords, idempotent requests are admitted without a record. No durable state depends on it, but a query
 	// for the outcome of such a request is answered by Unknown.
 	if admitted.Kind == Admit && l.requests.Len() < l.maxRecords {
--- a/scheduler/requests.go
+++ b/scheduler/requests.go
@@ -115,7 +115,7 @@
 	r.startPriority = ev.PriorityCap
 	r.memoryShare = ev.MemoryShare
 	r.immediate = ev.Immediate
-	if earnsRetries(ev, s.now) && !r.immediate { // an immediate request counts as an arrival only once it is sent
+	if !r.immediate { // an immediate request counts as an arrival only once it is sent
 		s.arrivals.add(s.now, 1)
 	}
 	return slot
--- a/scheduler/retry.go
+++ b/scheduler/retry.go
@@ -26,11 +26,6 @@
 	return float64(recent+pending+1) <= allowed && float64(s.retries.count()+pending) <= allowed
 }
 
-// earnsRetries reports whether a request that arrives counts as an arrival for the retry budget. One that arrives after
-// its deadline does not: its id is not known as a duplicate's afterwards, so a client that sent it many times would raise
-// the budget of all others.
-func earnsRetries(arrived *Event, now float64) bool { return arrived.Deadline > now }
-
 // mayReplaceAttempt reports whether an attempt at a request may be cancelled so that another one can follow it.
 func (s *Scheduler) mayReplaceAttempt(r *request) bool {
 	return s.settings.MayCancel && s.attemptsLeft(r) && s.retryBudgetLeft(s.awaitingRetry())
