Failures of a connection with lost framing are queued before its requests go

Found by review, then forced: the same cause as the missed answer to a cancellation. failAndClose took the open requests off and told the event loop, which may block, before it queued their failures, so the connection counted as done in between.

--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -60,7 +60,7 @@
 	level          int
 	grantMB        float64
 	answered       bool
-	answerWithheld bool // answered, but an extension withholds the answer from the client
+	answerWithheld bool    // answered, but an extension withholds the answer from the client
 	idKnownUntil   float64 // its deadline timer fires then, and the id is forgotten
 }
 
--- a/internal/jsonrpc/concurrency_test.go
+++ b/internal/jsonrpc/concurrency_test.go
@@ -64,30 +64,48 @@
 	close(server.queue.(fullQueue).room)
 }
 
-// signallingQueue tells when Put begins, and blocks it until there is room.
+// signallingQueue signals when Put begins, and blocks it until there is room.
 type signallingQueue struct {
 	fullQueue
 	began chan struct{}
 }
 
 func (q signallingQueue) Put(item dispatch.QueueItem) {
-	close(q.began)
+	q.began <- struct{}{}
 	q.fullQueue.Put(item)
 }
 
-// Guards against a race in which Done finds a request cancelled and the answer to its cancellation not queued yet.
-func TestServer_DoneSeesAnswerOfCancellation(t *testing.T) {
-	server, queue, conn, reader := newTestServer(t, Limits{})
-	blocked := signallingQueue{fullQueue{queue, make(chan struct{})}, make(chan struct{})}
-	server.queue = blocked
-	send(conn, requestCall(1, "a"))
-	queue.next(t)
-	send(conn, `{"jsonrpc":"2.0","id":2,"method":"giveUp","params":{"req":"a"}}`)
-	<-blocked.began
-	assert.False(t, server.Done(), "the answer has not been written")
-	close(blocked.room)
-	assertReply(t, reader, `{"jsonrpc":"2.0","id":2,"result":{}}`)
-	assert.Equal(t, scheduler.ClientLeft, queue.next(t).Event.Kind)
+// Guards against a race in which Done finds the requests of a connection gone and the replies about them not queued yet,
+// where the event loop is told of a request's end first.
+func TestServer_DoneSeesRepliesWhileEventQueueIsFull(t *testing.T) {
+	for name, test := range map[string]struct{ message, reply string }{
+		"cancellation": {
+			withLength(`{"jsonrpc":"2.0","id":2,"method":"giveUp","params":{"req":"a"}}`),
+			`{"jsonrpc":"2.0","id":2,"result":{}}`,
+		},
+		"lost framing": {
+			"no head\r\n\r\n",
+			`{"jsonrpc":"2.0","id":1,"error":{"code":-32000,"message":"framing lost"}}`,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server, queue, conn, reader := newTestServer(t, Limits{})
+			blocked := signallingQueue{fullQueue{queue, make(chan struct{})}, make(chan struct{}, 1)}
+			server.queue = blocked
+			send(conn, requestCall(1, "a"))
+			queue.next(t)
+			fmt.Fprint(conn, test.message)
+			select {
+			case <-blocked.began:
+			case <-time.After(3 * time.Second):
+				require.Fail(t, "the event loop is not told within 3 s")
+			}
+			assert.False(t, server.Done(), "the reply has not been written")
+			close(blocked.room)
+			assertReply(t, reader, test.reply)
+			assert.Equal(t, scheduler.ClientLeft, queue.next(t).Event.Kind)
+		})
+	}
 }
 
 // A drain must deliver the last answers completely, also to a client that has sent bytes that are no longer read. It
--- a/internal/jsonrpc/conn.go
+++ b/internal/jsonrpc/conn.go
@@ -135,11 +135,16 @@
 	if server.FramingErrors.Add(1) == 1 {
 		server.log.WithField("error", cause).Warn("client server: framing lost")
 	}
-	for _, r := range c.takeOpenRequests() {
-		c.abandon(r)
+	c.mu.Lock()
+	failed := c.takeOpenRequestsLocked()
+	for _, r := range failed { // queued while holding mu, as in reply
 		c.Push(func(b []byte) []byte { return appendError(b, r.callID, rpcError{codeFailed, "framing lost"}, 0) })
 	}
 	c.Push(func(b []byte) []byte { return appendError(b, nil, rpcError{codeParseError, "framing lost"}, 0) })
+	c.mu.Unlock()
+	for _, r := range failed {
+		c.abandon(r)
+	}
 	c.End(false)
 	var discarded [readBufferBytes]byte
 	for read := 0; read < netconn.LingerBytes; { // Read returns ErrClosed once everything is written
--- a/internal/jsonrpc/helpers_test.go
+++ b/internal/jsonrpc/helpers_test.go
@@ -76,8 +76,11 @@
 }
 
 // send writes a message with its Content-Length header.
-func send(conn net.Conn, text string) {
-	fmt.Fprintf(conn, "Content-Length: %d\r\n\r\n%s", len(text), text)
+func send(conn net.Conn, text string) { fmt.Fprint(conn, withLength(text)) }
+
+// withLength returns a message with its Content-Length header.
+func withLength(text string) string {
+	return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(text), text)
 }
 
 // requestCall returns a call that submits the request "SELECT 1 FROM sales_17.t" of the class "look".
--- a/internal/jsonrpc/request.go
+++ b/internal/jsonrpc/request.go
@@ -211,6 +211,11 @@
 func (c *clientConn) takeOpenRequests() []openRequest {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.takeOpenRequestsLocked()
+}
+
+// takeOpenRequestsLocked is takeOpenRequests for a caller that holds mu.
+func (c *clientConn) takeOpenRequestsLocked() []openRequest {
 	taken := c.openRequests
 	c.openRequests = nil
 	c.closing = true
