--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -294,6 +294,20 @@
 	})
 }
 
+// Guards against duplicates of a request that arrived after its deadline raising the retry budget after a restart.
+func TestLedger_RequestsAfterTheirDeadlineEarnNoRetries(t *testing.T) {
+	l := newTestLedger(1000)
+	l.receive(1000, "look", "a", "")
+	for n := range 20 {
+		now := 1000 + 10*float64(n)
+		l.step(now, Event{Kind: RequestReceived, ID: "late", Class: "look", Deadline: 1000})
+		l.step(now+5, Event{Kind: Ticked})
+	}
+	restarted := startLedger(l.store, 2000, clocksAt(2000), false)
+	require.Len(t, restarted.restored, 1)
+	assert.Len(t, restarted.restored[0].Arrivals, 1)
+}
+
 // countWithinWindow returns how many of the times lie within the window of the retry budget that ends at now.
 func countWithinWindow(times []float64, now float64) (n int) {
 	for _, at := range times {
--- a/internal/ledger/request.go
+++ b/internal/ledger/request.go
@@ -143,7 +143,9 @@
 		admitted.Kind = AdmitBlocked
 	}
 	l.emit(admitted)
-	l.retryBudget.countRequest(l.now)
+	if ev.Deadline+l.clockOffset > l.now { // a later one may be a duplicate, as no record of the first is left
+		l.retryBudget.countRequest(l.now)
+	}
 	// Past maxRecords, idempotent requests are admitted without a record. No durable state depends on it, but a query
 	// for the outcome of such a request is answered by Unknown.
 	if admitted.Kind == Admit && l.requests.Len() < l.maxRecords {
