chaostest: failed tests print why controllers gave requests up

A failed test of a cluster printed the first 4000 bytes of each log, and nothing of what the replicas knew: of the failures of TestVersions_MixedClusterRunsEachKeyOnce beside writers nobody could say which of the two versions had caused them.

Any failed test with a cluster now prints for each controller its program, the handoff counters that are not zero, and the log lines about slow disks, leases, stalls and losses. assertAdoption prints for each key when it ran, what its clients saw and when, and what the successors' copies said just after the kill and at the end (describeCopies says whether an attempt may have run). No check is changed; the copies are read by control calls beside the clients.

--- a/internal/chaostest/helpers_test.go
+++ b/internal/chaostest/helpers_test.go
@@ -53,13 +53,16 @@
 	return cluster
 }
 
-// newCluster returns a cluster without running controllers. It is closed at the end of the test, and the beginnings of
-// the controllers' logs are printed if the test fails.
+// newCluster returns a cluster without running controllers. It is closed at the end of the test. If the test fails,
+// diagnostics of the controllers and the beginnings of their logs are printed.
 func newCluster(t *testing.T, config Config) *Cluster {
 	t.Helper()
 	cluster, err := New(config)
 	require.NoError(t, err)
 	t.Cleanup(func() {
+		if t.Failed() {
+			logDiagnostics(t, cluster)
+		}
 		cluster.Close()
 		if t.Failed() {
 			for _, c := range cluster.Controllers {
--- a/internal/chaostest/outcomes.go
+++ b/internal/chaostest/outcomes.go
@@ -74,8 +74,8 @@
 			continue
 		}
 		for _, kept := range reply.Copies {
-			text += fmt.Sprintf("%s %s of %s/%s sequence %d %s in flight %v; ", c.Name, kept.State, kept.Owner,
-				kept.Incarnation, kept.Sequence, kept.Outcome, kept.InFlightHere)
+			text += fmt.Sprintf("%s %s of %s/%s sequence %d %s, %s, in flight %v; ", c.Name, kept.State, kept.Owner,
+				kept.Incarnation, kept.Sequence, kept.Outcome, kept.RunState, kept.InFlightHere)
 		}
 	}
 	return text
--- a/internal/chaostest/versions_test.go
+++ b/internal/chaostest/versions_test.go
@@ -341,15 +341,19 @@
 	const killed, requests = killedController, adoptedRequests
 	cluster := startAdoptionCluster(t, dedupWindow, programs[:3])
 	keys := numberedKeys("m", requests)
+	trace := traceAdoption(t, cluster, keys)
 	var sent submissions
 	waitForReplies := submitKeyedRecording(cluster, killed, "a", keys, &sent)
 	waitForStableRuns(t, cluster, 1)
 	assertRegistrations(t, cluster, &sent)
 	cluster.Kill(killed)
 	ran := runsByKey(cluster)
-	inFlight := disconnectedKeys(t, waitForReplies())
+	trace.noteKill()
+	trace.first = waitForReplies()
+	inFlight := disconnectedKeys(t, trace.first)
 	require.NotEmpty(t, inFlight, "requests must be in flight at the kill")
 	retries := submitKeyedAll(cluster, 0, "b", inFlight)()
+	trace.retries = retries
 	handled := 0
 	for _, r := range retries {
 		assert.NoError(t, r.err, "retry of %s", r.key)
