Chaos test: a resumed owner has time to give up what waited before its kill

The owner was paused 4.8 ms after the requests were sent, and killed 1 ms after its resumption, with replies of its replicas unread. That is the window which is left by design: its replicas have records of attempts that it has neither sent nor given up, and nobody can tell. The test meant to leave it out and left it open for the millisecond after a pause.

--- a/internal/chaostest/versions_pause_test.go
+++ b/internal/chaostest/versions_pause_test.go
@@ -132,6 +132,9 @@
 const (
 	shortestMemberPause = 300 * time.Millisecond
 	longestMemberPause  = 800 * time.Millisecond
+	// givingUpTime is how long a controller that was paused takes to give up the attempts that waited meanwhile, and to
+	// tell their replicas: a tick of 100 ms and an exchange.
+	givingUpTime = 200 * time.Millisecond
 )
 
 // memberSignal is a signal to a member at a time after the requests were sent.
@@ -147,8 +150,9 @@
 	killAt  time.Duration  // after the requests were sent
 }
 
-// randomMemberPauses draws a play from a seed. The controller that is killed has always been resumed by then: what it has
-// permitted and not sent when it is paused may have run, for all that its replicas can know.
+// randomMemberPauses draws a play from a seed. The controller that is killed has been resumed for givingUpTime by then:
+// an attempt that its replicas have on record, and that it has neither sent nor given up, may have run, for all that they
+// can know.
 func randomMemberPauses(seed uint64) (play memberPausesPlay) {
 	random := rand.New(rand.NewPCG(seed, 1))
 	play.killAt = shortestKillDelay + time.Duration(random.Int64N(int64(longestKillDelay-shortestKillDelay)))
@@ -159,7 +163,7 @@
 		from := time.Duration(random.Int64N(int64(longestPauseDelay)))
 		until := from + shortestMemberPause + time.Duration(random.Int64N(int64(longestMemberPause-shortestMemberPause)))
 		if member == killedController {
-			play.killAt = max(play.killAt, until+time.Millisecond)
+			play.killAt = max(play.killAt, until+givingUpTime)
 		}
 		play.signals = append(play.signals, memberSignal{from, member, syscall.SIGSTOP},
 			memberSignal{until, member, syscall.SIGCONT})
