--- a/internal/jsonrpc/request.go
+++ b/internal/jsonrpc/request.go
@@ -70,7 +70,7 @@
 func (c *clientConn) replyError(callID []byte, e rpcError) {
 	c.server.BadRequests.Add(1)
 	c.mu.Lock()
-	if !c.closing && e.code != codeRejected { // requests over a limit or on an ending connection are well-formed
+	if !c.closing { // messages that arrive while the connection ends are not the client's fault
 		c.badMessages++
 	}
 	if slices.ContainsFunc(c.openRequests, func(r openRequest) bool { return string(r.callID) == string(callID) }) {
