Attempts that were not recorded in time use up no attempts of their request

Callers saw: retries of keyed requests failed (written off) some 4.5 s after a successor had adopted them, with seconds left to their deadline, though executors drop repeats and the disk recovered.

Cause: an attempt that is not recorded within 300 ms is tried again, but each took one of eight attempt numbers. After eight, a request that may have run before can only fail.

Change: such an attempt leaves its number to the next one. Why it works: it was never sent, so nobody else knows the number; the ledger forgets its hold, so that a late record releases nothing. Delays, deadline and window bound the tries as before.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -105,7 +105,7 @@
 
 const (
 	attemptBlocked    unsentReason = iota // no attempt of the request may be sent
-	attemptUnrecorded                     // it was not recorded in time; another attempt may be
+	attemptUnrecorded                     // it was not recorded in time; another attempt, with its number, may be
 )
 
 // failAttempt ends a held attempt that an extension does not permit. The attempt was not sent, and its event tells the
@@ -168,6 +168,9 @@
 	ended.inFlight = false
 	ended.running = nil
 	state.inFlight--
+	if event.Unrecorded {
+		state.started-- // the scheduler gives its number to the next attempt
+	}
 	event.Executor = ended.executor
 	event.ElapsedMS = l.clock.Now() - ended.sentAt
 	l.counters.AttemptEnds[event.Outcome]++
--- a/internal/dispatch/extension_test.go
+++ b/internal/dispatch/extension_test.go
@@ -169,6 +169,25 @@
 	}
 }
 
+// An attempt that was not recorded in time leaves its number to the next one. Requests have room for any number of such
+// attempts.
+func TestLoop_UnrecordedAttemptLeavesItsNumber(t *testing.T) {
+	transport := &fakeTransport{cancelResult: CancelledUnsent}
+	loop, policy, _ := newExtendedLoop(transport, commandsByEvent{AttemptStarting: {{Kind: HoldAttempt}}})
+	policy.actions = actionsByEvent{scheduler.AttemptEnded: {{Kind: scheduler.Send, Request: "a", Executor: 7}}}
+	for range maxAttempts + 1 {
+		loop.Execute([]Command{{Kind: FailAttempt, ID: "a"}})
+		loop.processPending()
+		ended := policy.lastEvent(scheduler.AttemptEnded)
+		assert.Equal(t, 0, ended.Attempt)
+		assert.True(t, ended.Unrecorded)
+	}
+	require.Len(t, transport.sent, maxAttempts+2)
+	assert.Equal(t, 0, transport.sent[maxAttempts+1].Number)
+	loop.Execute([]Command{{Kind: ReleaseAttempt, ID: "a"}})
+	assert.Equal(t, "release", transport.calls[len(transport.calls)-1])
+}
+
 func TestLoop_WithheldAnswerIsDeliveredOnce(t *testing.T) {
 	transport := &fakeTransport{}
 	loop, _, received := newExtendedLoop(transport, commandsByEvent{RequestEnding: {{Kind: WithholdAnswer}}})
--- a/internal/ledger/disk.go
+++ b/internal/ledger/disk.go
@@ -104,6 +104,14 @@
 	l.held = slices.Delete(l.held, 0, overdue)
 }
 
+// forgetHeld drops the hold on an attempt that has ended. The next attempt may have the same number, and the record of
+// the earlier one must not release it.
+func (l *Ledger) forgetHeld(id string, attempt int) {
+	l.held = slices.DeleteFunc(l.held, func(held heldAttempt) bool {
+		return held.id == id && held.attempt == attempt
+	})
+}
+
 func (l *Ledger) failAttempt(held heldAttempt) {
 	l.counts.AttemptsFailed++
 	l.emit(Effect{Kind: FailAttempt, ID: held.id, Attempt: held.attempt})
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -252,6 +252,21 @@
 	}
 }
 
+// An attempt that ended while it was held may be followed by one with its number, which the record of the earlier one
+// must not release.
+func TestLedger_RecordOfEndedAttemptReleasesNoOther(t *testing.T) {
+	l := newTestLedger(1000)
+	l.receive(1000, "mark", "a", "m")
+	first := l.step(1000, Event{Kind: AttemptStarting, ID: "a", Executor: 1})
+	l.step(1010, Event{Kind: AttemptEnded, ID: "a", NeverRan: true})
+	second := l.step(1020, Event{Kind: AttemptStarting, ID: "a", Executor: 1})
+	require.NotEqual(t, first[0].Token, second[0].Token)
+	assert.Empty(t, l.step(1030, Event{Kind: RecordsStored, Token: first[0].Token, OK: true}))
+	released := l.step(1040, Event{Kind: RecordsStored, Token: second[0].Token, OK: true})
+	require.Len(t, released, 1)
+	assert.Equal(t, ReleaseAttempt, released[0].Kind)
+}
+
 // TestLedger_RetryBudgetHoldsAcrossACrash checks that a window across a crash never has more retries than the budget
 // allows, even if the last records are missing.
 func TestLedger_RetryBudgetHoldsAcrossACrash(t *testing.T) {
--- a/internal/ledger/request.go
+++ b/internal/ledger/request.go
@@ -248,6 +248,9 @@
 		return
 	}
 	req.inFlight &^= 1 << ev.Attempt
+	if ev.NeverRan {
+		l.forgetHeld(req.id, ev.Attempt)
+	}
 	req.mayHaveRun = req.mayHaveRun || !ev.NeverRan
 	if req.inFlight == 0 {
 		input := inputAttemptsNeverRan
--- a/scheduler/attempts.go
+++ b/scheduler/attempts.go
@@ -131,7 +131,7 @@
 		e.avoidUntil = s.now + avoidMS
 	case NeverSent:
 		if ev.Unrecorded {
-			s.recordLocalFailure(r, a)
+			s.withdrawUnrecorded(r, a)
 		}
 	case LocalFailure:
 		e.avoidUntil = s.now + avoidMS // another executor may already have an open connection
--- a/scheduler/requests.go
+++ b/scheduler/requests.go
@@ -6,7 +6,8 @@
 	"slices"
 )
 
-// attemptCapacity is the largest number of attempts at a request, including those that were never sent.
+// attemptCapacity is the largest number of attempts at a request, including those that were never sent, but not those
+// that were not recorded in time.
 const attemptCapacity = 8
 
 // attempt is one attempt at running a request on an executor.
@@ -55,6 +56,8 @@
 	retryNotBefore float64 // end of the backoff after a local failure
 	inFlight       int     // attempts without an outcome
 	errorCount     int     // attempts that ended in an error
+
+	unrecordedCount int // attempts that were withdrawn because they were not recorded in time
 }
 
 // requestTable holds the open requests in slots. The slots of removed requests are reused.
--- a/scheduler/retry.go
+++ b/scheduler/retry.go
@@ -32,7 +32,7 @@
 }
 
 // attemptsLeft reports whether a request may have another attempt. Attempts that were never sent because of a local
-// failure don't count towards MaxAttempts, but take up attempt capacity.
+// failure don't count towards MaxAttempts, but take up attempt capacity. Unrecorded ones take up nothing.
 func (s *Scheduler) attemptsLeft(r *request) bool {
 	return r.attemptCount < attemptCapacity && r.startedCount() < s.settings.MaxAttempts
 }
@@ -45,12 +45,31 @@
 }
 
 // recordLocalFailure removes an attempt that was never sent from the retry count, and delays the next attempt at its
-// request with exponential backoff.
+// request.
 func (s *Scheduler) recordLocalFailure(r *request, a *attempt) {
 	r.unsentCount++
 	if r.startedCount() > 0 {
 		s.retries.remove(a.sentAt)
 	}
-	backoffMS := localRetryBackoffMS * float64(uint(1)<<(r.unsentCount-1))
+	s.delayLocalRetry(r)
+}
+
+// withdrawUnrecorded removes the latest attempt at a request, which was never sent because it was not recorded in time,
+// and delays the next one, which gets its number. What keeps attempts from being recorded may last longer than any
+// number of them, and nothing has left this controller.
+func (s *Scheduler) withdrawUnrecorded(r *request, a *attempt) {
+	sentAt := a.sentAt
+	r.attemptCount--
+	r.unrecordedCount++
+	if r.startedCount() > 0 {
+		s.retries.remove(sentAt)
+	}
+	s.delayLocalRetry(r)
+}
+
+// delayLocalRetry delays the next attempt at a request with exponential backoff.
+func (s *Scheduler) delayLocalRetry(r *request) {
+	doublings := r.unsentCount + r.unrecordedCount - 1
+	backoffMS := math.Ldexp(localRetryBackoffMS, doublings)
 	r.retryNotBefore = s.now + min(maxLocalRetryBackoffMS, backoffMS)
 }
