An attempt that starts while the lease is over does not end its request

Callers saw: beside heavy writes to disk, retries of keyed requests failed (written off) with seconds left, though executors drop repeats and the controller held its lease again soon after.

Cause: an attempt without the lease was blocked, at its start and at the last check before the socket, which forbids any other attempt as well; a request that may have run before can then only fail.

Change: the attempt is postponed and ends as Unrecorded, so that the scheduler tries again while deadline and window last. Why it works: nothing leaves without the lease, as before, and a lease that returns is used. What cannot have run is rejected at once, as before; nothing may follow where the incarnation itself is over, as before.

--- a/internal/clustersim/handoff_request.go
+++ b/internal/clustersim/handoff_request.go
@@ -97,7 +97,7 @@
 		c.unsent.recorded[request.executionKey()] = attemptRecord{nodeIndex, c.Now}
 		permitted := &handoff.Event{Kind: handoff.AttemptPermitted, ID: request.id, Attempt: request.attempts - 1}
 		c.stepHandoff(nodeIndex, permitted)
-	case handoff.BlockAttempt:
+	case handoff.BlockAttempt, handoff.PostponeAttempt:
 		request.outstanding = false
 		request.attempts--
 		c.finishRequest(nodeIndex, request, request.unsentOutcome())
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -61,6 +61,8 @@
 		l.endAttempt(state, number, scheduler.LocalFailure)
 	case decided.blockAttempt:
 		l.failAttempt(state.ID, number, attemptBlocked)
+	case decided.postpone:
+		l.failAttempt(state.ID, number, attemptUnrecorded)
 	case held: // sent at ReleaseAttempt
 		l.permitLastHolders(state, number)
 	case delayMS > 0:
@@ -105,7 +107,7 @@
 
 const (
 	attemptBlocked    unsentReason = iota // no attempt of the request may be sent
-	attemptUnrecorded                     // it was not recorded in time; another attempt, with its number, may be
+	attemptUnrecorded                     // not recorded in time, or no lease; another attempt, with its number, may be
 )
 
 // failAttempt ends a held attempt that an extension does not permit. The attempt was not sent, and its event tells the
--- a/internal/dispatch/command.go
+++ b/internal/dispatch/command.go
@@ -16,6 +16,7 @@
 	holds          int // number of extensions that hold the attempt
 	lastHolds      int // those of them that wait for AttemptPermitted
 	blockAttempt   bool
+	postpone       bool // the attempt
 	consumed       bool
 	suspend        bool
 	withholdAnswer bool
@@ -42,6 +43,8 @@
 		}
 	case BlockAttempt:
 		d.blockAttempt = true
+	case PostponeAttempt:
+		d.postpone = true
 	case Suspend:
 		d.suspend = true
 	case WithholdAnswer:
--- a/internal/dispatch/extension.go
+++ b/internal/dispatch/extension.go
@@ -27,7 +27,7 @@
 	// RequestAdmitted says that a request was admitted. HoldRequest keeps it from the scheduler until OfferRequest.
 	RequestAdmitted
 	// AttemptStarting says that an attempt is about to be handed to the transport. HoldAttempt delays it until
-	// ReleaseAttempt; BlockAttempt ends it unsent.
+	// ReleaseAttempt; BlockAttempt and PostponeAttempt end it unsent.
 	AttemptStarting
 	// AttemptStarted says that an attempt was handed to the transport. Unless it is held, it may have been sent.
 	AttemptStarted
@@ -119,6 +119,9 @@
 	// BlockAttempt answers AttemptStarting: the attempt must not be sent, and no other attempt of the request either.
 	// It is returned along with HoldAttempt.
 	BlockAttempt
+	// PostponeAttempt answers AttemptStarting: the attempt must not be sent, but the scheduler may send another one later.
+	// It is returned along with HoldAttempt.
+	PostponeAttempt
 	// SetRetryAfter answers RequestRejecting: the rejection tells the client to retry after RetryAfterMS.
 	SetRetryAfter
 	// Consume answers PeerMessage and OutcomeQueried: the extension handles the message or the query.
--- a/internal/dispatch/extension_test.go
+++ b/internal/dispatch/extension_test.go
@@ -188,6 +188,18 @@
 	assert.Equal(t, "release", transport.calls[len(transport.calls)-1])
 }
 
+// An attempt that an extension does not permit is not sent. The scheduler learns whether another one may be.
+func TestLoop_EndsAttemptThatIsNotPermitted(t *testing.T) {
+	for kind, mayRetry := range map[CommandKind]bool{BlockAttempt: false, PostponeAttempt: true} {
+		transport := &fakeTransport{cancelResult: CancelledUnsent}
+		_, policy, _ := newExtendedLoop(transport, commandsByEvent{AttemptStarting: {{Kind: HoldAttempt}, {Kind: kind}}})
+		ended := policy.lastEvent(scheduler.AttemptEnded)
+		require.NotNil(t, ended)
+		assert.Equal(t, []any{scheduler.NeverSent, !mayRetry, mayRetry}, []any{ended.Outcome, ended.Blocked, ended.Unrecorded})
+		assert.Equal(t, []string{"cancel"}, transport.calls)
+	}
+}
+
 func TestLoop_WithheldAnswerIsDeliveredOnce(t *testing.T) {
 	transport := &fakeTransport{}
 	loop, _, received := newExtendedLoop(transport, commandsByEvent{RequestEnding: {{Kind: WithholdAnswer}}})
--- a/internal/handoff/adoption_test.go
+++ b/internal/handoff/adoption_test.go
@@ -235,3 +235,23 @@
 	assert.Equal(t, Failed, c.effects[2][ReplyOutcome][0].Outcome)
 	c.checkCounts()
 }
+
+// A lease that is over may be regained, so an attempt that starts meanwhile does not end its request, own or adopted.
+func TestManager_AttemptWithoutLeaseIsPostponed(t *testing.T) {
+	c := newCluster(t, 6, 2, nil)
+	c.submitRequest(0, "keyed", "a", "m")
+	manager := c.managers[0]
+	starting := &Event{Kind: AttemptStarting, ID: "a", Zone: "here"} // without LeaseHeld
+	assert.Equal(t, []EffectKind{PostponeAttempt}, kindsOf(manager.Step(c.now, starting)))
+	ended := &Event{Kind: AttemptEnded, ID: "a", NeverRan: true}
+	assert.Empty(t, manager.Step(c.now, ended), "replicas were told nothing")
+	assert.True(t, c.startAttempt(0, "a"), "the lease is held again")
+}
+
+// kindsOf returns the kinds of effects.
+func kindsOf(effects []Effect) (kinds []EffectKind) {
+	for _, effect := range effects {
+		kinds = append(kinds, effect.Kind)
+	}
+	return kinds
+}
--- a/internal/handoff/attempts.go
+++ b/internal/handoff/attempts.go
@@ -11,8 +11,8 @@
 	replicating bool // the replicas have been told of it, so the request counts as one that may have run
 }
 
-// gateAttempt decides whether an attempt may be sent: only while this controller holds the lease, within the
-// deduplication window if an earlier attempt may have run, and after a quorum of replicas has stored the attempt. The
+// gateAttempt decides whether an attempt may be sent: only while this controller holds the lease, which it may regain,
+// within the deduplication window if an earlier attempt may have run, and after a quorum of replicas has stored it. The
 // replicas are told of it only when nothing else holds it: if this controller is lost before, its successor may send the
 // request.
 func (m *Manager) gateAttempt(ev *Event) {
@@ -20,9 +20,12 @@
 	switch {
 	case req == nil || req.bestEffort:
 		return
-	case !m.leaseHeld || req.Owner != m.self:
+	case req.Owner != m.self:
 		m.blockAttempt(req, ev.Attempt)
 		return
+	case !m.leaseHeld:
+		m.postponeAttempt(req, ev.Attempt)
+		return
 	case req.unreplicated:
 		m.counts.AttemptsUnreplicated++
 		return
@@ -70,12 +73,18 @@
 	return nil
 }
 
-// blockAttempt rejects an attempt that has not been held.
+// blockAttempt rejects an attempt that has not been held, and all later ones of its request.
 func (m *Manager) blockAttempt(req *ownedRequest, attempt int) {
 	m.counts.AttemptsWithheld++
 	m.emit(Effect{Kind: BlockAttempt, ID: req.ID, Attempt: attempt})
 }
 
+// postponeAttempt rejects an attempt that has not been held. A later one may be sent.
+func (m *Manager) postponeAttempt(req *ownedRequest, attempt int) {
+	m.counts.AttemptsWithheld++
+	m.emit(Effect{Kind: PostponeAttempt, ID: req.ID, Attempt: attempt})
+}
+
 // failAttempt rejects an attempt that has been held.
 func (m *Manager) failAttempt(req *ownedRequest, attempt int) {
 	m.counts.AttemptsWithheld++
--- a/internal/handoff/types.go
+++ b/internal/handoff/types.go
@@ -181,7 +181,8 @@
 	Resume                             // a suspended request is dispatched with Prior; Blocked: without attempts
 	AnswerSuspended                    // a suspended request is answered: Outcome, Answer, AfterMS
 	HoldAttempt                        // AttemptStarting: the attempt waits for ReleaseAttempt or FailAttempt
-	BlockAttempt                       // AttemptStarting: the attempt must not be sent
+	BlockAttempt                       // AttemptStarting: neither this attempt nor another one may be sent
+	PostponeAttempt                    // AttemptStarting: the attempt must not be sent now; another one may be later
 	ReleaseAttempt                     // the held Attempt may be sent
 	FailAttempt                        // the held Attempt must not be sent
 	WithholdAnswer                     // RequestEnding: the answer waits for DeliverAnswer
@@ -198,8 +199,8 @@
 )
 
 var effectKindNames = [...]string{"Suspend", "Admit", "Resume", "AnswerSuspended", "HoldAttempt", "BlockAttempt",
-	"ReleaseAttempt", "FailAttempt", "WithholdAnswer", "DeliverAnswer", "Adopt", "CancelLocal", "SendBatch", "ReplyBatch",
-	"ReplyOutcome", "Propose", "RefreshPlacement", "PersistCopy", "LogMessage"}
+	"PostponeAttempt", "ReleaseAttempt", "FailAttempt", "WithholdAnswer", "DeliverAnswer", "Adopt", "CancelLocal",
+	"SendBatch", "ReplyBatch", "ReplyOutcome", "Propose", "RefreshPlacement", "PersistCopy", "LogMessage"}
 
 // String returns the name of the kind.
 func (k EffectKind) String() string { return effectKindNames[k] }
--- a/internal/handoffnet/effects.go
+++ b/internal/handoffnet/effects.go
@@ -85,6 +85,8 @@
 		return append(out, dispatch.Command{Kind: dispatch.HoldAttempt, Last: true})
 	case handoff.BlockAttempt:
 		return append(out, dispatch.Command{Kind: dispatch.HoldAttempt}, dispatch.Command{Kind: dispatch.BlockAttempt})
+	case handoff.PostponeAttempt:
+		return append(out, dispatch.Command{Kind: dispatch.HoldAttempt}, dispatch.Command{Kind: dispatch.PostponeAttempt})
 	case handoff.ReleaseAttempt:
 		return append(out, dispatch.Command{Kind: dispatch.ReleaseAttempt, ID: effect.ID, Attempt: effect.Attempt})
 	case handoff.FailAttempt:
--- a/internal/resp/attempt.go
+++ b/internal/resp/attempt.go
@@ -173,7 +173,7 @@
 			delete(c.openAttempts, a.spec.Request.ID)
 			event := a.endEvent
 			event.Outcome = scheduler.NeverSent
-			event.Blocked = reason == connpool.LeaseLost
+			event.Unrecorded = reason == connpool.LeaseLost // the lease may return
 			blocked = append(blocked, dispatch.QueueItem{Event: event})
 		}
 	}
--- a/internal/resp/races_test.go
+++ b/internal/resp/races_test.go
@@ -42,6 +42,7 @@
 			client.Update(false, []Endpoint{{scheduler.Endpoint{Executor: 2}, "s-2", client.executors[1].address}})
 		},
 		"latest start passed": func(*Client, *dispatch.Attempt) { time.Sleep(60 * time.Millisecond) },
+		"lease lost":          func(client *Client, _ *dispatch.Attempt) { client.LeaseHeld = func() bool { return false } },
 	} {
 		client, queue, fake, dialGate := newClientWithGatedDial(t)
 		spec := newAttempt("a")
@@ -49,13 +50,18 @@
 		if name == "latest start passed" {
 			spec.LatestStart = client.clock.Now() + 50
 		}
+		spec.Held = name == "lease lost" // others need no lease
 		running, _ := client.Send(spec)
 		require.NotNil(t, running)
+		if spec.Held {
+			running.Release()
+		}
 		change(client, &spec)
 		dialGate <- struct{}{}
 		item := queue.next(t)
 		assert.Equal(t, []any{scheduler.AttemptEnded, scheduler.NeverSent, false},
 			[]any{item.Event.Kind, item.Event.Outcome, item.Event.Blocked}, name)
+		assert.Equal(t, name == "lease lost", item.Event.Unrecorded, "%s: only the lease may return", name)
 		assert.True(t, item.Event.Outcome.NeverRan())
 		assert.Equal(t, dispatch.AlreadyEnded, running.Cancel(), name)
 		client.Stop()
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -132,8 +132,9 @@
 	// written. It applies to RequestArrived and AttemptEnded.
 	Blocked bool
 
-	// Unrecorded means that an attempt was not sent because its record was not stored in time. Another one may be, with
-	// the same number. It applies to AttemptEnded of the latest attempt, with the outcome NeverSent.
+	// Unrecorded means that an attempt was not sent because its record was not stored in time, or because the caller did
+	// not hold the lease that records need. Another one may be, with the same number. It applies to AttemptEnded of the
+	// latest attempt, with the outcome NeverSent.
 	Unrecorded bool
 
 	// PriorityCap is the priority to start at (RequestArrived) or not to exceed (PriorityCapped). 0 means no limit.
