Consensus: heartbeats do not wait while a voter writes to its disk

Callers saw: beside heavy writes to disk, retries of keyed requests were rejected, or failed, up to their deadline: for seconds no controller held its lease, though all ran and reached one another.

Cause: a voter sent all messages of a batch of the Raft library only once the batch was on disk, and took no other batch meanwhile. A write of 0.8 s kept a leader from sending heartbeats or a follower from answering them, so the leader was lost, and its election needed more writes.

Evidence: writes traced on a scratch copy beside six writers took 0.4 to 1.3 s, and the leader changed at their ends, nine times in 13 s in one log.

Change: AsyncStorageWrites of the Raft library; votes, acknowledgements and requests for votes wait for the disk, all else is sent at once. Why it works: what raft must have on disk before it speaks still is, and leadership no longer depends on the disk's speed. Lease requests wait until the leader has applied what the quorum confirmed and an entry of its term; a leader that can't apply what the others committed for 0.8 s falls silent. Messages on the wire are the same.

Tests: TestGroup_RefusedReleaseIsNotGranted makes the leader a follower inside Raft alone, as that shows at once now; what it asks is as before.

--- a/internal/chaostest/versions_slowdisk_test.go
+++ b/internal/chaostest/versions_slowdisk_test.go
@@ -10,15 +10,22 @@
 	"liftshift/internal/testservers"
 )
 
+// leaseLostText is logged by a controller that no longer holds its lease.
+const leaseLostText = "this controller's lease is over"
+
 // The disk states of the slow-disk tests. A group commit writes and syncs, so it takes twice the delay.
 const (
 	diskSlowForOwner      = "slow 150ms"
 	diskSlowForSuccessors = "slow 200ms"
 	diskStalled           = "slow 400ms"
+	diskSound             = "sound"
 )
 
-// diskStall is how long disks stall, so that attempts wait for their records longer than they may.
-const diskStall = time.Second
+// How long disks stall, so that attempts wait for their records longer than they may.
+const (
+	diskStall     = time.Second
+	longDiskStall = 4 * time.Second // twice a lease
+)
 
 // A keyed request that has not run is not reported as failed when its controller is killed while that controller's disk
 // is slow: its attempt waits for the disk, and replicas must not take it for sent.
@@ -74,32 +81,58 @@
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			cluster := startAdoptionCluster(t, executorDedupTime, []string{currentProgram, currentProgram, test.killed})
-			waitForReplies := submitKeyedAll(cluster, killedController, "a", numberedKeys("m", adoptedRequests))
-			waitForStableRuns(t, cluster, 1)
-			cluster.Kill(killedController)
-			waitForRetries := submitKeyedAll(cluster, 0, "b", disconnectedKeys(t, waitForReplies()))
-			require.GreaterOrEqual(t, cluster.waitForSuccessor(killedController, successorTimeout), 0)
-			stallDisks(t, cluster, diskStall)
-			for _, r := range waitForRetries() {
-				assert.NoError(t, r.err, "retry of %s", r.key)
-				assert.Zero(t, r.reply.Code, "%s", r)
-			}
-			assert.Equal(t, oneRunPerKey(numberedKeys("m", adoptedRequests)), runsByKey(cluster), "runs of each key")
+			assertHandledAfterTrouble(t, cluster, func() { stallDisks(t, cluster, diskStall) })
 		})
 	}
 }
 
+// The successors keep their leader and their leases while their disks stall for longer than a lease, and handle the
+// requests of the lost controller after that.
+func TestVersions_SuccessorsKeepLeasesWhileTheirDisksStall(t *testing.T) {
+	t.Parallel()
+	_, currentProgram := faultsTagVersions.programs(t)
+	cluster := startAdoptionCluster(t, executorDedupTime, []string{currentProgram, currentProgram, currentProgram})
+	assertHandledAfterTrouble(t, cluster, func() { stallDisks(t, cluster, longDiskStall) })
+	for successor := range killedController {
+		assert.NotContains(t, cluster.Controllers[successor].Log(), leaseLostText, "log of successor %d", successor)
+	}
+}
+
+// assertHandledAfterTrouble kills a controller with keyed requests in flight, makes trouble for its successors as soon as
+// one of them adopts, and checks that all requests are handled, once, when their clients retry.
+func assertHandledAfterTrouble(t *testing.T, cluster *Cluster, makeTrouble func()) {
+	t.Helper()
+	keys := numberedKeys("m", adoptedRequests)
+	waitForReplies := submitKeyedAll(cluster, killedController, "a", keys)
+	waitForStableRuns(t, cluster, 1)
+	cluster.Kill(killedController)
+	waitForRetries := submitKeyedAll(cluster, 0, "b", disconnectedKeys(t, waitForReplies()))
+	require.GreaterOrEqual(t, cluster.waitForSuccessor(killedController, successorTimeout), 0)
+	makeTrouble()
+	for _, r := range waitForRetries() {
+		assert.NoError(t, r.err, "retry of %s", r.key)
+		assert.Zero(t, r.reply.Code, "%s", r)
+	}
+	assert.Equal(t, oneRunPerKey(keys), runsByKey(cluster), "runs of each key")
+}
+
 // stallDisks makes the disks of the successors very slow for a time.
 func stallDisks(t *testing.T, cluster *Cluster, duration time.Duration) {
 	t.Helper()
-	for _, state := range []string{diskStalled, "sound"} {
-		for successor := range killedController {
-			require.NoError(t, cluster.SetDiskState(successor, state))
-		}
+	for _, state := range []string{diskStalled, diskSound} {
+		setSuccessorDisks(t, cluster, state)
 		time.Sleep(duration)
 	}
 }
 
+// setSuccessorDisks sets the state that the disks of both successors simulate.
+func setSuccessorDisks(t *testing.T, cluster *Cluster, state string) {
+	t.Helper()
+	for successor := range killedController {
+		require.NoError(t, cluster.SetDiskState(successor, state))
+	}
+}
+
 // runWithAndWithoutDeduplication runs a test in parallel with executors that drop repeats and with others that don't.
 func runWithAndWithoutDeduplication(t *testing.T, name string, run func(t *testing.T, dedupWindow time.Duration)) {
 	t.Helper()
--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -166,7 +166,7 @@
 }
 
 // The reply to the release of a lease is Granted only if the leader has accepted that the member left. Here Raft has
-// made the leader a follower, which shows only once the entry in flight is stored.
+// made the leader a follower, which shows only after the event of the release.
 func TestGroup_RefusedReleaseIsNotGranted(t *testing.T) {
 	release := Event{Kind: LeaseRequested, Token: 7, Name: "x", Incarnation: 1, Release: true}
 	for _, steppedDown := range []bool{false, true} {
@@ -176,10 +176,9 @@
 		want := Granted
 		if steppedDown {
 			want = NotLeader
-			data, err := proto.Marshal(&raftpb.Message{Type: raftpb.MsgHeartbeat.Enum(), To: proto.Uint64(g.nodeID),
-				From: proto.Uint64(NodeID("b", "fb")), Term: proto.Uint64(9)})
-			require.NoError(t, err)
-			g.Step(now, &Event{Kind: MessageReceived, Name: "b", Data: data})
+			g.peerNames[NodeID("b", "fb")] = "b"
+			require.NoError(t, g.node.Step(&raftpb.Message{Type: raftpb.MsgHeartbeat.Enum(), To: proto.Uint64(g.nodeID),
+				From: proto.Uint64(NodeID("b", "fb")), Term: proto.Uint64(9)}))
 		}
 		require.True(t, g.isLeader)
 		reply := firstEffect(g.Step(now, &release), ReplyLease)
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -54,6 +54,7 @@
 	for _, request := range g.takeLeaseRequests() {
 		g.emit(Effect{Kind: ReplyLease, Token: request.token, Reply: LeaseReply{Verdict: NotLeader}})
 	}
+	g.confirmedReads = nil
 	g.postponeElection()
 }
 
--- a/internal/consensus/entry.go
+++ b/internal/consensus/entry.go
@@ -113,6 +113,7 @@
 		return
 	}
 	g.appliedIndex = e.GetIndex()
+	g.appliedTerm = e.GetTerm()
 	switch e.GetType() {
 	case raftpb.EntryNormal:
 		g.applyNormalEntry(e.GetData())
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -47,9 +47,12 @@
 	confState     *raftpb.ConfState
 	record        Record
 	appliedIndex  uint64
+	appliedTerm   uint64 // of the last entry that was applied
 	snapshotIndex uint64
-	pendingReady  *raft.Ready       // batch of the Raft library that is being persisted
-	persistToken  uint64            // token of the Persist effect of that batch
+	queuedWrites  []*raftWrite      // writes that wait for the one in flight
+	writing       *raftWrite        // the write in flight; nil: none
+	writeToken    uint64            // token of the Persist effect of that write
+	writingSince  float64           // when that effect was emitted
 	failed        bool              // this member has stopped voting for good
 	votersChanged bool              // since the last snapshot
 	peerNames     map[uint64]string // names of Raft message senders, by ID; the record may lack them
@@ -71,7 +74,11 @@
 	proposedLost  map[string]uint64         // incarnations proposed to be declared lost, by member name
 	leaseRequests []leaseRequest            // requests that wait for the next read index
 	pendingReads  map[uint64][]leaseRequest // requests that wait for a read index in flight, by its token
-	observations  map[string]Observation    // the membership view, by member name
+
+	// confirmedReads are read indexes that a quorum has confirmed, but whose entries are not all applied yet.
+	confirmedReads []raft.ReadState
+
+	observations map[string]Observation // the membership view, by member name
 
 	// Voter replacement, on the leader.
 	learner              Hello            // the member that is to become a voter
--- a/internal/consensus/lease_grants.go
+++ b/internal/consensus/lease_grants.go
@@ -60,7 +60,7 @@
 // requestReadIndex starts one read index request, which has a quorum confirm the leadership, for all waiting lease
 // requests.
 func (g *Group) requestReadIndex() {
-	if len(g.leaseRequests) == 0 || len(g.pendingReads) >= maxPendingReads {
+	if len(g.leaseRequests) == 0 || len(g.pendingReads) >= maxPendingReads || g.lagsBehindGroup() {
 		return
 	}
 	token := g.nextToken()
@@ -69,8 +69,23 @@
 	g.node.ReadIndex(binary.BigEndian.AppendUint64(nil, token))
 }
 
-// handleReadState replies to the lease requests that waited for a read index, which the quorum has confirmed now.
-func (g *Group) handleReadState(state raft.ReadState) {
+// answerConfirmedReads replies to the lease requests whose read index the quorum has confirmed and this leader has
+// applied. It must also have applied an entry of its own term, as only then does it know what was committed before.
+func (g *Group) answerConfirmedReads() {
+	waiting := g.confirmedReads
+	g.confirmedReads = nil
+	for _, state := range waiting {
+		isApplied := state.Index <= g.appliedIndex && g.appliedTerm == g.node.BasicStatus().GetTerm()
+		if g.isLeader && !isApplied {
+			g.confirmedReads = append(g.confirmedReads, state)
+			continue
+		}
+		g.answerRead(state)
+	}
+}
+
+// answerRead replies to the lease requests that waited for a read index.
+func (g *Group) answerRead(state raft.ReadState) {
 	if len(state.RequestCtx) != 8 {
 		return
 	}
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -30,7 +30,7 @@
 	node, err := raft.NewRawNode(&raft.Config{ID: g.nodeID, ElectionTick: int(minElectionTimeoutMS / heartbeatIntervalMS),
 		HeartbeatTick: 1, Storage: g.storage, Applied: g.appliedIndex, MaxSizePerMsg: maxMessageBytes,
 		MaxInflightMsgs: maxInflightMessages, CheckQuorum: true, PreVote: true, Logger: discardLogger{},
-		MaxUncommittedEntriesSize: maxUncommittedBytes, DisableProposalForwarding: true})
+		MaxUncommittedEntriesSize: maxUncommittedBytes, DisableProposalForwarding: true, AsyncStorageWrites: true})
 	g.failOn(err)
 	if err == nil {
 		g.node = node
@@ -45,10 +45,11 @@
 		if g.now > g.nextTickAt+2*minElectionTimeoutMS { // the process was paused: skip the ticks of that time
 			g.nextTickAt = g.now
 		}
-		if g.isLeader {
-			g.node.Tick()
-		} else {
+		switch {
+		case !g.isLeader:
 			g.node.TickQuiesced() // no election: startElection runs on this package's own timer and random numbers
+		case !g.lagsBehindGroup():
+			g.node.Tick()
 		}
 	}
 }
@@ -87,70 +88,72 @@
 	return g.node != nil
 }
 
-// processReady takes batches of work from the Raft library. Each batch is persisted first; then its messages are sent
-// and its committed entries are applied. At most one batch is being persisted at a time.
+// processReady does the work that the Raft library has ready, and starts to persist what has queued up meanwhile.
 func (g *Group) processReady() {
-	for g.isRunning() && g.pendingReady == nil && g.node.HasReady() {
-		ready := g.node.Ready()
-		g.pendingReady = &ready
-		if ready.SoftState != nil {
-			g.handleSoftState(ready.SoftState)
+	for g.isRunning() {
+		if g.node.HasReady() {
+			g.handleReady()
+			continue
 		}
-		hasSnapshot := ready.Snapshot.GetMetadata().GetIndex() > 0
-		if hasSnapshot || len(ready.Entries) > 0 || ready.HardState != nil {
-			g.persistToken = g.nextToken()
-			e := Effect{Kind: Persist, Token: g.persistToken, Entries: ready.Entries, State: ready.HardState}
-			if hasSnapshot {
-				e.Snapshot = ready.Snapshot
-			}
-			g.emit(e)
+		if !g.persistNext() {
 			return
 		}
-		g.finishReady()
 	}
 }
 
-// handleStored finishes the batch that has been persisted, or stops this voter if persisting failed.
-func (g *Group) handleStored(event *Event) {
-	if g.pendingReady == nil || event.Token != g.persistToken {
-		return
-	}
-	if event.Failed {
-		g.fail("persisting Raft state to the disk of this voter failed")
-		return
+// handleReady takes one batch of work from the Raft library. Only what has to wait for the disk is queued for it: votes
+// and acknowledgements, which depend on a write. Heartbeats, and the replies to them, are sent while a write takes
+// long, so that a disk that stalls does not cost the group its leader.
+func (g *Group) handleReady() {
+	ready := g.node.Ready()
+	if ready.SoftState != nil {
+		g.handleSoftState(ready.SoftState)
+	}
+	var afterWrite []*raftpb.Message
+	for _, m := range ready.Messages {
+		switch {
+		case m.GetTo() == raft.LocalAppendThread:
+			g.queueWrite(&ready, append(afterWrite, m.GetResponses()...))
+		case m.GetTo() == raft.LocalApplyThread:
+			g.applyCommitted(m)
+		case m.GetType() == raftpb.MsgVote: // sent once the candidate's own vote is durable
+			afterWrite = append(afterWrite, m)
+		default:
+			g.sendMessage(m)
+		}
 	}
-	g.finishReady()
+	g.confirmedReads = append(g.confirmedReads, ready.ReadStates...)
+	g.answerConfirmedReads()
 }
 
-// finishReady sends the messages of a persisted batch and applies its committed entries.
-func (g *Group) finishReady() {
-	ready := g.pendingReady
-	if ready.Snapshot.GetMetadata().GetIndex() > 0 {
-		g.failOn(g.storage.ApplySnapshot(ready.Snapshot))
-		g.restoreSnapshot(ready.Snapshot)
-	}
-	if ready.HardState != nil {
-		g.failOn(g.storage.SetHardState(ready.HardState))
+// applyCommitted applies the committed entries of a message to the thread that applies them.
+func (g *Group) applyCommitted(m *raftpb.Message) {
+	for _, e := range m.GetEntries() {
+		g.applyEntry(e)
 	}
-	g.failOn(g.storage.Append(ready.Entries))
-	for _, m := range ready.Messages {
-		if data, err := proto.Marshal(m); err == nil {
-			g.emit(Effect{Kind: SendMessage, To: g.peerName(m.GetTo()), Data: data})
-		}
-		if m.GetType() == raftpb.MsgSnap { // whether it arrived shows in the peer's next reply
-			g.node.ReportSnapshot(m.GetTo(), raft.SnapshotFinish)
+	g.deliver(m.GetResponses())
+	g.compactLog()
+}
+
+// deliver passes messages of this member's storage to the Raft library, or to the peers that they are meant for.
+func (g *Group) deliver(messages []*raftpb.Message) {
+	for _, m := range messages {
+		if m.GetTo() == g.nodeID {
+			_ = g.node.Step(m) // an error means that the library has ignored the message
+		} else {
+			g.sendMessage(m)
 		}
 	}
-	for _, e := range ready.CommittedEntries {
-		g.applyEntry(e)
+}
+
+// sendMessage sends a Raft message to a peer.
+func (g *Group) sendMessage(m *raftpb.Message) {
+	if data, err := proto.Marshal(m); err == nil {
+		g.emit(Effect{Kind: SendMessage, To: g.peerName(m.GetTo()), Data: data})
 	}
-	for _, state := range ready.ReadStates {
-		g.handleReadState(state)
+	if m.GetType() == raftpb.MsgSnap { // whether it arrived shows in the peer's next reply
+		g.node.ReportSnapshot(m.GetTo(), raft.SnapshotFinish)
 	}
-	g.pendingReady = nil
-	g.persistToken = 0
-	g.node.Advance(*ready)
-	g.compactLog()
 }
 
 // peerName returns the name of the voter or learner with the given Raft ID, or "".
--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -51,6 +51,7 @@
 	g.record = record
 	g.confState = snapshot.GetMetadata().GetConfState()
 	g.appliedIndex = snapshot.GetMetadata().GetIndex()
+	g.appliedTerm = snapshot.GetMetadata().GetTerm()
 	g.snapshotIndex = g.appliedIndex
 	for _, name := range slices.Sorted(maps.Keys(record.Members)) {
 		if m := record.Members[name]; m != before[name] {
