Attempts that were not recorded in time no longer load their executor

Callers saw: after a stall of a successor's disk, keyed requests bound to one zone were tried again up to 1.2 s late, and some met their deadline.

Cause: an attempt is added to the load that its executor last reported. One that was held and never sent stayed added until the next report, or 1.2 s where the executor looked full by it.

Change: what the attempt added is taken back unless a load report has replaced it. Why it works: the executor has never seen the attempt.

--- a/scheduler/retry.go
+++ b/scheduler/retry.go
@@ -58,6 +58,7 @@
 // and delays the next one, which gets its number. What keeps attempts from being recorded may last longer than any
 // number of them, and nothing has left this controller.
 func (s *Scheduler) withdrawUnrecorded(r *request, a *attempt) {
+	s.withdrawLoad(r, a)
 	sentAt := a.sentAt
 	r.attemptCount--
 	r.unrecordedCount++
@@ -67,6 +68,16 @@
 	s.delayLocalRetry(r)
 }
 
+// withdrawLoad takes back the load that startAttempt has added to an executor's, unless a load report has replaced it.
+func (s *Scheduler) withdrawLoad(r *request, a *attempt) {
+	e := &s.executors[a.executor]
+	e.backlogMS = max(0, e.backlogMS-r.workMS)
+	if e.lastLoadReportAt <= a.sentAt {
+		e.reportedThreads = max(0, e.reportedThreads-float64(a.threads))
+		e.reportedMB = max(0, e.reportedMB-a.grantMB)
+	}
+}
+
 // delayLocalRetry delays the next attempt at a request with exponential backoff.
 func (s *Scheduler) delayLocalRetry(r *request) {
 	doublings := r.unsentCount + r.unrecordedCount - 1
--- a/scheduler/retry_test.go
+++ b/scheduler/retry_test.go
@@ -1,9 +1,11 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // A request that may have run waits for its next attempt to be recorded, with a growing delay, where executors drop the
@@ -67,6 +69,38 @@
 	assert.Equal(t, []ActionKind{SetResources, Send}, actionKinds(actions), "the floor of the budget allows one retry")
 }
 
+// Attempts that were never sent do not load their executor: as many as it has room for are tried again, without waiting
+// for its next load report.
+func TestScheduler_UnrecordedAttemptsLoadNoExecutor(t *testing.T) {
+	s := newTestScheduler(1, func(s *Settings) {
+		s.Classes[1].DedupScope, s.Classes[1].DedupWindowMS = DedupZone, 20000
+	})
+	s.executors[0].lastLoadReportAt = 999 // it reports no load
+	sentIn := func(actions []Action) (ids []string) {
+		for _, action := range actions {
+			if action.Kind == Send {
+				ids = append(ids, action.Request)
+			}
+		}
+		return ids
+	}
+	var sent []string
+	for n := range 100 {
+		sent = append(sent, sentIn(s.Step(1000, &Event{Kind: RequestArrived, Request: fmt.Sprint(n), Class: "keyed",
+			WorkMS: 1000, Deadline: 9000, Prior: PriorAttempt{At: 900, Zone: "here"}}, nil))...)
+	}
+	require.NotEmpty(t, sent)
+	require.Less(t, len(sent), 100, "the executor must be full")
+	var sentAgain []string
+	for _, id := range sent {
+		sentAgain = append(sentAgain, sentIn(s.Step(1300, &Event{Kind: AttemptEnded, Request: id, Outcome: NeverSent,
+			Unrecorded: true}, nil))...)
+	}
+	sentAgain = append(sentAgain, sentIn(tickAt(s, 1300+localRetryBackoffMS))...)
+	assert.Len(t, sentAgain, len(sent))
+	assert.LessOrEqual(t, s.executors[0].reportedThreads, float64(len(sent)))
+}
+
 func TestScheduler_KeepsToRetryBudget(t *testing.T) {
 	s := newTestScheduler(3, func(s *Settings) {
 		s.RetryBudget.WindowMS = 10000
