Chaos test: the copies of an old owner's requests are read at once, not in turn

Trace: the kill came 3.27 s after the requests; each look at the 60 copies took 0.86 s, one call after the other, so the first requests, of 1.5 s, ended and others followed.

The wait before that kill asks for all copies at once now. What it waits for, and all checks, are as before.

--- a/internal/chaostest/versions_kill_test.go
+++ b/internal/chaostest/versions_kill_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -35,17 +37,24 @@
 	})
 }
 
-// unsentAttempts returns the keys that no executor has got although a successor has an attempt of them on record.
+// unsentAttempts returns the keys that no executor has got although a successor has an attempt of them on record. It asks
+// for all copies at once, as the requests go on meanwhile: what waits for others must not have run by the kill.
 func unsentAttempts(cluster *Cluster, keys []string) (unsent []string) {
-	recorded := map[string]bool{}
+	recorded := make([]atomic.Bool, len(keys))
+	var looks sync.WaitGroup
 	for successor := range killedController {
-		for _, key := range keys {
-			recorded[key] = recorded[key] || hasRecordedAttempt(cluster, successor, key)
+		for n, key := range keys {
+			looks.Go(func() {
+				if hasRecordedAttempt(cluster, successor, key) {
+					recorded[n].Store(true)
+				}
+			})
 		}
 	}
+	looks.Wait()
 	runs := runsByKey(cluster)
-	for _, key := range keys {
-		if recorded[key] && runs[key] == 0 {
+	for n, key := range keys {
+		if recorded[n].Load() && runs[key] == 0 {
 			unsent = append(unsent, key)
 		}
 	}
