A planned stop counts from before a stall in which its signal may have come

Cause: the stop counted its time from when the process read the signal. A process that stood still just then ended its connections as much later, and was killed with them open; the kernel closes them only when the last thread of the killed process has ended, up to 0.6 s later on a busy disk.

Why it works: the event loop takes a turn each 20 ms, so a longer gap bounds the time at which the signal can have come; the stop counts from its beginning, as deadlines of requests do already. New connections are still taken for 0.4 s from when the signal is read. The signal is noted as it comes, also during a reload. The stop has a file of its own now.

--- a/internal/chaostest/soak_config_test.go
+++ b/internal/chaostest/soak_config_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"strings"
 	"syscall"
+	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -76,24 +77,30 @@
 // configure writes the deadlines of the scenario, and low limits, into the controllers' files.
 func (s *soak) configure() {
 	for _, c := range s.cluster.Controllers {
-		text, err := os.ReadFile(c.nodeFile())
-		require.NoError(s.t, err)
-		node := map[string]any{}
-		require.NoError(s.t, json.Unmarshal(text, &node))
-		for _, class := range node["settings"].(map[string]any)["Classes"].([]any) {
-			class.(map[string]any)["HardLimit"] = s.config.deadline.Microseconds()
-			class.(map[string]any)["DedupWindow"] = s.config.deadline.Microseconds() / 2
-		}
-		node["limits"] = map[string]any{"cores": 1, "memory_mb": 64, "sockets": 256}
-		text, err = json.Marshal(node)
-		require.NoError(s.t, err)
-		require.NoError(s.t, os.WriteFile(c.nodeFile(), text, 0o600))
+		c.configureSoak(s.t, s.config.deadline)
 		if !s.config.store && !s.config.cluster {
 			c.removeOperatorFile()
 		}
 	}
 }
 
+// configureSoak writes a deadline for all request classes, and low limits, into the controller's file.
+func (c *Controller) configureSoak(t *testing.T, deadline time.Duration) {
+	t.Helper()
+	text, err := os.ReadFile(c.nodeFile())
+	require.NoError(t, err)
+	node := map[string]any{}
+	require.NoError(t, json.Unmarshal(text, &node))
+	for _, class := range node["settings"].(map[string]any)["Classes"].([]any) {
+		class.(map[string]any)["HardLimit"] = deadline.Microseconds()
+		class.(map[string]any)["DedupWindow"] = deadline.Microseconds() / 2
+	}
+	node["limits"] = map[string]any{"cores": 1, "memory_mb": 64, "sockets": 256}
+	text, err = json.Marshal(node)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(c.nodeFile(), text, 0o600))
+}
+
 // removeOperatorFile has the controller start without an operators' file, so that the plain liftshift serves.
 func (c *Controller) removeOperatorFile() {
 	for n, variable := range c.env {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -37,24 +37,9 @@
 
 const countersInterval = 10 * time.Second
 
-// Times that the platform's protocol prescribes.
-const (
-	// deregistrationTime is how long the load balancer may send requests after the controller reports that it is not
-	// ready.
-	deregistrationTime = 700 * time.Millisecond
-	// maxDeadlineWait is the longest request deadline that a shutdown waits for.
-	maxDeadlineWait = 3 * time.Second
-	// listPropagationTime is the time after which the platform presumes every controller notified of a change of the
-	// endpoint list, received or not.
-	listPropagationTime = 7 * time.Second
-)
-
-const (
-	drainPollInterval = 10 * time.Millisecond
-	// flushReserve is the end of a shutdown that remains after the last request has been answered: the first half to
-	// write the answers, the second half for clients to read them.
-	flushReserve = 300 * time.Millisecond
-)
+// listPropagationTime is the time after which the platform presumes every controller notified of a change of the
+// endpoint list, received or not.
+const listPropagationTime = 7 * time.Second
 
 // controller joins the event loop, the servers and the clients of one running controller.
 type controller struct {
@@ -90,8 +75,9 @@
 		return err
 	}
 	c.start(ctx)
+	stopRequests := c.noteStopRequest(ctx)
 	c.serve(ctx, reload)
-	c.shutDown(reload)
+	c.shutDown(<-stopRequests, reload)
 	return nil
 }
 
@@ -195,44 +181,6 @@
 	}
 }
 
-// shutDown stops the controller gracefully: it reports not ready, waits within a time limit until the load balancer has
-// stopped sending and all requests are answered, and then stops every part.
-func (c *controller) shutDown(reload <-chan os.Signal) {
-	began := time.Now()
-	limit := deregistrationTime + min(maxDeadlineWait, c.maxDeadline)
-	c.clients.SetReady(false)
-	c.extensions.ShutdownStarted()
-	c.loop.BeginShutdown(c.clock.Now() + float64(limit-flushReserve)/float64(time.Millisecond))
-	c.log.WithFields(logrus.Fields{"open": c.loop.OpenRequests(), "within": limit}).Info("stop: begun")
-	c.drain(began, limit, reload)
-	c.clients.Stop(flushReserve / 3)
-	c.discovery.Stop()
-	c.loop.Stop()
-	c.logCounters("sockets: end")
-	c.executors.Stop()
-	c.peers.Stop()
-	c.log.WithFields(logrus.Fields{"open": c.loop.OpenRequests(), "took": time.Since(began)}).Info("stop: done")
-}
-
-// drain returns once the load balancer has stopped sending, all requests are answered and all answers are written, or
-// when the limit is near.
-func (c *controller) drain(began time.Time, limit time.Duration, reload <-chan os.Signal) {
-	for time.Since(began) < limit-flushReserve/2 {
-		select {
-		case <-time.After(drainPollInterval):
-		case <-reload:
-			c.reload(0) // follows a new discovery address, to learn which executors drain meanwhile
-		}
-		if time.Since(began) < deregistrationTime {
-			continue
-		}
-		c.clients.Drain()
-		if c.loop.OpenRequests() == 0 && c.clients.Done() {
-			return
-		}
-	}
-}
-
 // logCounters logs the counters of the protocols and of the extensions.
 func (c *controller) logCounters(message string) {
 	c.log.WithFields(logrus.Fields{
