--- a/internal/adminapi/golden_test.go
+++ b/internal/adminapi/golden_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"flag"
 	"net"
-	"os"
 	"path/filepath"
 	"testing"
 
@@ -13,23 +11,9 @@
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/structpb"
-)
-
-var update = flag.Bool("update", false, "rewrite the golden files")
 
-// assertGolden compares bytes with a file of testdata/golden and returns the content of the file.
-func assertGolden(t *testing.T, name string, got []byte) []byte {
-	t.Helper()
-	path := filepath.Join("testdata", "golden", name)
-	if *update {
-		require.NoError(t, os.MkdirAll(filepath.Dir(path), 0o755))
-		require.NoError(t, os.WriteFile(path, got, 0o644))
-	}
-	want, err := os.ReadFile(path)
-	require.NoError(t, err)
-	assert.Equal(t, string(want), string(got), "%s differs from the golden file", name)
-	return want
-}
+	"liftshift/internal/goldenfile"
+)
 
 func marshal(t *testing.T, m proto.Message) []byte {
 	t.Helper()
@@ -67,14 +51,14 @@
 	require.NoError(t, err)
 	assert.Equal(t, replyFields, got)
 
-	require.NoError(t, proto.Unmarshal(assertGolden(t, "question.pb", marshal(t, request)), request))
+	require.NoError(t, proto.Unmarshal(goldenfile.Compare(t, "question.pb", marshal(t, request)), request))
 	out, err := handlerServer{func(_ context.Context, operation string, fields map[string]any) (map[string]any, error) {
 		assert.Equal(t, "say", operation)
 		assert.Equal(t, requestFields, fields)
 		return replyFields, nil
 	}}.ask(t.Context(), request)
 	require.NoError(t, err)
-	require.NoError(t, proto.Unmarshal(assertGolden(t, "answer.pb", marshal(t, out)), reply))
+	require.NoError(t, proto.Unmarshal(goldenfile.Compare(t, "answer.pb", marshal(t, out)), reply))
 	assert.Equal(t, replyFields, reply.AsMap())
 }
 
--- a/internal/clusternet/golden_test.go
+++ b/internal/clusternet/golden_test.go
@@ -1,11 +1,8 @@
 package clusternet
 
 import (
-	"flag"
 	"net"
 	"net/netip"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -14,27 +11,13 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/wrapperspb"
-)
 
-var update = flag.Bool("update", false, "write the golden files")
+	"liftshift/internal/goldenfile"
+)
 
 // goldenContent is the payload of the golden messages.
 const goldenContent = "what is said"
 
-// golden compares got with a file in testdata/golden and returns the content of the file.
-func golden(t *testing.T, name string, got []byte) []byte {
-	t.Helper()
-	path := filepath.Join("testdata", "golden", name)
-	if *update {
-		require.NoError(t, os.MkdirAll(filepath.Dir(path), 0o755))
-		require.NoError(t, os.WriteFile(path, got, 0o644))
-	}
-	want, err := os.ReadFile(path)
-	require.NoError(t, err)
-	assert.Equal(t, string(want), string(got), "%s differs from the golden file", path)
-	return want
-}
-
 // The names of the gRPC service and its methods are stable, on the server's side and on the client's.
 func TestGolden_ClusterNetServiceNames(t *testing.T) {
 	assert.Equal(t, "liftshift.Fleet", serviceDesc.ServiceName)
@@ -53,7 +36,7 @@
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(wrapperspb.Bytes([]byte(goldenContent)))
 	require.NoError(t, err)
 	decoded := &wrapperspb.BytesValue{}
-	require.NoError(t, proto.Unmarshal(golden(t, "call.pb", data), decoded))
+	require.NoError(t, proto.Unmarshal(goldenfile.Compare(t, "call.pb", data), decoded))
 	assert.Equal(t, goldenContent, string(decoded.GetValue()))
 }
 
@@ -86,7 +69,7 @@
 		var buffer [maxDatagramBytes]byte
 		n, err := peer.Read(buffer[:])
 		require.NoError(t, err)
-		_, err = peer.WriteToUDP(golden(t, test.file, buffer[:n]), transport.udpConn.LocalAddr().(*net.UDPAddr))
+		_, err = peer.WriteToUDP(goldenfile.Compare(t, test.file, buffer[:n]), transport.udpConn.LocalAddr().(*net.UDPAddr))
 		require.NoError(t, err)
 		select {
 		case got := <-test.received:
--- a/internal/consensus/golden_test.go
+++ b/internal/consensus/golden_test.go
@@ -2,11 +2,7 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"os"
-	"path/filepath"
-	"reflect"
-	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -15,52 +11,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"liftshift/internal/placement"
-)
-
-var update = flag.Bool("update", false, "write the golden files")
-
-// compareGolden compares bytes with a file of testdata/golden, which the -update flag writes first, and returns the
-// content of the file.
-func compareGolden(t *testing.T, name string, got []byte) []byte {
-	t.Helper()
-	path := filepath.Join("testdata", "golden", name)
-	if *update {
-		require.NoError(t, os.MkdirAll(filepath.Dir(path), 0o755))
-		require.NoError(t, os.WriteFile(path, got, 0o644))
-	}
-	want, err := os.ReadFile(path)
-	require.NoError(t, err)
-	assert.Equal(t, string(want), string(got), "%s differs from the golden file", name)
-	return want
-}
 
-// compareGoldenJSON compares the JSON encoding of a value with a golden file, and the decoded file with the value. The
-// value is a pointer.
-func compareGoldenJSON(t *testing.T, name string, value any) {
-	t.Helper()
-	checkJSONTags(t, reflect.TypeOf(value))
-	got, err := json.Marshal(value)
-	require.NoError(t, err)
-	decoded := reflect.New(reflect.TypeOf(value).Elem())
-	require.NoError(t, json.Unmarshal(compareGolden(t, name, got), decoded.Interface()))
-	assert.Equal(t, value, decoded.Interface(), "the value decoded from golden file %s", name)
-}
-
-// checkJSONTags checks that each field of a type, and of the types in it, has a JSON tag.
-func checkJSONTags(t *testing.T, checked reflect.Type) {
-	t.Helper()
-	switch checked.Kind() {
-	case reflect.Pointer, reflect.Slice, reflect.Map:
-		checkJSONTags(t, checked.Elem())
-	case reflect.Struct:
-		for i := range checked.NumField() {
-			field := checked.Field(i)
-			name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
-			assert.NotEmpty(t, name, "the field %v.%s has no JSON tag", checked, field.Name)
-			checkJSONTags(t, field.Type)
-		}
-	}
-}
+	"liftshift/internal/goldenfile"
+)
 
 // The encoding of each kind of log entry and its effect on the record are compatible with earlier versions.
 func TestGolden_ConsensusEntries(t *testing.T) {
@@ -95,14 +48,14 @@
 			entry{Kind: "order", Name: "zone z2", Data: []byte(`{}`)}},
 		{"order-back", OrderProposal("zone z2", nil), entry{Kind: "order", Name: "zone z2"}},
 	} {
-		compareGoldenJSON(t, "entry-"+e.file+".json", &e.want)
+		goldenfile.CompareJSON(t, "entry-"+e.file+".json", &e.want)
 		if e.data != nil {
-			compareGolden(t, "entry-"+e.file+".json", e.data)
+			goldenfile.Compare(t, "entry-"+e.file+".json", e.data)
 		}
-		data := compareGolden(t, "entry-"+e.file+".json", must(json.Marshal(&e.want)))
+		data := goldenfile.Compare(t, "entry-"+e.file+".json", must(json.Marshal(&e.want)))
 		index := proto.Uint64(uint64(i + 1))
 		group.applyEntry(&raftpb.Entry{Index: index, Type: raftpb.EntryNormal.Enum(), Data: data})
-		compareGolden(t, "after-"+e.file+".json", must(json.Marshal(&group.record)))
+		goldenfile.Compare(t, "after-"+e.file+".json", must(json.Marshal(&group.record)))
 	}
 }
 
@@ -144,7 +97,7 @@
 		"reply-not-yet":    &LeaseReply{Verdict: NotAdmitted},
 		"reply-lost":       &LeaseReply{Verdict: IncarnationLost},
 	} {
-		compareGoldenJSON(t, name+".json", value)
+		goldenfile.CompareJSON(t, name+".json", value)
 	}
 	group := New(0, "x", 1, "", nil, PersistedState{}, DefaultSettings(), 1)
 	group.restoreSnapshot(&raftpb.Snapshot{Data: must(os.ReadFile("testdata/golden/record.json")),
@@ -158,9 +111,9 @@
 	group, formed := newFounder()
 	marshal := proto.MarshalOptions{Deterministic: true}
 	snapshot, state := &raftpb.Snapshot{}, &raftpb.HardState{}
-	snapshotData := compareGolden(t, "founding-snapshot.pb", must(marshal.Marshal(formed.Snapshot)))
+	snapshotData := goldenfile.Compare(t, "founding-snapshot.pb", must(marshal.Marshal(formed.Snapshot)))
 	require.NoError(t, proto.Unmarshal(snapshotData, snapshot))
-	stateData := compareGolden(t, "founding-state.pb", must(marshal.Marshal(formed.State)))
+	stateData := goldenfile.Compare(t, "founding-state.pb", must(marshal.Marshal(formed.State)))
 	require.NoError(t, proto.Unmarshal(stateData, state))
 	persisted := PersistedState{Snapshot: snapshot, State: state}
 	restarted := New(0, "a", 1, "fa", []string{"a", "b", "c"}, persisted, DefaultSettings(), 1)
@@ -215,7 +168,8 @@
 		Changes: []*raftpb.ConfChangeSingle{
 			{Type: raftpb.ConfChangeAddLearnerNode.Enum(), NodeId: proto.Uint64(learner.ID)}},
 	}
-	data := compareGolden(t, "change-of-voters.pb", must(proto.MarshalOptions{Deterministic: true}.Marshal(addLearner)))
+	encoded := must(proto.MarshalOptions{Deterministic: true}.Marshal(addLearner))
+	data := goldenfile.Compare(t, "change-of-voters.pb", encoded)
 	assert.Contains(t, logged, string(data), "the configuration change that adds the learner")
 	assert.Contains(t, group.record.Voters, learner)
 }
--- a/internal/handoff/golden_test.go
+++ b/internal/handoff/golden_test.go
@@ -1,32 +1,14 @@
 package handoff
 
 import (
-	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-)
-
-var update = flag.Bool("update", false, "write the golden files")
 
-// golden compares encoded data with a golden file and returns the content of the file. With -update it writes the file
-// first.
-func golden(t *testing.T, name string, got []byte) []byte {
-	t.Helper()
-	path := filepath.Join("testdata", "golden", name)
-	if *update {
-		require.NoError(t, os.MkdirAll(filepath.Dir(path), 0o755))
-		require.NoError(t, os.WriteFile(path, got, 0o644))
-	}
-	want, err := os.ReadFile(path)
-	require.NoError(t, err)
-	assert.Equal(t, string(want), string(got), "%s differs from the golden file", path)
-	return want
-}
+	"liftshift/internal/goldenfile"
+)
 
 // goldenNow is the time in ms at which golden files are encoded and decoded.
 const goldenNow = 50000.0
@@ -123,7 +105,7 @@
 // update.
 func TestGolden_Messages(t *testing.T) {
 	for name, batch := range goldenBatches() {
-		data := golden(t, name+".bin", batch.Append(nil, goldenNow))
+		data := goldenfile.Compare(t, name+".bin", batch.Append(nil, goldenNow))
 		got, err := ReadBatch(data, goldenNow)
 		require.NoError(t, err, "decode %s", name)
 		for k := range batch.Items {
@@ -148,7 +130,7 @@
 	for n := range 7 {
 		written := goldenCopy(n)
 		name := fmt.Sprintf("copy-%s.bin", written.Outcome)
-		got, err := ReadCopy(golden(t, name, AppendCopy(nil, &written, goldenNow)), goldenNow)
+		got, err := ReadCopy(goldenfile.Compare(t, name, AppendCopy(nil, &written, goldenNow)), goldenNow)
 		require.NoError(t, err, "decode %s", name)
 		assert.Equal(t, asRead(written), got, "decoded from %s", name)
 	}
--- a/internal/handoffnet/golden_test.go
+++ b/internal/handoffnet/golden_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/binary"
-	"flag"
 	"fmt"
 	"io"
 	"os"
@@ -20,24 +19,9 @@
 	"liftshift/internal/store"
 	"liftshift/internal/vfs"
 	"liftshift/scheduler"
-)
-
-var update = flag.Bool("update", false, "rewrite the golden files")
 
-// golden compares got with a file in testdata/golden and returns the content of the file. With -update, it writes the
-// file first.
-func golden(t *testing.T, name string, got []byte) []byte {
-	t.Helper()
-	path := filepath.Join("testdata", "golden", name)
-	if *update {
-		require.NoError(t, os.MkdirAll(filepath.Dir(path), 0o755))
-		require.NoError(t, os.WriteFile(path, got, 0o644))
-	}
-	want, err := os.ReadFile(path)
-	require.NoError(t, err)
-	assert.Equal(t, string(want), string(got), "%s differs from the golden file", name)
-	return want
-}
+	"liftshift/internal/goldenfile"
+)
 
 // goldenNow is the fixed time, in ms, at which the copies are written.
 const goldenNow = 50000.0
@@ -115,7 +99,7 @@
 			continue
 		}
 		files++
-		data := golden(t, filepath.Join("copies", name), bytes.TrimRight(disk.Bytes(name), "\x00"))
+		data := goldenfile.Compare(t, filepath.Join("copies", name), bytes.TrimRight(disk.Bytes(name), "\x00"))
 		require.NoError(t, os.WriteFile(filepath.Join(dir, name), data, 0o600))
 		length := int64(binary.LittleEndian.Uint64(data[40:]))
 		require.NoError(t, os.Truncate(filepath.Join(dir, name), length))
@@ -155,6 +139,6 @@
 // Guards the wire format of all kinds of datagrams.
 func TestGolden_Datagrams(t *testing.T) {
 	for name, kind := range map[string]byte{"word": frameBatch, "answer": frameReply, "call": frameMustCall} {
-		golden(t, name+".bin", encodeFrame(kind, 0x0123456789abcdef, []byte("batch")))
+		goldenfile.Compare(t, name+".bin", encodeFrame(kind, 0x0123456789abcdef, []byte("batch")))
 	}
 }
--- a/internal/ledger/golden_test.go
+++ b/internal/ledger/golden_test.go
@@ -2,35 +2,17 @@
 
 import (
 	"encoding/hex"
-	"flag"
 	"fmt"
 	"math"
-	"os"
-	"path/filepath"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"liftshift/scheduler"
-)
-
-var update = flag.Bool("update", false, "rewrite the golden files")
 
-// compareGolden compares got with a golden file and returns the content of the file. With -update it writes the file
-// first.
-func compareGolden(t *testing.T, name string, got []byte) []byte {
-	t.Helper()
-	path := filepath.Join("testdata", "golden", name)
-	if *update {
-		require.NoError(t, os.MkdirAll(filepath.Dir(path), 0o755))
-		require.NoError(t, os.WriteFile(path, got, 0o644))
-	}
-	want, err := os.ReadFile(path)
-	require.NoError(t, err)
-	assert.Equal(t, string(want), string(got), "%s differs from the golden file", name)
-	return want
-}
+	"liftshift/internal/goldenfile"
+)
 
 // goldenRecord is a test case for one record: how a ledger writes it, how to read the restored state, and the value
 // expected there.
@@ -137,7 +119,7 @@
 			require.Equal(t, Persist, e.Kind, r.name)
 			assert.Equal(t, r.key, e.Key, r.name)
 			got := fmt.Appendf(nil, "key %x\nexpires %d\nvalue %x\n", e.Key[:], e.Expires, e.Value)
-			text := compareGolden(t, r.name+".txt", got)
+			text := goldenfile.Compare(t, r.name+".txt", got)
 			var key, value string
 			var expires int64
 			_, err := fmt.Sscanf(string(text), "key %s\nexpires %d\nvalue %s\n", &key, &expires, &value)
--- a/internal/ledgerstore/golden_test.go
+++ b/internal/ledgerstore/golden_test.go
@@ -1,7 +1,6 @@
 package ledgerstore
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -15,22 +14,9 @@
 	"liftshift/internal/store"
 	"liftshift/internal/vfs"
 	"liftshift/scheduler"
-)
-
-var update = flag.Bool("update", false, "rewrite the golden files")
 
-// compareGolden compares data with a golden file. With -update it writes the file first.
-func compareGolden(t *testing.T, name string, got []byte) {
-	t.Helper()
-	path := filepath.Join("testdata", "golden", name)
-	if *update {
-		require.NoError(t, os.MkdirAll(filepath.Dir(path), 0o755))
-		require.NoError(t, os.WriteFile(path, got, 0o644))
-	}
-	want, err := os.ReadFile(path)
-	require.NoError(t, err)
-	assert.Equal(t, string(want), string(got), "%s differs from the golden file", name)
-}
+	"liftshift/internal/goldenfile"
+)
 
 // goldenSettings returns ledgerSettings with a retry budget, so that the ledger writes a record of it.
 func goldenSettings() ledger.Settings {
@@ -158,7 +144,7 @@
 func compareStoreFiles(t *testing.T, folder string) {
 	t.Helper()
 	disk := writeGoldenFolder(t, folder == "clean")
-	if *update {
+	if goldenfile.Updating() {
 		require.NoError(t, os.RemoveAll(filepath.Join("testdata", "golden", folder)))
 	}
 	names, err := disk.List()
@@ -167,7 +153,7 @@
 	for _, name := range names {
 		if strings.HasSuffix(name, ".log") || strings.HasSuffix(name, ".snap") {
 			written = append(written, name)
-			compareGolden(t, filepath.Join(folder, name), disk.Bytes(name))
+			goldenfile.Compare(t, filepath.Join(folder, name), disk.Bytes(name))
 		}
 	}
 	files, err := os.ReadDir(filepath.Join("testdata", "golden", folder))
@@ -191,7 +177,7 @@
 	fmt.Fprintf(&text, "records %d files %d bytes %d doubt %v why %q removed %q began %v snapshot %d\n",
 		recovery.Records, recovery.Files, recovery.Bytes, recovery.InDoubt, recovery.Reason, recovery.Removed,
 		recovery.Created, recovery.Snapshot)
-	compareGolden(t, folder+".txt", []byte(text.String()))
+	goldenfile.Compare(t, folder+".txt", []byte(text.String()))
 	assert.Equal(t, folder == "torn", recovery.InDoubt, "%s: the tail of the log is in doubt", folder)
 	for _, kind := range []string{"search", "mark", "ration", "executor", "life", "learnt", "note"} {
 		assert.True(t, kinds[kind], "%s: no record of kind %s", folder, kind)
@@ -220,7 +206,7 @@
 	for _, event := range restored {
 		fmt.Fprintf(&text, "figures %v trusts %v\n", event.Estimates, event.RestoredExecutors)
 	}
-	compareGolden(t, folder+"-told.txt", []byte(text.String()))
+	goldenfile.Compare(t, folder+"-told.txt", []byte(text.String()))
 }
 
 // compareNextLog compares the log file that a restarted controller has begun with a golden file. Its header says
@@ -233,5 +219,5 @@
 	_, err = file.ReadAt(data, 0)
 	require.NoError(t, err)
 	require.NoError(t, file.Close())
-	compareGolden(t, folder+"-next.log", data)
+	goldenfile.Compare(t, folder+"-next.log", data)
 }
--- a/internal/locality/golden_test.go
+++ b/internal/locality/golden_test.go
@@ -2,30 +2,13 @@
 
 import (
 	"encoding/json"
-	"flag"
-	"os"
-	"path/filepath"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-)
-
-var update = flag.Bool("update", false, "write the golden files")
 
-// golden compares data with a file in testdata/golden, and returns the content of the file.
-func golden(t *testing.T, name string, got []byte) []byte {
-	t.Helper()
-	path := filepath.Join("testdata", "golden", name)
-	if *update {
-		require.NoError(t, os.MkdirAll(filepath.Dir(path), 0o755))
-		require.NoError(t, os.WriteFile(path, got, 0o644))
-	}
-	want, err := os.ReadFile(path)
-	require.NoError(t, err)
-	assert.Equal(t, string(want), string(got), "%s differs from the golden file", name)
-	return want
-}
+	"liftshift/internal/goldenfile"
+)
 
 // goldenJSON compares the encoding of a value with its golden file, and the decoded file with the value.
 func goldenJSON[T any](t *testing.T, name string, value T) {
@@ -33,7 +16,7 @@
 	data, err := json.Marshal(value)
 	require.NoError(t, err, name)
 	var got T
-	require.NoError(t, json.Unmarshal(golden(t, name+".json", data), &got), name)
+	require.NoError(t, json.Unmarshal(goldenfile.Compare(t, name+".json", data), &got), name)
 	assert.Equal(t, value, got, name)
 }
 
--- a/internal/localityagent/golden_test.go
+++ b/internal/localityagent/golden_test.go
@@ -1,7 +1,6 @@
 package localityagent
 
 import (
-	"flag"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -16,24 +15,9 @@
 	"liftshift/internal/membership"
 	"liftshift/internal/testservers"
 	"liftshift/scheduler"
-)
-
-var update = flag.Bool("update", false, "write the golden files before they are compared")
 
-// compareGolden compares bytes with a file of testdata/golden and returns the content of the file. With the flag
-// -update, it writes the file first.
-func compareGolden(t *testing.T, name string, got []byte) []byte {
-	t.Helper()
-	path := filepath.Join("testdata", "golden", name)
-	if *update {
-		require.NoError(t, os.MkdirAll(filepath.Dir(path), 0o755))
-		require.NoError(t, os.WriteFile(path, got, 0o644))
-	}
-	want, err := os.ReadFile(path)
-	require.NoError(t, err)
-	assert.Equal(t, string(want), string(got), "%s differs from the golden file", name)
-	return want
-}
+	"liftshift/internal/goldenfile"
+)
 
 // startTransport starts a member's transport and returns it with the member.
 func startTransport(t *testing.T, name string,
@@ -103,7 +87,7 @@
 		}
 	}
 	for kind, name := range files {
-		got[kind] = compareGolden(t, name+".bin", got[kind])
+		got[kind] = goldenfile.Compare(t, name+".bin", got[kind])
 	}
 	assert.Len(t, got, len(files))
 }
--- a/internal/membership/golden_test.go
+++ b/internal/membership/golden_test.go
@@ -1,30 +1,14 @@
 package membership
 
 import (
-	"flag"
 	"os"
-	"path/filepath"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-)
-
-var update = flag.Bool("update", false, "write the golden files")
 
-// golden compares got with a file in testdata/golden and returns the content of the file.
-func golden(t *testing.T, name string, got []byte) []byte {
-	t.Helper()
-	path := filepath.Join("testdata", "golden", name)
-	if *update {
-		require.NoError(t, os.MkdirAll(filepath.Dir(path), 0o755))
-		require.NoError(t, os.WriteFile(path, got, 0o644))
-	}
-	want, err := os.ReadFile(path)
-	require.NoError(t, err)
-	assert.Equal(t, string(want), string(got), "%s differs from the golden file", path)
-	return want
-}
+	"liftshift/internal/goldenfile"
+)
 
 // goldenMembers returns members that cover each state and each flag.
 func goldenMembers() []Member {
@@ -54,7 +38,7 @@
 		"nack": kindNack, "gossip": kindGossip, "digest": kindDigest, "same": kindSame, "full": kindFull} {
 		view := goldenView()
 		msg := message{kind: kind, sequence: 1000, target: "b", incarnation: 2, members: goldenMembers()}
-		decoded, err := parseMessage("f", golden(t, "datagram-"+name+".bin", view.encodeMessage(&msg, nil)))
+		decoded, err := parseMessage("f", goldenfile.Compare(t, "datagram-"+name+".bin", view.encodeMessage(&msg, nil)))
 		require.NoError(t, err)
 		msg.sender, msg.viewHash = view.Self(), view.Hash()
 		assert.Equal(t, msg, decoded, "message of kind %s", name)
@@ -68,7 +52,7 @@
 	for k := range members {
 		view.merge(&members[k], "x")
 	}
-	decoded, err := parseMessage("f", golden(t, "view.bin", view.encodeFullState()))
+	decoded, err := parseMessage("f", goldenfile.Compare(t, "view.bin", view.encodeFullState()))
 	require.NoError(t, err)
 	assert.Equal(t, kindFull, decoded.kind)
 	assert.Equal(t, view.Hash(), decoded.viewHash)
--- a/internal/quotashare/golden_test.go
+++ b/internal/quotashare/golden_test.go
@@ -1,31 +1,13 @@
 package quotashare
 
 import (
-	"flag"
-	"os"
-	"path/filepath"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-)
-
-var update = flag.Bool("update", false, "write the golden files")
 
-// golden compares encoded bytes with a golden file and returns the contents of the file. With -update it writes the
-// file first.
-func golden(t *testing.T, name string, got []byte) []byte {
-	t.Helper()
-	path := filepath.Join("testdata", "golden", name)
-	if *update {
-		require.NoError(t, os.MkdirAll(filepath.Dir(path), 0o755))
-		require.NoError(t, os.WriteFile(path, got, 0o644))
-	}
-	want, err := os.ReadFile(path)
-	require.NoError(t, err)
-	assert.Equal(t, string(want), string(got), "%s differs from the golden file", name)
-	return want
-}
+	"liftshift/internal/goldenfile"
+)
 
 // TestGolden_ShareMessages guards the wire format of loan requests and loans.
 func TestGolden_ShareMessages(t *testing.T) {
@@ -34,9 +16,9 @@
 	require.Len(t, request, 1)
 	assert.Equal(t, -1, request[0].To)
 	lender.Tick(10000, 0.1, false)
-	answer := lender.HandleMessage(10000, 0, golden(t, "ask.bin", request[0].Data))
+	answer := lender.HandleMessage(10000, 0, goldenfile.Compare(t, "ask.bin", request[0].Data))
 	require.Len(t, answer, 1)
 	assert.Equal(t, 0, answer[0].To)
-	borrower.HandleMessage(10001, 1, golden(t, "loan.bin", answer[0].Data))
+	borrower.HandleMessage(10001, 1, goldenfile.Compare(t, "loan.bin", answer[0].Data))
 	assert.Equal(t, []float64{0.7, 0.3}, []float64{borrower.Share(10001), lender.Share(10001)})
 }
--- a/internal/raftnode/golden_test.go
+++ b/internal/raftnode/golden_test.go
@@ -2,10 +2,7 @@
 
 import (
 	"encoding/json"
-	"flag"
-	"os"
 	"path/filepath"
-	"reflect"
 	"slices"
 	"strings"
 	"sync"
@@ -23,52 +20,9 @@
 	"liftshift/internal/placement"
 	"liftshift/internal/store"
 	"liftshift/internal/vfs"
-)
-
-var update = flag.Bool("update", false, "write the golden files")
-
-// compareGolden compares bytes with a file of testdata/golden, which the -update flag writes first, and returns the
-// content of the file.
-func compareGolden(t *testing.T, name string, got []byte) []byte {
-	t.Helper()
-	path := filepath.Join("testdata", "golden", name)
-	if *update {
-		require.NoError(t, os.MkdirAll(filepath.Dir(path), 0o755))
-		require.NoError(t, os.WriteFile(path, got, 0o644))
-	}
-	want, err := os.ReadFile(path)
-	require.NoError(t, err)
-	assert.Equal(t, string(want), string(got), "%s differs from the golden file", name)
-	return want
-}
-
-// compareGoldenJSON compares the JSON encoding of a value with a golden file, and the decoded file with the value. The
-// value is a pointer.
-func compareGoldenJSON(t *testing.T, name string, value any) {
-	t.Helper()
-	checkJSONTags(t, reflect.TypeOf(value))
-	got, err := json.Marshal(value)
-	require.NoError(t, err)
-	decoded := reflect.New(reflect.TypeOf(value).Elem())
-	require.NoError(t, json.Unmarshal(compareGolden(t, name, got), decoded.Interface()))
-	assert.Equal(t, value, decoded.Interface(), "the value decoded from golden file %s", name)
-}
 
-// checkJSONTags checks that each field of a type, and of the types in it, has a JSON tag.
-func checkJSONTags(t *testing.T, checked reflect.Type) {
-	t.Helper()
-	switch checked.Kind() {
-	case reflect.Pointer, reflect.Slice, reflect.Map:
-		checkJSONTags(t, checked.Elem())
-	case reflect.Struct:
-		for i := range checked.NumField() {
-			field := checked.Field(i)
-			name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
-			assert.NotEmpty(t, name, "the field %v.%s has no JSON tag", checked, field.Name)
-			checkJSONTags(t, field.Type)
-		}
-	}
-}
+	"liftshift/internal/goldenfile"
+)
 
 // The JSON encodings of requests and replies between members are compatible with earlier versions.
 func TestGolden_RaftNodeValues(t *testing.T) {
@@ -96,11 +50,11 @@
 		"planned": &AgreedPlan{Number: 8, Plan: []byte(`{"x":1}`),
 			Orders: map[string]json.RawMessage{"zone z1": []byte(`{"y":2}`), "zone z2": []byte(`{}`)}},
 	} {
-		compareGoldenJSON(t, name+".json", value)
+		goldenfile.CompareJSON(t, name+".json", value)
 	}
 	data, err := json.Marshal(Configuration{Addresses: map[string]string{"a": "127.0.0.1:7000"}})
 	require.NoError(t, err)
-	compareGolden(t, "roll-empty.json", data)
+	goldenfile.Compare(t, "roll-empty.json", data)
 }
 
 // compareGoldenFolder compares the files of a voter's folder, without their trailing zero bytes, with golden files, and
@@ -113,7 +67,7 @@
 	copied := vfs.NewMemory()
 	for _, file := range files {
 		content := fs.Bytes(file)
-		data := compareGolden(t, filepath.Join(name, file), []byte(strings.TrimRight(string(content), "\x00")))
+		data := goldenfile.Compare(t, filepath.Join(name, file), []byte(strings.TrimRight(string(content), "\x00")))
 		copied.SetFile(file, append(data, make([]byte, len(content)-len(data))...))
 	}
 	return copied
@@ -192,7 +146,7 @@
 func TestGolden_RaftNodeMessages(t *testing.T) {
 	addresses := freeAddresses(t, 2)
 	granted := []byte(`{"Verdict":0,"Leader":"b","Term":2,"Step":3,"Number":4}`)
-	peer := &recordingPeer{received: map[string]bool{}, reply: compareGolden(t, "reply-granted.json", granted)}
+	peer := &recordingPeer{received: map[string]bool{}, reply: goldenfile.Compare(t, "reply-granted.json", granted)}
 	settings := membership.DefaultSettings()
 	peerMember := membership.Member{Name: "b", Incarnation: 1, Address: addresses[1]}
 	peerTransport := clusternet.New(addresses[1], discardLog())
@@ -247,7 +201,7 @@
 		"voter":      "v\x01awhat a voter says",
 		"motion":     `p{"Kind":"order","Name":"zone z1","Life":0,"Data":{"y":2}}`,
 	} {
-		data := compareGolden(t, "message-"+file+".bin", []byte(want))
+		data := goldenfile.Compare(t, "message-"+file+".bin", []byte(want))
 		assert.Eventually(t, func() bool {
 			peer.mu.Lock()
 			defer peer.mu.Unlock()
