Review case 1: an irreversible ingest is carried out twice after its controller is killed

Cause: a successor sends a confirmed non-idempotent request of a lost controller that was not sent yet, while its client, which found the controller unreachable, has sent it again elsewhere under a new id.

--- /dev/null
+++ b/review/_src/process.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// runCommand returns the command with which the deploy file starts a controller.
+func runCommand() (string, error) {
+	file, err := os.Open(filepath.Join("deploy", "balancer.toml"))
+	if err != nil {
+		return "", err
+	}
+	defer file.Close()
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		name, value, found := strings.Cut(lines.Text(), "=")
+		if !found || strings.TrimSpace(name) != "run" {
+			continue
+		}
+		parts := strings.Split(value, `"`)
+		if len(parts) < 3 {
+			return "", errors.New("deploy/balancer.toml: run is not a quoted text")
+		}
+		return parts[1], nil
+	}
+	return "", errors.New("deploy/balancer.toml has no key run")
+}
+
+// controller is one process of the project's program.
+type controller struct {
+	name    string
+	listen  string
+	config  string // path of the platform's configuration
+	operate string // path of the operators' file; empty: none
+	logPath string
+	cmd     *exec.Cmd
+	exited  chan struct{}
+}
+
+// start starts the process by the deploy file's command. The shell replaces itself by the program, so signals to the
+// process reach the program.
+func (c *controller) start() error {
+	command, err := runCommand()
+	if err != nil {
+		return err
+	}
+	logFile, err := os.OpenFile(c.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer logFile.Close()
+	cmd := exec.Command("/bin/sh", "-c", command)
+	cmd.Env = append(os.Environ(), "RELAY_NAME="+c.name, "RELAY_LISTEN="+c.listen, "RELAY_CONFIG="+c.config)
+	if c.operate != "" {
+		cmd.Env = append(cmd.Env, "LIFTSHIFT_FILE="+c.operate)
+	}
+	cmd.Stdout, cmd.Stderr = logFile, logFile
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	c.cmd, c.exited = cmd, exited
+	go func() {
+		defer close(exited)
+		_ = cmd.Wait()
+	}()
+	return nil
+}
+
+// running reports whether the process has been started and has not ended.
+func (c *controller) running() bool {
+	if c.cmd == nil {
+		return false
+	}
+	select {
+	case <-c.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// signal sends a signal to the process.
+func (c *controller) signal(s syscall.Signal) {
+	if c.running() {
+		_ = c.cmd.Process.Signal(s)
+	}
+}
+
+// kill ends the process without notice and waits until it has ended.
+func (c *controller) kill() {
+	if !c.running() {
+		return
+	}
+	_ = c.cmd.Process.Kill()
+	<-c.exited
+}
+
+// stopped reports whether the process is stopped by a signal.
+func (c *controller) stopped() bool {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", c.cmd.Process.Pid))
+	if err != nil {
+		return false
+	}
+	_, state, _ := strings.Cut(string(text), ") ")
+	return strings.HasPrefix(state, "T")
+}
+
+// waitReady waits until the controller answers the method probe with fit.
+func (c *controller) waitReady(within time.Duration) error {
+	for start := time.Now(); time.Since(start) < within; time.Sleep(20 * time.Millisecond) {
+		if !c.running() {
+			return fmt.Errorf("%s has ended, see %s", c.name, c.logPath)
+		}
+		if probe(c.listen) {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s is not ready within %v", c.name, within)
+}
+
+// freeAddress returns a loopback address that is free for TCP and UDP at the moment.
+func freeAddress() (string, error) {
+	for range 50 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", err
+		}
+		address := listener.Addr().String()
+		packets, err := net.ListenPacket("udp", address)
+		_ = listener.Close()
+		if err != nil {
+			continue
+		}
+		_ = packets.Close()
+		return address, nil
+	}
+	return "", errors.New("no free loopback address")
+}
