--- a/review/_src/client.go
+++ b/review/_src/client.go
@@ -73,6 +73,7 @@
 	answers map[int][]*answer
 	changed chan struct{} // closed at the next answer or at the end
 	ended   error         // why the connection ended
+	endTime time.Time     // when it ended
 }
 
 func dial(name, address string, record *record) (*client, error) {
@@ -91,12 +92,12 @@
 		got, err := readAnswer(reader)
 		c.mu.Lock()
 		if err != nil {
-			c.ended = err
+			c.ended, c.endTime = err, time.Now()
 		} else {
 			got.at = time.Now()
 			c.answers[got.ID] = append(c.answers[got.ID], got)
 			if c.record != nil {
-				c.record.add(got.at, "client %s: answer %d %s %q", c.name, got.ID, got.word(), got.rows())
+				c.record.add(got.at, "client %s: answer %d %s %q", c.name, got.ID, got.word(), clip(got.rows()))
 			}
 		}
 		close(c.changed)
@@ -114,13 +115,18 @@
 	c.lastID++
 	number := c.lastID
 	c.mu.Unlock()
-	text, _ := json.Marshal(map[string]any{"jsonrpc": "2.0", "id": number, "method": method, "params": params})
-	_, _ = fmt.Fprintf(c.conn, "Content-Length: %d\r\n\r\n%s", len(text), text)
+	_, _ = c.conn.Write(appendMessage(nil, number, method, params))
 	return number
 }
 
-// submit sends a request and returns its number.
-func (c *client) submit(r call) int {
+// appendMessage appends a message with its head.
+func appendMessage(b []byte, number int, method string, params any) []byte {
+	text, _ := json.Marshal(map[string]any{"jsonrpc": "2.0", "id": number, "method": method, "params": params})
+	return append(fmt.Appendf(b, "Content-Length: %d\r\n\r\n", len(text)), text...)
+}
+
+// params returns the params of a request.
+func (r *call) params() map[string]any {
 	params := map[string]any{
 		"req": r.id, "timeout": r.timeout.Milliseconds(), "ms": r.workMS, "ram": r.memoryMB,
 		"data": base64.StdEncoding.EncodeToString([]byte(r.statement)),
@@ -131,10 +137,15 @@
 	if r.subject != "" {
 		params["subject"] = r.subject
 	}
-	number := c.send(r.class, params)
+	return params
+}
+
+// submit sends a request and returns its number.
+func (c *client) submit(r call) int {
+	number := c.send(r.class, r.params())
 	if c.record != nil {
 		c.record.add(time.Now(), "client %s: sent %d %s %s key %q subject %q statement %q",
-			c.name, number, r.class, r.id, r.key, r.subject, r.statement)
+			c.name, number, r.class, r.id, r.key, r.subject, clip(r.statement))
 	}
 	return number
 }
@@ -222,3 +233,38 @@
 	_, _ = rand.Read(text)
 	return hex.EncodeToString(text)
 }
+
+// submitAll sends requests in one write and returns their numbers.
+func (c *client) submitAll(calls []call) (numbers []int) {
+	var text []byte
+	for _, r := range calls {
+		c.mu.Lock()
+		c.lastID++
+		numbers = append(numbers, c.lastID)
+		c.mu.Unlock()
+		text = appendMessage(text, c.lastID, r.class, r.params())
+		if c.record != nil {
+			c.record.add(time.Now(), "client %s: sent %d %s %s", c.name, c.lastID, r.class, r.id)
+		}
+	}
+	_, _ = c.conn.Write(text)
+	return numbers
+}
+
+// endedAt returns when the connection ended, or now.
+func (c *client) endedAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended == nil {
+		return time.Now()
+	}
+	return c.endTime
+}
+
+// clip shortens a text for the record.
+func clip(text string) string {
+	if len(text) <= 120 {
+		return text
+	}
+	return text[:120] + "..."
+}
--- a/review/_src/executor.go
+++ b/review/_src/executor.go
@@ -159,7 +159,7 @@
 	first, repeated := e.fleet.keys[a.key]
 	repeated = repeated && a.key != "" && a.at.Sub(first) < e.dedupWindow
 	e.fleet.mu.Unlock()
-	e.fleet.record.add(a.at, "executor %s: got fetch %s fields %q statement %q", e.name, id, fields, statement)
+	e.fleet.record.add(a.at, "executor %s: got fetch %s fields %q statement %q", e.name, id, fields, clip(statement))
 	work := e.work[a.class]
 	if repeated {
 		work = 0
