--- a/review/_src/process.go
+++ b/review/_src/process.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -129,14 +130,15 @@
 	return fmt.Errorf("%s is not ready within %v", c.name, within)
 }
 
-// freeAddress returns a loopback address that is free for TCP and UDP at the moment.
+// freeAddress returns a loopback address that is free for TCP and UDP at the moment. Its port is below those that the
+// system takes for outgoing connections, so that none of them takes it while a controller is away.
 func freeAddress() (string, error) {
 	for range 50 {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		address := fmt.Sprintf("127.0.0.1:%d", 10000+rand.IntN(20000))
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return "", err
+			continue
 		}
-		address := listener.Addr().String()
 		packets, err := net.ListenPacket("udp", address)
 		_ = listener.Close()
 		if err != nil {
