Review: case 1 leaves out what was sent before the kill; stand-ins clean up when ended

Cause: an ingest that had begun before the kill may be repeated at its client's risk, and controllers outlived a driver that was ended. Change: only ingests that had waited are judged; the driver ends its controllers and removes its folder at a signal and at its limit.

--- a/review/_src/main.go
+++ b/review/_src/main.go
@@ -10,6 +10,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -44,6 +46,8 @@
 		broken, err := cases[os.Args[1]](rec, os.Getenv("TROUBLE") != "0")
 		results <- result{broken, err}
 	}()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	select {
 	case got := <-results:
 		switch {
@@ -58,6 +62,9 @@
 		os.Exit(ruleHeld)
 	case <-time.After(longest):
 		rec.note("could not run: not done within %v", longest)
-		os.Exit(notRun) // the controllers end with this process
+	case got := <-signals:
+		rec.note("could not run: ended by %v", got)
 	}
+	closeAll()
+	os.Exit(notRun)
 }
--- a/review/_src/platform.go
+++ b/review/_src/platform.go
@@ -139,6 +139,9 @@
 		record: rec, directory: directory, log: &changeLog{},
 		fleet: &fleet{record: rec, keys: map[string]time.Time{}},
 	}
+	opened.mu.Lock()
+	opened.list = append(opened.list, d)
+	opened.mu.Unlock()
 	if err := d.log.startServing(); err != nil {
 		return d, err
 	}
@@ -238,15 +241,25 @@
 	return nil
 }
 
-// close ends all processes and removes the temporary folder.
+// close ends all processes, also stopped ones, and removes the temporary folder. No controller can be started afterwards.
 func (d *deployment) close() {
 	for _, c := range d.controllers {
-		c.signal(18) // SIGCONT
-		c.kill()
+		c.end()
 	}
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(d.directory)
-	} else {
-		fmt.Println("kept", d.directory)
+	_ = os.RemoveAll(d.directory)
+}
+
+// opened holds the deployments of this process, for closeAll.
+var opened struct {
+	mu   sync.Mutex
+	list []*deployment
+}
+
+// closeAll closes all deployments where the case can't do so itself.
+func closeAll() {
+	opened.mu.Lock()
+	defer opened.mu.Unlock()
+	for _, d := range opened.list {
+		d.close()
 	}
 }
--- a/review/_src/process.go
+++ b/review/_src/process.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -43,8 +44,11 @@
 	config  string // path of the platform's configuration
 	operate string // path of the operators' file; empty: none
 	logPath string
-	cmd     *exec.Cmd
-	exited  chan struct{}
+
+	mu     sync.Mutex
+	closed bool // it is not started any more
+	cmd    *exec.Cmd
+	exited chan struct{}
 }
 
 // start starts the process by the deploy file's command. The shell replaces itself by the program, so signals to the
@@ -65,7 +69,11 @@
 		cmd.Env = append(cmd.Env, "LIFTSHIFT_FILE="+c.operate)
 	}
 	cmd.Stdout, cmd.Stderr = logFile, logFile
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return fmt.Errorf("%s is closed", c.name)
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -78,13 +86,32 @@
 	return nil
 }
 
+// process returns the running process and what is closed at its end, or nil.
+func (c *controller) process() (*os.Process, chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cmd == nil {
+		return nil, nil
+	}
+	return c.cmd.Process, c.exited
+}
+
+// end ends the process, if it runs, and keeps it from being started again.
+func (c *controller) end() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.kill()
+}
+
 // running reports whether the process has been started and has not ended.
 func (c *controller) running() bool {
-	if c.cmd == nil {
+	_, exited := c.process()
+	if exited == nil {
 		return false
 	}
 	select {
-	case <-c.exited:
+	case <-exited:
 		return false
 	default:
 		return true
@@ -94,27 +121,19 @@
 // signal sends a signal to the process.
 func (c *controller) signal(s syscall.Signal) {
 	if c.running() {
-		_ = c.cmd.Process.Signal(s)
+		process, _ := c.process()
+		_ = process.Signal(s)
 	}
 }
 
-// kill ends the process without notice and waits until it has ended.
+// kill ends the process without notice, also a stopped one, and waits until it has ended.
 func (c *controller) kill() {
 	if !c.running() {
 		return
 	}
-	_ = c.cmd.Process.Kill()
-	<-c.exited
-}
-
-// stopped reports whether the process is stopped by a signal.
-func (c *controller) stopped() bool {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", c.cmd.Process.Pid))
-	if err != nil {
-		return false
-	}
-	_, state, _ := strings.Cut(string(text), ") ")
-	return strings.HasPrefix(state, "T")
+	process, exited := c.process()
+	_ = process.Kill()
+	<-exited
 }
 
 // waitReady waits until the controller answers the method probe with fit.
--- a/review/_src/twice.go
+++ b/review/_src/twice.go
@@ -18,7 +18,8 @@
 type operation struct {
 	statement string
 	client    *client
-	number    int // of the latest try on the client's connection
+	number    int  // of the latest try on the client's connection
+	sent      bool // an attempt had begun as the controller was killed, so that the client's new try is a risk of its own
 }
 
 // submitIngest sends a try of an operation to a controller.
@@ -33,7 +34,8 @@
 }
 
 // playTwice kills a controller that holds ingests, some of which wait in it, and starts it again. The clients find it
-// unreachable and send their ingests to another controller. No ingest may be carried out twice.
+// unreachable and send their ingests to another controller. No ingest that had waited may be carried out
+// twice.
 func playTwice(rec *record, trouble bool) (bool, error) {
 	work := map[string]time.Duration{"ingest": 1500 * time.Millisecond}
 	d, err := newArchiveCluster(rec, 3, work)
@@ -74,7 +76,7 @@
 	}
 	broken := false
 	for _, o := range operations {
-		if done[o.statement] > 1 {
+		if done[o.statement] > 1 && !o.sent {
 			broken = true
 			rec.note("broken: %q was carried out %d times", o.statement, done[o.statement])
 		}
@@ -88,6 +90,19 @@
 	d.record.note("%s is killed", first.name)
 	killed := time.Now()
 	first.kill()
+	waited := len(operations)
+	for _, o := range operations {
+		for _, a := range d.fleet.list() {
+			o.sent = o.sent || a.statement == o.statement
+		}
+		if o.sent {
+			waited--
+		}
+	}
+	d.record.note("%d ingests had waited in it and had not been sent", waited)
+	if waited == 0 {
+		return fmt.Errorf("no ingest waited in %s", first.name)
+	}
 	for _, o := range operations {
 		for o.client.over() == nil {
 			time.Sleep(time.Millisecond)
