Requests rejected over a limit no longer end their connection

Cause: clientConn.replyError counted each rejection as a message that can't be used; 64 of these end a connection in its life. Its record shows the 64th rejection, the failures and the end in the same millisecond, and the lost requests are those behind it. Such a request is well-formed: the want of room is the server's, and other clients can cause it.

Change: only errors that say that a message can't be used count.

--- a/internal/jsonrpc/call.go
+++ b/internal/jsonrpc/call.go
@@ -29,6 +29,10 @@
 	message string
 }
 
+// unusable reports whether the error says that the message can't be used. A request that is rejected over a limit can be
+// used: the client may send it again, and its connection must not end for it.
+func (e rpcError) unusable() bool { return e.code != codeRejected }
+
 // parseCall parses the body of a message. If it returns an error, the id of the call is set if it could be read.
 func parseCall(text []byte) (call rpcCall, rpcErr *rpcError) {
 	if !json.Valid(text) {
--- a/internal/jsonrpc/request.go
+++ b/internal/jsonrpc/request.go
@@ -65,12 +65,12 @@
 	return nil
 }
 
-// replyError answers an unusable message. If a request with the same call id is open, the error goes out without an id:
-// the client would take it for the answer of the open request.
+// replyError answers a message that is unusable or over a limit. If a request with the same call id is open, the error
+// goes out without an id: the client would take it for the answer of the open request.
 func (c *clientConn) replyError(callID []byte, e rpcError) {
 	c.server.BadRequests.Add(1)
 	c.mu.Lock()
-	if !c.closing { // messages that arrive while the connection ends are not the client's fault
+	if !c.closing && e.unusable() { // messages that arrive while the connection ends are not the client's fault
 		c.badMessages++
 	}
 	if slices.ContainsFunc(c.openRequests, func(r openRequest) bool { return string(r.callID) == string(callID) }) {
--- a/internal/jsonrpc/server.go
+++ b/internal/jsonrpc/server.go
@@ -26,7 +26,7 @@
 	messageTimeout       = 2 * time.Second // from the accept to the end of the first message, then from first to last byte
 	idleTimeout          = 5 * time.Second // without a message and without open requests; typical clients close after 4 s
 	openCheckInterval    = 15 * time.Second
-	maxBadMessages       = 64 // the connection is closed at this many
+	maxBadMessages       = 64 // the connection is closed at this many unusable messages
 	readBufferBytes      = 4 << 10
 	maxReusedBufferBytes = 16 << 10  // larger message buffers are not reused
 	socketBufferBytes    = 128 << 10 // output that the kernel buffers for a client that does not read
--- a/internal/jsonrpc/server_test.go
+++ b/internal/jsonrpc/server_test.go
@@ -204,6 +204,26 @@
 	assertReply(t, reader, `{"jsonrpc":"2.0","id":1,"result":{"data":""}}`)
 }
 
+// Guards against requests without any answer: a connection must not end at a number of rejections, as requests that came
+// in the same write are then never read.
+func TestServer_AnswersRequestsBehindRejections(t *testing.T) {
+	server, queue, conn, reader := newTestServer(t, Limits{RequestBudget: netconn.NewByteBudget(60)})
+	send(conn, requestCall(1, "a"))
+	open := queue.next(t).Request
+	var burst strings.Builder
+	for id := range 2 * maxBadMessages {
+		call := requestCall(1000+id, fmt.Sprint("b", id))
+		burst.WriteString(withLength(strings.Replace(call, "U0VM", strings.Repeat("U0VM", 20), 1))) // over the budget
+	}
+	fmt.Fprint(conn, burst.String())
+	for id := range 2 * maxBadMessages {
+		assertReply(t, reader, fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"error":{"code":-32008,"message":"too much is open here"}}`, 1000+id))
+	}
+	open.Client.Succeeded(open.Tag, nil)
+	assertReply(t, reader, `{"jsonrpc":"2.0","id":1,"result":{"data":""}}`)
+	assert.Zero(t, server.FramingErrors.Load())
+}
+
 // A client that does not read must not exhaust the memory: its connection is closed at a limit, and its queued bytes
 // are freed.
 func TestServer_ClosesSlowReader(t *testing.T) {
