Handoff: a successor sends no non-idempotent request of a lost controller

Those that had waited in the killed controller were carried out once more by its successor, some seconds later.

Cause: Manager.canContinue let a successor send such a request if it had never been sent. Its client's connection had ended with the owner, which is when clients may repeat it themselves, and nothing ties the two tries.

Change: what was never sent is rejected, what may have run fails. A rejection is true, as a quorum knows of an attempt before it leaves. The owner no longer tells replicas that it goes on with such a request, so that successors of earlier versions reject it, too.

--- a/internal/clustersim/handoff_request.go
+++ b/internal/clustersim/handoff_request.go
@@ -144,6 +144,10 @@
 		return
 	}
 	c.unsent.sent[request.executionKey()] = true
+	if request.client == nil && request.class == nonIdempotentClass {
+		c.Violations = append(c.Violations,
+			newViolation(SentWithoutClient, "node %d sent request %s of a lost owner", nodeIndex, request.id))
+	}
 	executionMS := minExecutionMS + executionSpreadMS*math.Pow(c.random.Float64(), 3)
 	if c.random.IntN(longExecutionOneIn) == 0 {
 		executionMS = longExecutionMS
--- a/internal/clustersim/violation.go
+++ b/internal/clustersim/violation.go
@@ -17,11 +17,13 @@
 	WithoutOutcome                            // a request was neither answered nor adopted
 	WrongOutcome                              // an answer contradicts the executions of the request
 	InconsistentCounts                        // the counters of a node do not add up
+	SentWithoutClient                         // a successor sent a non-idempotent request, which its client may send again
 )
 
 var violationNames = [...]string{
 	"lease after loss", "voter stopped", "not converged", "not linearizable", "invalid message", "ran twice",
 	"contradictory answers", "without outcome", "wrong outcome", "inconsistent counts",
+	"sent without client",
 }
 
 // String returns the name of the kind.
--- a/internal/handoff/adoption.go
+++ b/internal/handoff/adoption.go
@@ -235,10 +235,7 @@
 	if m.now >= req.Deadline-answerMarginMS {
 		return false
 	}
-	if !class.replicated() {
-		return m.takeFromRetryBudget()
-	}
-	return class.effect == scheduler.Keyed || req.Confirmed
+	return class.effect == scheduler.Keyed || m.takeFromRetryBudget()
 }
 
 // takeFromRetryBudget reports whether the retry budget allows one more idempotent request to run again, and if so
--- a/internal/handoff/closing.go
+++ b/internal/handoff/closing.go
@@ -12,7 +12,8 @@
 
 // gateAnswer decides whether an answer must wait until a quorum of replicas has stored the outcome. It must if this
 // controller lost its lease or the owning incarnation has ended, because a successor may have continued the request. A
-// rejection of a non-idempotent request must wait as well, because no successor may send an attempt after it.
+// rejection of a non-idempotent request must wait as well, because a successor of an earlier version may send an attempt
+// after it.
 func (m *Manager) gateAnswer(ev *Event) {
 	req := m.ownedByID[ev.ID]
 	if req == nil || ev.Outcome == Abandoned || req.phase != phaseActive {
--- a/internal/handoff/helpers_test.go
+++ b/internal/handoff/helpers_test.go
@@ -235,6 +235,15 @@
 	return withheld
 }
 
+// queryOutcome asks a member for the outcome of the request with an id.
+func (c *testCluster) queryOutcome(k int, id string) Outcome {
+	c.effects[k][ReplyOutcome] = nil
+	c.step(k, &Event{Kind: OutcomeQueried, ID: id, Token: 3})
+	c.tick(200)
+	require.Len(c.t, c.effects[k][ReplyOutcome], 1)
+	return c.effects[k][ReplyOutcome][0].Outcome
+}
+
 // checkCounts checks on all members that each received copy is counted under exactly one result.
 func (c *testCluster) checkCounts() {
 	for k, m := range c.managers {
--- a/internal/handoff/manager.go
+++ b/internal/handoff/manager.go
@@ -18,6 +18,20 @@
 	adoptable     bool    // a successor continues open requests of the class
 }
 
+// isAdoptable reports whether a successor may send open requests of a class. A non-idempotent request is never sent: its
+// client was connected to the lost owner and may have sent it again elsewhere under another id, and nothing shows that
+// the two are the same.
+func isAdoptable(c scheduler.RequestClass, adoptClasses []string) bool {
+	switch c.Idempotency {
+	case scheduler.Keyed:
+		return true
+	case scheduler.Idempotent:
+		return slices.Contains(adoptClasses, c.Name)
+	default:
+		return false
+	}
+}
+
 // replicated reports whether requests of the class are registered with replicas before their first attempt.
 func (c *requestClass) replicated() bool { return c.effect != scheduler.Idempotent }
 
@@ -133,7 +147,7 @@
 	}
 	for _, c := range settings.Classes {
 		class := requestClass{name: c.Name, effect: c.Idempotency, dedupWindowMS: c.DedupWindowMS}
-		class.adoptable = class.replicated() || slices.Contains(settings.AdoptClasses, c.Name)
+		class.adoptable = isAdoptable(c, settings.AdoptClasses)
 		m.classes = append(m.classes, class)
 		m.pacer.baselines = append(m.pacer.baselines, durationBaseline{})
 		if class.effect == scheduler.Keyed {
--- a/internal/handoff/registration.go
+++ b/internal/handoff/registration.go
@@ -100,12 +100,6 @@
 	if req.IdempotencyKey != "" {
 		m.mapIDToKey(req)
 	}
-	if class := m.class(req.Class); class != nil && class.effect != scheduler.Keyed {
-		// A successor does not send an unconfirmed request: its client may have been answered that it was rejected.
-		req.Confirmed = true
-		req.Sequence++
-		m.replicate(req)
-	}
 	effect := Effect{Kind: Resume, ID: req.ID}
 	if req.RunState != NotRun {
 		effect.Prior = priorAttempt(&req.Copy)
