Handoff: a request with the id of another controller's request fails

Cause: without an idempotency key the id is the key of a request. A registration that replicas refuse was taken for a repeat by its client, waited for the other request and got its answer. A repeat always has a new id, so a request with the id of another is none; nothing compared the ids.

Change: a suspended request fails at once if replicas know its key under its own id, unless the copy can be its own: of this controller, or of a successor, which is excluded while the lease of the incarnation at which the request arrived is held. All ways to another's answer look there. A request that waits at the successor of an orphaned one with the same id fails before the adoption, which the loop would refuse.

--- a/internal/handoff/adoption.go
+++ b/internal/handoff/adoption.go
@@ -147,8 +147,10 @@
 	}
 	switch req := m.owned[orphan.key]; {
 	case req == nil:
-	case req.phase == phaseRegistering:
-		m.yieldToOwner(req) // a repeat from a client: it waits for the adopted request
+	case req.phase == phaseRegistering: // a repeat from a client waits for the adopted request
+		known := stored.Copy
+		req.reportedCopy = &known
+		m.yieldToOwner(req)
 	case m.mayBeReplacedBy(req, stored):
 		m.removeOwned(req)
 	default:
--- a/internal/handoff/helpers_test.go
+++ b/internal/handoff/helpers_test.go
@@ -19,6 +19,7 @@
 	members   []placement.Member
 	table     placement.Table
 	down      map[int]bool                      // members that process no events
+	leaseOver map[int]bool                      // members that do not hold their lease
 	drops     func(from, to int, it *Item) bool // reports whether an item is lost in transit
 	dropAcks  bool                              // replies with an OpStored are lost in transit
 	paused    map[int][]func()                  // by paused member, the deliveries that wait for it
@@ -29,7 +30,7 @@
 // newCluster returns a cluster of n members whose table asks for the given number of copies. Change may modify the
 // settings.
 func newCluster(t *testing.T, n, copies int, change func(*Settings)) *testCluster {
-	c := &testCluster{t: t, now: 1000, down: map[int]bool{}, paused: map[int][]func(){}}
+	c := &testCluster{t: t, now: 1000, down: map[int]bool{}, leaseOver: map[int]bool{}, paused: map[int][]func(){}}
 	settings := DefaultSettings()
 	settings.Classes = []scheduler.RequestClass{
 		{Name: "keyed", Idempotency: scheduler.Keyed, DedupWindowMS: 20e3, DeadlineMS: 5e3},
@@ -136,7 +137,7 @@
 	if c.down[k] {
 		return nil
 	}
-	ev.LeaseHeld = true
+	ev.LeaseHeld = !c.leaseOver[k]
 	effects := slices.Clone(c.managers[k].Step(c.now, ev))
 	batches := make([][]byte, len(effects)) // encoded before later steps change the copies that they point to
 	for i, effect := range effects {
--- a/internal/handoff/registration.go
+++ b/internal/handoff/registration.go
@@ -26,7 +26,12 @@
 		return
 	}
 	m.emit(Effect{Kind: Suspend, ID: c.ID})
-	waiter := &waitingRequest{Copy: *c, key: KeyOf(c.IdempotencyKey, c.ID), startedAt: m.now}
+	waiter := &waitingRequest{
+		Copy:               *c,
+		key:                KeyOf(c.IdempotencyKey, c.ID),
+		arrivalIncarnation: m.self.Incarnation,
+		startedAt:          m.now,
+	}
 	waiter.Owner = m.self
 	waiter.Complete = true
 	if m.isAwaited(waiter.key) { // a registration would hold up the one that the earlier request waits for
@@ -51,7 +56,12 @@
 		m.admitOrRejectUnreplicated(waiter)
 		return
 	}
-	req := &ownedRequest{Copy: waiter.Copy, key: waiter.key, startedAt: waiter.startedAt}
+	req := &ownedRequest{
+		Copy:               waiter.Copy,
+		key:                waiter.key,
+		arrivalIncarnation: waiter.arrivalIncarnation,
+		startedAt:          waiter.startedAt,
+	}
 	req.Sequence = max(1, req.Sequence)
 	m.addOwned(req)
 	m.replicate(req)
@@ -144,15 +154,11 @@
 }
 
 // yieldToOwner withdraws the registration of a request whose key another controller owns. The request is answered from
-// the owner's copy if that has an answer, and waits for the owner otherwise.
+// the owner's copy if that allows it, and waits for the owner otherwise.
 func (m *Manager) yieldToOwner(req *ownedRequest) {
 	m.withdraw(req)
 	m.removeOwned(req)
-	waiter := waitingFor(req, req.startedAt)
-	if m.answerFromCopy(waiter, req.reportedCopy) {
-		return
-	}
-	m.addWaiting(waiter)
+	m.settleOrAwait(waitingFor(req, req.startedAt))
 }
 
 // expireRegistration ends a registration that no quorum acknowledged in time. If another request with the same key is
@@ -161,7 +167,7 @@
 	m.withdraw(req)
 	m.removeOwned(req)
 	if req.reportedCopy != nil && req.reportedCopy.Outcome == Open && m.now < req.Deadline-answerMarginMS {
-		m.addWaiting(waitingFor(req, m.now))
+		m.settleOrAwait(waitingFor(req, m.now))
 		return
 	}
 	m.admitOrRejectUnreplicated(&waitingRequest{Copy: req.Copy, key: req.key})
--- a/internal/handoff/request.go
+++ b/internal/handoff/request.go
@@ -22,26 +22,27 @@
 // ownedRequest is a request that this controller owns, or asks its replicas to register or let it adopt.
 type ownedRequest struct {
 	Copy
-	key               Key
-	phase             requestPhase
-	adopted           bool
-	previousOwner     Member   // the lost owner of an adopted request
-	baseSequence      uint64   // of the lost owner's copy that was adopted
-	startedAt         float64  // when the registration or adoption began
-	sentAt            float64  // when the latest message was last sent
-	sends             int      // sends of messages so far; reset when the request starts to close
-	acks              []Member // replicas that stored the latest message
-	refusals          []Member // replicas that refused the latest message
-	reportedCopy      *Copy    // the most recent copy that refusing replicas reported
-	earlierAttempt    Item     // the reply with the most certain, then the oldest attempt under an earlier registration
-	uncertainAttempts int      // attempts that may have run, or are in flight and known to replicas
-	attemptsInFlight  uint8    // a bit per attempt number; only attempts that replicas know of
-	heldAttempts      []heldAttempt
-	recordUntil       float64 // when the last of the attempts that wait for replicas fails; 0: none waits
-	withheld          *withheldAnswer
-	unreplicated      bool // admitted without registration, so no replica stores it
-	bestEffort        bool // copies are sent without retries, and nothing waits for acknowledgements
-	inUnacknowledged  bool // listed in Manager.unacknowledged
+	key                Key
+	phase              requestPhase
+	adopted            bool
+	previousOwner      Member   // the lost owner of an adopted request
+	baseSequence       uint64   // of the lost owner's copy that was adopted
+	arrivalIncarnation uint64   // of this controller when the request arrived; 0 if it was adopted
+	startedAt          float64  // when the registration or adoption began
+	sentAt             float64  // when the latest message was last sent
+	sends              int      // sends of messages so far; reset when the request starts to close
+	acks               []Member // replicas that stored the latest message
+	refusals           []Member // replicas that refused the latest message
+	reportedCopy       *Copy    // the most recent copy that refusing replicas reported
+	earlierAttempt     Item     // the reply with the most certain, then the oldest attempt under an earlier registration
+	uncertainAttempts  int      // attempts that may have run, or are in flight and known to replicas
+	attemptsInFlight   uint8    // a bit per attempt number; only attempts that replicas know of
+	heldAttempts       []heldAttempt
+	recordUntil        float64 // when the last of the attempts that wait for replicas fails; 0: none waits
+	withheld           *withheldAnswer
+	unreplicated       bool // admitted without registration, so no replica stores it
+	bestEffort         bool // copies are sent without retries, and nothing waits for acknowledgements
+	inUnacknowledged   bool // listed in Manager.unacknowledged
 }
 
 // maxTrackedAttempts is the number of bits in ownedRequest.attemptsInFlight. Later attempts are not tracked.
--- a/internal/handoff/waiting.go
+++ b/internal/handoff/waiting.go
@@ -6,6 +6,7 @@
 type waitingRequest struct {
 	Copy
 	key                  Key
+	arrivalIncarnation   uint64 // of this controller when the request arrived
 	startedAt            float64
 	nextPollAt           float64
 	lastPolledAt         float64  // 0: not polled since the last registration
@@ -16,7 +17,13 @@
 // waitingFor returns a waiting request for a request whose registration was withdrawn. Its sequence is above that of
 // the registration, messages of which may still be in transit.
 func waitingFor(req *ownedRequest, startedAt float64) *waitingRequest {
-	waiter := &waitingRequest{Copy: req.Copy, key: req.key, startedAt: startedAt, reportedCopy: req.reportedCopy}
+	waiter := &waitingRequest{
+		Copy:               req.Copy,
+		key:                req.key,
+		arrivalIncarnation: req.arrivalIncarnation,
+		startedAt:          startedAt,
+		reportedCopy:       req.reportedCopy,
+	}
 	waiter.Sequence = req.Sequence + 1
 	return waiter
 }
@@ -29,6 +36,40 @@
 	m.waiting = append(m.waiting, waiter)
 }
 
+// settleOrAwait answers a request whose key another request has if the copy that replicas reported of that one allows
+// it. Otherwise it lists the request as waiting.
+func (m *Manager) settleOrAwait(waiter *waitingRequest) {
+	if !m.settleFromCopy(waiter, waiter.reportedCopy) {
+		m.addWaiting(waiter)
+	}
+}
+
+// settleFromCopy answers a request from a copy of its key: with the copy's answer, or with a failure if the copy shows
+// that the request's id belongs to another request. It reports whether it did.
+func (m *Manager) settleFromCopy(waiter *waitingRequest, known *Copy) bool {
+	if known != nil && m.isOtherRequest(waiter, known) {
+		m.emit(Effect{Kind: AnswerSuspended, ID: waiter.ID, Outcome: Failed})
+		return true
+	}
+	return m.answerFromCopy(waiter, known)
+}
+
+// isOtherRequest reports whether a copy of the key of a suspended request shows that another request has the same id. A
+// client never uses an id twice, not even for a retry, so neither request must get the other's answer.
+//
+// The copy may be of the suspended request itself if this controller has registered that, or if a successor has adopted
+// it after this controller was declared lost. A successor sends no request without an idempotency key, though.
+func (m *Manager) isOtherRequest(waiter *waitingRequest, known *Copy) bool {
+	if known.ID != waiter.ID {
+		return false
+	}
+	if waiter.IdempotencyKey == "" && known.Outcome == Succeeded {
+		return true
+	}
+	neverLost := m.leaseHeld && waiter.arrivalIncarnation == m.self.Incarnation
+	return neverLost && known.Owner.Name != m.self.Name
+}
+
 // isAwaited reports whether a request waits for the outcome of another with this key.
 func (m *Manager) isAwaited(key Key) bool {
 	return slices.ContainsFunc(m.waiting, func(waiter *waitingRequest) bool { return waiter.key == key })
@@ -133,7 +174,7 @@
 		if waiter.reportedCopy == nil || moreRecent(reply.Copy, waiter.reportedCopy) {
 			waiter.reportedCopy = reply.Copy
 		}
-		if m.answerFromCopy(waiter, reply.Copy) {
+		if m.settleFromCopy(waiter, reply.Copy) {
 			return true
 		}
 		if reply.Copy.Outcome == Open {
