Ledger: no answer for a request that only has another one's id

Cause: answerFromRecord took the answer recorded under the recorded request's idempotency key without looking whether the new request has it.

Change: a recorded success is given only to a request with the same key; any other fails, as a request with a known id does in the loop. TestLedger_GivesNoAnswerToAnotherRequestWithItsID failed before for a keyed, a non-idempotent and an idempotent request.

--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -119,6 +119,26 @@
 	}
 }
 
+// Guards against a request with the id of an ended one, but not its idempotency key, getting that one's answer.
+func TestLedger_GivesNoAnswerToAnotherRequestWithItsID(t *testing.T) {
+	for _, c := range []struct {
+		class, key string
+		want       Effect
+	}{
+		{"mark", "m", Effect{Kind: AnswerFromRecord, Outcome: Succeeded, Body: []byte("rows")}},
+		{"mark", "other", Effect{Kind: AnswerFromRecord, Outcome: Failed}},
+		{"once", "", Effect{Kind: AnswerFromRecord, Outcome: Failed}},
+		{"look", "", Effect{Kind: AnswerFromRecord, Outcome: Failed}},
+	} {
+		l := newTestLedger(1000)
+		require.Equal(t, Admit, l.receive(1000, "mark", "a", "m").Kind)
+		require.True(t, l.startAttempt(1010, "a", 0, 1))
+		l.step(1020, Event{Kind: RequestClosed, ID: "a", Outcome: Succeeded, Body: []byte("rows")})
+		got := l.receive(1020, c.class, "a", c.key)
+		assert.Equal(t, c.want, got, "class %s, key %q", c.class, c.key)
+	}
+}
+
 // TestLedger_ClocksNeverShortenAWindow checks that no reading of the clocks after a restart makes the ledger send a
 // key past its deduplication window.
 func TestLedger_ClocksNeverShortenAWindow(t *testing.T) {
--- a/internal/ledger/request.go
+++ b/internal/ledger/request.go
@@ -121,7 +121,7 @@
 // from the records, or admits it without permission to send an attempt.
 func (l *Ledger) receive(ev *Event) {
 	if req := l.requests.Get(requestKey(ev.ID)); req != nil {
-		l.answerFromRecord(req)
+		l.answerFromRecord(ev, req)
 		return
 	}
 	index, class := l.class(ev.Class)
@@ -181,16 +181,20 @@
 	return keyText != "" && decision == decisionAdmitNew && l.now < l.inDoubtUntil
 }
 
-// answerFromRecord answers a request whose id is already recorded.
-func (l *Ledger) answerFromRecord(req *request) {
+// answerFromRecord answers a request whose id is already recorded. Clients never use an id twice, so a request without
+// the idempotency key of the recorded one is another request: it fails where that one succeeded.
+func (l *Ledger) answerFromRecord(ev *Event, req *request) {
 	l.counts.AnsweredFromRecord++
 	answer := l.emit(Effect{Kind: AnswerFromRecord, Outcome: req.state.outcome(), AgeMS: l.now - req.updatedAt})
-	switch answer.Outcome {
-	case Succeeded:
+	isRepeat := ev.IdempotencyKey != "" && ev.IdempotencyKey == req.idempotencyKey
+	switch {
+	case answer.Outcome == Succeeded && !isRepeat:
+		answer.Outcome = Failed
+	case answer.Outcome == Succeeded:
 		if key := l.keys.Get(req.keyRecord); key != nil {
 			answer.Body = key.answer
 		}
-	case Rejected:
+	case answer.Outcome == Rejected:
 		answer.RetryAfterMS = l.settings.RetryAfterMS
 	}
 }
