Handoff: adoption and index of copies have files of their own

What records an adoption is in copyadoption.go now, the index of open copies in copyindex.go; nothing but the place of the code has changed.

--- a/internal/handoff/copystore.go
+++ b/internal/handoff/copystore.go
@@ -1,10 +1,6 @@
 package handoff
 
-import (
-	"slices"
-
-	"liftshift/internal/placement"
-)
+import "slices"
 
 // storedCopy is a copy of a request that this controller stores as a replica.
 type storedCopy struct {
@@ -19,85 +15,6 @@
 	countedBytes        int     // size of body and answer as included in Manager.copyBytes
 }
 
-// ownerCopies indexes the open copies of one owner by partition.
-type ownerCopies struct {
-	partitions [placement.PartitionCount]map[Key]*storedCopy
-	notified   [placement.PartitionCount]lossNotice // see updateLostOwners
-	count      int                                  // of copies in all partitions
-}
-
-// lossNotice records which notification of their owner's loss all copies of a partition have received.
-type lossNotice uint8
-
-const (
-	noticeNone lossNotice = iota
-	noticeLost
-	noticeClaimed
-)
-
-var lossNoticeNames = [...]string{"none", "lost", "claimed"}
-
-// String returns the name of the notice.
-func (n lossNotice) String() string { return lossNoticeNames[n] }
-
-// noticeFor returns the notification for copies of a lost owner, which a successor may have claimed.
-func noticeFor(claimed bool) lossNotice {
-	if claimed {
-		return noticeClaimed
-	}
-	return noticeLost
-}
-
-// inPartition returns the copies in a partition. A nil ownerCopies has none.
-func (o *ownerCopies) inPartition(partition int) map[Key]*storedCopy {
-	if o == nil {
-		return nil
-	}
-	return o.partitions[partition]
-}
-
-// mask returns the partitions in which there are copies, as a bit mask.
-func (o *ownerCopies) mask() (mask uint32) {
-	for partition := range placement.PartitionCount {
-		if len(o.inPartition(partition)) > 0 {
-			mask |= 1 << partition
-		}
-	}
-	return mask
-}
-
-// indexOpen adds a copy to the index of open copies by owner.
-func (m *Manager) indexOpen(stored *storedCopy) {
-	set := m.openByOwner[stored.Owner]
-	if set == nil {
-		set = &ownerCopies{}
-		m.openByOwner[stored.Owner] = set
-	}
-	partition := stored.key.Partition()
-	if set.partitions[partition] == nil {
-		set.partitions[partition] = map[Key]*storedCopy{}
-	}
-	if _, indexed := set.partitions[partition][stored.key]; !indexed {
-		set.count++
-	}
-	set.partitions[partition][stored.key] = stored
-	set.notified[partition] = noticeNone
-}
-
-// unindexOpen removes a copy from the index of open copies by owner, if it is there.
-func (m *Manager) unindexOpen(stored *storedCopy) {
-	set := m.openByOwner[stored.Owner]
-	partition := stored.key.Partition()
-	if set == nil || set.partitions[partition][stored.key] == nil {
-		return
-	}
-	delete(set.partitions[partition], stored.key)
-	set.count--
-	if set.count == 0 {
-		delete(m.openByOwner, stored.Owner)
-	}
-}
-
 // describe returns the reply that tells what is known of a request: the stored copy without its body, or that nothing
 // is known.
 func describe(stored *storedCopy) Item {
@@ -385,70 +302,6 @@
 	return true
 }
 
-// adoptCopy handles OpAdopt: it records the sender as the owner of a lost owner's request if the sender has claimed the
-// partition.
-func (m *Manager) adoptCopy(stored *storedCopy, from Member, item *Item) Item {
-	name, incarnation, claimed := m.table.SuccessorOf(item.From.Name, item.From.Incarnation, item.Key.Partition())
-	if !claimed || name != from.Name || incarnation != from.Incarnation || item.Copy == nil {
-		return refusal(reasonNotClaimed)
-	}
-	switch {
-	case stored == nil:
-		stored = m.addCopy(item.Key, item.Copy)
-		stored.Owner = from
-		stored.state = stateAdopted
-		stored.adoptionUnconfirmed = true
-		m.openCopy(stored)
-	case stored.Owner == from && stored.state.open(): // adopted already
-	case stored.state.open() && (stored.Owner == item.From || m.supersedesOrphan(stored, item)):
-		if moreRecent(&stored.Copy, item.Copy) && stored.Sequence >= item.Copy.Sequence && !item.More {
-			return describe(stored)
-		}
-		m.adoptOpen(stored, from, item.Copy)
-	case stored.state == stateSettled && adoptsLaterRequest(&stored.Copy, item):
-		stored.Copy = *item.Copy
-		stored.Owner = from
-		stored.state = stateAdopted
-		m.openCopy(stored)
-	default:
-		return describe(stored)
-	}
-	return Item{Op: OpStored}
-}
-
-// supersedesOrphan reports whether an adoption is of a lost successor's copy, and this replica still stores that of the
-// owner before, which is lost as well.
-func (m *Manager) supersedesOrphan(stored *storedCopy, item *Item) bool {
-	return m.isLost(stored.Owner) && stored.Sequence < item.BaseSequence && !moreRecent(&stored.Copy, item.Copy)
-}
-
-// adoptOpen replaces the open copy of a lost owner by that of its successor, which may lack the request data.
-func (m *Manager) adoptOpen(stored *storedCopy, from Member, adopted *Copy) {
-	m.unindexOpen(stored)
-	before := stored.Copy
-	stored.previous = &before
-	stored.adoptionUnconfirmed = true
-	stored.Copy = *adopted
-	stored.Owner = from
-	if !stored.Complete {
-		stored.RequestData = before.RequestData
-		stored.Complete = true
-	}
-	m.indexOpen(stored)
-	m.transition(stored, inputAdopted)
-	m.extendAndPersist(stored)
-}
-
-// adoptsLaterRequest reports whether an adoption is of a later request than the ended one with the same key. An ended
-// request that ran is not replaced by one that is not known to have run.
-func adoptsLaterRequest(ended *Copy, item *Item) bool {
-	base := item.BaseSequence
-	if base == 0 { // the sender is of a version that does not send it
-		base = item.Copy.Sequence - 1
-	}
-	return ended.Sequence < base && !(ended.RunState == Ran && item.Copy.RunState != Ran)
-}
-
 // storeIDMapping handles OpMapID: it stores the idempotency key of a request id, so that queries by id find the
 // request. Where there is no room for it, the mapping is left out.
 func (m *Manager) storeIDMapping(stored *storedCopy, item *Item) Item {
