--- a/internal/clusternet/client_test.go
+++ b/internal/clusternet/client_test.go
@@ -3,23 +3,21 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"liftshift/internal/membership"
+	"liftshift/internal/testlog"
 	"liftshift/internal/testservers"
 )
 
 // startTransport starts a transport without other members.
 func startTransport(t *testing.T, name string, handle func(context.Context, []byte) ([]byte, error)) *Transport {
 	t.Helper()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := testlog.Discard()
 	address, err := testservers.FreeAddress()
 	require.NoError(t, err)
 	transport := New(address, log)
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -13,8 +13,10 @@
 	"github.com/stretchr/testify/require"
 
 	"liftshift/internal/dispatch"
+	"liftshift/internal/dispatchtest"
 	"liftshift/internal/netconn"
 	"liftshift/internal/resp"
+	"liftshift/internal/testlog"
 	"liftshift/scheduler"
 )
 
@@ -65,8 +67,8 @@
 }
 
 // newExecutors returns an empty endpoint table.
-func newExecutors(queue fakeQueue) *resp.Client {
-	return resp.NewClient(queue, dispatch.NewClock(), netconn.NewByteBudget(1), resp.Limits{}, discardLog())
+func newExecutors(queue dispatchtest.Queue) *resp.Client {
+	return resp.NewClient(queue, dispatch.NewClock(), netconn.NewByteBudget(1), resp.Limits{}, testlog.Discard())
 }
 
 // endpointEvent returns a page with one event, which is about one executor.
@@ -79,10 +81,10 @@
 func TestClient_FollowsListThroughFailures(t *testing.T) {
 	address, polls := newFakeDiscovery(t, "once", `{"seq":9,"results":[{"seq":3},{"seq":1}]}`, "",
 		endpointEvent(2, "s-2", "Gone"), endpointEvent(3, "s-2", "Terminating"), "", "", "")
-	queue := make(fakeQueue, 100)
+	queue := make(dispatchtest.Queue, 100)
 	executors := newExecutors(queue)
 	known := strings.Replace(endpointEvent(1, "s-1", "Ready"), `"endpoints"`, `"snapshot":true,"endpoints"`, 1)
-	client, err := NewClient(address, []byte(known), executors, dispatch.NewClock(), 0, queue, discardLog())
+	client, err := NewClient(address, []byte(known), executors, dispatch.NewClock(), 0, queue, testlog.Discard())
 	require.NoError(t, err)
 	client.Start()
 	go client.Run()
@@ -97,7 +99,7 @@
 	}
 	for _, event := range want {
 		event.Kind = scheduler.EndpointsUpdated
-		got := queue.next(t).Event
+		got := queue.Next(t).Event
 		if got.List == scheduler.ListUnavailable {
 			now := dispatch.NewClock().Now()
 			assert.InDelta(t, now, got.Deadline, 3000, "time of the last contact with the list")
@@ -111,7 +113,7 @@
 		assert.Equal(t, fmt.Sprintf("GET /changes?since=%d&timeout=%d HTTP/1.1", since, pollTimeoutMS), <-polls)
 	}
 	assert.Equal(t, uint64(1), client.MalformedResponses.Load(), "malformed responses")
-	_, err = NewClient(address, []byte("{}"), executors, dispatch.NewClock(), 0, queue, discardLog())
+	_, err = NewClient(address, []byte("{}"), executors, dispatch.NewClock(), 0, queue, testlog.Discard())
 	assert.ErrorContains(t, err, "known")
 }
 
@@ -119,14 +121,14 @@
 // unavailable until then.
 func TestClient_ReportsUnchangedListAfterOutage(t *testing.T) {
 	address, _ := newFakeDiscovery(t, emptyPage, "", emptyPage, "silent")
-	queue := make(fakeQueue, 100)
-	client, err := NewClient(address, []byte(emptyPage), newExecutors(queue), dispatch.NewClock(), 0, queue, discardLog())
+	queue := make(dispatchtest.Queue, 100)
+	client, err := NewClient(address, []byte(emptyPage), newExecutors(queue), dispatch.NewClock(), 0, queue, testlog.Discard())
 	require.NoError(t, err)
 	client.Start()
 	go client.Run()
 	defer client.Stop()
 	for _, want := range []scheduler.ListKind{scheduler.ListUnavailable, scheduler.ListDelta} {
-		event := queue.next(t).Event
+		event := queue.Next(t).Event
 		got := []any{event.Kind, event.List, len(event.Endpoints)}
 		assert.Equal(t, []any{scheduler.EndpointsUpdated, want, 0}, got)
 	}
@@ -137,21 +139,21 @@
 func TestClient_FollowsChangeOfAddress(t *testing.T) {
 	oldAddress, oldPolls := newFakeDiscovery(t, endpointEvent(2, "s-2", "Ready"), "silent")
 	newAddress, newPolls := newFakeDiscovery(t, endpointEvent(3, "s-2", "Gone"), "silent")
-	queue := make(fakeQueue, 100)
+	queue := make(dispatchtest.Queue, 100)
 	executors := newExecutors(queue)
-	client, err := NewClient(oldAddress, []byte(emptyPage), executors, dispatch.NewClock(), 0, queue, discardLog())
+	client, err := NewClient(oldAddress, []byte(emptyPage), executors, dispatch.NewClock(), 0, queue, testlog.Discard())
 	require.NoError(t, err)
 	client.Start()
 	startedAt := time.Now()
 	go client.Run()
 	defer client.Stop()
-	queue.next(t)
+	queue.Next(t)
 	<-oldPolls
 	assert.Contains(t, <-oldPolls, "since=2")
 	client.SetAddress(oldAddress) // the same address first, then another one
 	client.SetAddress(newAddress)
 	assert.Contains(t, <-newPolls, "since=2")
-	assert.Equal(t, scheduler.Removed, queue.next(t).Event.Endpoints[0].Availability)
+	assert.Equal(t, scheduler.Removed, queue.Next(t).Event.Endpoints[0].Availability)
 	assert.Less(t, time.Since(startedAt), netconn.Millis(pollTimeoutMS))
 	assert.Empty(t, queue, "no event is applied twice, and the list is never reported as unavailable")
 	assert.Zero(t, client.FailedPolls.Load(), "failed polls")
@@ -171,9 +173,9 @@
 		clock := dispatch.NewClock()
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
-		queue := make(fakeQueue, 100)
-		executors := resp.NewClient(queue, clock, netconn.NewByteBudget(1), resp.Limits{}, discardLog())
-		client, err := NewClient(listener.Addr().String(), []byte(emptyPage), executors, clock, 0, queue, discardLog())
+		queue := make(dispatchtest.Queue, 100)
+		executors := resp.NewClient(queue, clock, netconn.NewByteBudget(1), resp.Limits{}, testlog.Discard())
+		client, err := NewClient(listener.Addr().String(), []byte(emptyPage), executors, clock, 0, queue, testlog.Discard())
 		require.NoError(t, err)
 		client.Start()
 		go client.Run()
@@ -191,7 +193,7 @@
 		time.Sleep(300 * time.Millisecond) // delays the response
 		page := endpointEvent(2, "s-2", "Ready")
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(page), page)
-		queue.next(t)
+		queue.Next(t)
 		readPoll()
 		missedSince = clock.Now()
 		listener.Close()
@@ -202,12 +204,12 @@
 		case "moved", "moved while unavailable":
 			if name != "moved" {
 				conn.Close()
-				assert.Zero(t, queue.next(t).Event.PresumedNotifiedAt, "a lost connection alone shows no missed change")
+				assert.Zero(t, queue.Next(t).Event.PresumedNotifiedAt, "a lost connection alone shows no missed change")
 			}
 			missedSince = clock.Now()
 			client.SetAddress(listener.Addr().String())
 		}
-		event := queue.next(t).Event
+		event := queue.Next(t).Event
 		assert.Equal(t, scheduler.ListUnavailable, event.List, name)
 		assert.InDelta(t, missedSince+dueMS, event.PresumedNotifiedAt, 100, name)
 		assert.LessOrEqual(t, event.Deadline, firstPollAt+5, "%s: last contact is the start of the poll, not its end", name)
@@ -226,9 +228,9 @@
 		}
 		namesByChecksum[executorID(name)] = name
 	}
-	queue := make(fakeQueue, 100)
+	queue := make(dispatchtest.Queue, 100)
 	executors := newExecutors(queue)
-	client, err := NewClient("127.0.0.1:9", []byte(emptyPage), executors, dispatch.NewClock(), 0, queue, discardLog())
+	client, err := NewClient("127.0.0.1:9", []byte(emptyPage), executors, dispatch.NewClock(), 0, queue, testlog.Discard())
 	require.NoError(t, err)
 	applyEvent := func(seq int, entries ...string) (list []scheduler.Endpoint) {
 		text := fmt.Appendf(nil, `{"seq":%d,"results":[{"seq":%d,"fleet":{"snapshot":%v,"endpoints":[%s]}}]}`,
@@ -236,7 +238,7 @@
 		last, changes, err := parseChanges(text)
 		require.NoError(t, err)
 		client.apply(last, changes, scheduler.ListComplete)
-		return queue.next(t).Event.Endpoints
+		return queue.Next(t).Event.Endpoints
 	}
 	entry := func(name, kind, status string) string {
 		return fmt.Sprintf(`{"name":"%s","address":"127.0.0.1:%s","type":"%s","status":"%s"}`,
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"io"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/assert"
 
+	"liftshift/internal/testlog"
 	"liftshift/scheduler"
 )
 
@@ -92,8 +92,7 @@
 // newLoopWithAttempt returns a loop whose scheduler has sent request a to executor 7 at level 3. The given actions are
 // added to those of its policy.
 func newLoopWithAttempt(transport *fakeTransport, actions actionsByEvent) (*Loop, *fakePolicy) {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := testlog.Discard()
 	policy := &fakePolicy{actions: sendToExecutor7()}
 	for kind, list := range actions {
 		policy.actions[kind] = list
@@ -252,8 +251,7 @@
 // arrives after its deadline: each request that the scheduler gets counts as an arrival.
 func TestLoop_FailsDuplicateOfLateRequest(t *testing.T) {
 	transport, other := &fakeTransport{}, &fakeTransport{}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := testlog.Discard()
 	reject := actionsByEvent{scheduler.RequestArrived: {{Kind: scheduler.Reject, Request: "a"}}}
 	policy := &fakePolicy{actions: reject}
 	loop := New(NewClock(), policy, log)
@@ -354,8 +352,7 @@
 // however the request ended.
 func TestLoop_KeepsNothingPastDeadline(t *testing.T) {
 	transport := &fakeTransport{cancelResult: CancelSent}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := testlog.Discard()
 	loop := New(NewClock(), &fakePolicy{}, log)
 	loop.Executors = transport
 	for n := range 300 {
--- a/internal/dispatch/extension_test.go
+++ b/internal/dispatch/extension_test.go
@@ -1,15 +1,14 @@
 package dispatch
 
 import (
-	"io"
 	"sync/atomic"
 	"testing"
 
-	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"liftshift/internal/ledger"
+	"liftshift/internal/testlog"
 	"liftshift/scheduler"
 )
 
@@ -26,8 +25,7 @@
 func newExtendedLoop(transport *fakeTransport, commands commandsByEvent) (
 	loop *Loop, policy *fakePolicy, received *[]EventKind,
 ) {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := testlog.Discard()
 	policy = &fakePolicy{actions: sendToExecutor7()}
 	loop = New(NewClock(), policy, log)
 	loop.Executors, loop.HealthCheckTimeoutMS = transport, 250
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -8,6 +8,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"liftshift/internal/dispatchtest"
+	"liftshift/internal/testlog"
 	"liftshift/scheduler"
 )
 
@@ -19,9 +21,9 @@
 	require.NoError(t, err)
 	listen := free.LocalAddr()
 	free.Close()
-	queue := make(fakeQueue, 10)
+	queue := make(dispatchtest.Queue, 10)
 	peerAddress := peer.LocalAddr().String()
-	network, err := New(listen.String(), []string{listen.String(), peerAddress}, peerAddress, queue, discardLog())
+	network, err := New(listen.String(), []string{listen.String(), peerAddress}, peerAddress, queue, testlog.Discard())
 	require.NoError(t, err)
 	go network.Run()
 	defer network.Stop()
@@ -43,10 +45,10 @@
 	_, _ = unknownSender.WriteTo([]byte("x"), listen)
 	_, _ = peer.WriteTo(make([]byte, maxDatagramBytes+1), listen)
 	_, _ = peer.WriteTo([]byte("hi"), listen)
-	event := queue.next(t).Event
+	event := queue.Next(t).Event
 	assert.Equal(t, []any{scheduler.PeerMessage, 1, "hi"}, []any{event.Kind, event.FromPeer, string(event.Payload)})
 	assert.Equal(t, uint64(2), network.UnknownSender.Load())
-	unbound, err := New("", nil, "", queue, discardLog())
+	unbound, err := New("", nil, "", queue, testlog.Discard())
 	assert.NoError(t, err)
 	unbound.SendPeer(-1, []byte("x"))
 	assert.Equal(t, uint64(1), unbound.Dropped.Load(), "without a listen address every message is dropped")
@@ -57,7 +59,7 @@
 	previous, err := net.ListenPacket("udp", "127.0.0.1:0")
 	require.NoError(t, err)
 	time.AfterFunc(100*time.Millisecond, func() { previous.Close() })
-	network, err := New(previous.LocalAddr().String(), nil, "", make(fakeQueue, 1), discardLog())
+	network, err := New(previous.LocalAddr().String(), nil, "", make(dispatchtest.Queue, 1), testlog.Discard())
 	if assert.NoError(t, err) {
 		network.Stop()
 	}
--- a/internal/handoffnet/golden_test.go
+++ b/internal/handoffnet/golden_test.go
@@ -4,23 +4,21 @@
 	"bytes"
 	"encoding/binary"
 	"fmt"
-	"io"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
-	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"liftshift/internal/dispatch"
+	"liftshift/internal/goldenfile"
 	"liftshift/internal/handoff"
 	"liftshift/internal/store"
+	"liftshift/internal/testlog"
 	"liftshift/internal/vfs"
 	"liftshift/scheduler"
-
-	"liftshift/internal/goldenfile"
 )
 
 // goldenNow is the fixed time, in ms, at which the copies are written.
@@ -57,8 +55,7 @@
 
 // goldenAgent returns an agent without a loop and a transport.
 func goldenAgent() *Agent {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := testlog.Discard()
 	settings := handoff.DefaultSettings()
 	settings.Classes = []scheduler.RequestClass{
 		{Name: "mark", Idempotency: scheduler.Keyed, DedupWindowMS: 20e3, DeadlineMS: 5e3},
--- a/internal/handoffnet/helpers_test.go
+++ b/internal/handoffnet/helpers_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math"
 	"net/netip"
 	"sync"
@@ -10,7 +9,6 @@
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"liftshift/internal/clusternet"
@@ -18,6 +16,7 @@
 	"liftshift/internal/handoff"
 	"liftshift/internal/membership"
 	"liftshift/internal/placement"
+	"liftshift/internal/testlog"
 	"liftshift/internal/testservers"
 	"liftshift/scheduler"
 )
@@ -126,8 +125,7 @@
 // startMember starts a member whose loop has the given extension. If that is nil, the agent itself is the extension, as
 // a replica of all partitions that holds its lease.
 func startMember(t *testing.T, name string, extension dispatch.Extension) *testMember {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := testlog.Discard()
 	address, err := testservers.FreeAddress()
 	require.NoError(t, err)
 	clock := dispatch.NewClock()
--- a/internal/jsonrpc/concurrency_test.go
+++ b/internal/jsonrpc/concurrency_test.go
@@ -15,7 +15,9 @@
 	"github.com/stretchr/testify/require"
 
 	"liftshift/internal/dispatch"
+	"liftshift/internal/dispatchtest"
 	"liftshift/internal/netconn"
+	"liftshift/internal/testlog"
 	"liftshift/scheduler"
 )
 
@@ -24,16 +26,16 @@
 func TestServer_HandlesCancelOfClientThatDoesNotRead(t *testing.T) {
 	_, queue, conn, _ := newTestServer(t, Limits{})
 	send(conn, requestCall(1, "a"))
-	first := queue.next(t).Request
+	first := queue.Next(t).Request
 	send(conn, requestCall(2, "b"))
-	second := queue.next(t).Request
+	second := queue.Next(t).Request
 	serverConn := first.Client.(*clientConn)
 	serverConn.WriteTimeout = time.Minute // so that only the cancellation ends the request
 	first.Client.Succeeded(first.Tag, make([]byte, 24<<20))
 	require.Eventually(t, func() bool { return !serverConn.Flushed() }, 3*time.Second, time.Millisecond)
 	time.Sleep(2 * netconn.IOTimeSlice) // until the connection's goroutine is in the stuck write
 	send(conn, `{"jsonrpc":"2.0","method":"giveUp","params":{"req":"b"}}`)
-	item := queue.next(t)
+	item := queue.Next(t)
 	assert.Equal(t, []any{scheduler.ClientLeft, "b"}, []any{item.Event.Kind, item.Event.Request})
 	assert.True(t, second.Abandoned())
 	assert.False(t, serverConn.Flushed(), "the first answer was written before the cancellation was handled")
@@ -41,11 +43,11 @@
 
 // fullQueue blocks Put until there is room.
 type fullQueue struct {
-	fakeQueue
+	dispatchtest.Queue
 	room chan struct{}
 }
 
-func (q fullQueue) Put(item dispatch.QueueItem) { <-q.room; q.fakeQueue.Put(item) }
+func (q fullQueue) Put(item dispatch.QueueItem) { <-q.room; q.Queue.Put(item) }
 
 // When a connection ends, all of its open requests must be marked as abandoned at once, even while the event queue is
 // full.
@@ -55,7 +57,7 @@
 	var open []*dispatch.Request
 	for id := range 3 {
 		send(conn, requestCall(id+1, fmt.Sprint("a", id)))
-		open = append(open, queue.next(t).Request)
+		open = append(open, queue.Next(t).Request)
 	}
 	conn.Close()
 	allAbandoned := func() bool { return open[0].Abandoned() && open[1].Abandoned() && open[2].Abandoned() }
@@ -93,7 +95,7 @@
 			blocked := signallingQueue{fullQueue{queue, make(chan struct{})}, make(chan struct{}, 1)}
 			server.queue = blocked
 			send(conn, requestCall(1, "a"))
-			queue.next(t)
+			queue.Next(t)
 			fmt.Fprint(conn, test.message)
 			select {
 			case <-blocked.began:
@@ -103,7 +105,7 @@
 			assert.False(t, server.Done(), "the reply has not been written")
 			close(blocked.room)
 			assertReply(t, reader, test.reply)
-			assert.Equal(t, scheduler.ClientLeft, queue.next(t).Event.Kind)
+			assert.Equal(t, scheduler.ClientLeft, queue.Next(t).Event.Kind)
 		})
 	}
 }
@@ -116,7 +118,7 @@
 	send(idleConn, `{"jsonrpc":"2.0","id":1,"method":"probe"}`)
 	assertReply(t, idleReader, `{"jsonrpc":"2.0","id":1,"result":{"fit":false}}`)
 	send(conn, requestCall(1, "a"))
-	request := queue.next(t).Request
+	request := queue.Next(t).Request
 	server.Drain()
 	assert.False(t, server.Done())
 	_, err := idleReader.ReadByte()
@@ -151,7 +153,7 @@
 	server, queue, conn, reader := newTestServer(t, Limits{})
 	for n := range 200 {
 		send(conn, requestCall(n+1, fmt.Sprint("a", n)))
-		request := queue.next(t).Request
+		request := queue.Next(t).Request
 		require.False(t, server.Done())
 		go request.Client.Rejected(request.Tag, 5)
 		for !server.Done() {
@@ -166,9 +168,9 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	time.AfterFunc(100*time.Millisecond, func() { listener.Close() })
-	queue := make(fakeQueue, 1)
+	queue := make(dispatchtest.Queue, 1)
 	limits := Limits{OutputBudget: netconn.NewByteBudget(1), RequestBudget: netconn.NewByteBudget(1)}
-	server, err := NewServer(listener.Addr().String(), nil, queue, dispatch.NewClock(), limits, newDiscardLogger())
+	server, err := NewServer(listener.Addr().String(), nil, queue, dispatch.NewClock(), limits, testlog.Discard())
 	require.NoError(t, err)
 	server.Stop(0)
 }
@@ -210,12 +212,12 @@
 func TestServer_SlowReaderAffectsNoOther(t *testing.T) {
 	server, queue, slowConn, _ := newTestServer(t, Limits{})
 	send(slowConn, requestCall(1, "stuck"))
-	stuck := queue.next(t).Request
+	stuck := queue.Next(t).Request
 	conn, reader := dialServer(t, server)
 	var open []*dispatch.Request
 	for id := range 8 {
 		send(conn, requestCall(id+1, fmt.Sprint("g", id)))
-		open = append(open, queue.next(t).Request)
+		open = append(open, queue.Next(t).Request)
 	}
 	stuck.Client.Succeeded(stuck.Tag, make([]byte, 24<<20)) // far more than the output budget and the kernel's buffers
 	slowServerConn := stuck.Client.(*clientConn)
@@ -267,14 +269,14 @@
 		syscall.EMFILE:       true,
 		syscall.ENFILE:       true,
 	} {
-		queue, acceptErrors := make(fakeQueue, 10), make(chan error, 10)
+		queue, acceptErrors := make(dispatchtest.Queue, 10), make(chan error, 10)
 		limits := Limits{
 			MaxConns:      5,
 			OutputBudget:  netconn.NewByteBudget(1 << 20),
 			RequestBudget: netconn.NewByteBudget(1 << 20),
 		}
 		classes := map[string]ClassLimits{"look": {}}
-		server, err := NewServer("127.0.0.1:0", classes, queue, dispatch.NewClock(), limits, newDiscardLogger())
+		server, err := NewServer("127.0.0.1:0", classes, queue, dispatch.NewClock(), limits, testlog.Discard())
 		require.NoError(t, err)
 		server.listener = faultyListener{server.listener, acceptErrors}
 		go server.Run()
--- a/internal/jsonrpc/helpers_test.go
+++ b/internal/jsonrpc/helpers_test.go
@@ -3,53 +3,23 @@
 import (
 	"bufio"
 	"fmt"
-	"io"
 	"net"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"liftshift/internal/dispatch"
+	"liftshift/internal/dispatchtest"
 	"liftshift/internal/netconn"
-	"liftshift/scheduler"
+	"liftshift/internal/testlog"
 )
 
-// fakeQueue is an event queue whose items the test reads itself.
-type fakeQueue chan dispatch.QueueItem
-
-func (q fakeQueue) Put(item dispatch.QueueItem) { q <- item }
-
-func (q fakeQueue) Submit(request *dispatch.Request) {
-	q <- dispatch.QueueItem{Event: scheduler.Event{Kind: scheduler.RequestArrived}, Request: request}
-}
-
-func (q fakeQueue) OpenRequests() int { return 0 }
-
-// next returns the next item of the queue and fails the test if none arrives in time.
-func (q fakeQueue) next(t *testing.T) dispatch.QueueItem {
-	select {
-	case item := <-q:
-		return item
-	case <-time.After(3 * time.Second):
-		require.Fail(t, "the server queued no item within 3 s")
-	}
-	return dispatch.QueueItem{}
-}
-
-// newDiscardLogger returns a logger without output.
-func newDiscardLogger() *logrus.Logger {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	return log
-}
-
 // newTestServer starts a server with a request class without and one with idempotency keys. It returns the server, its
 // event queue, and the connection of one client with its reader.
-func newTestServer(t *testing.T, limits Limits) (*Server, fakeQueue, net.Conn, *bufio.Reader) {
-	queue := make(fakeQueue, 100)
+func newTestServer(t *testing.T, limits Limits) (*Server, dispatchtest.Queue, net.Conn, *bufio.Reader) {
+	queue := make(dispatchtest.Queue, 100)
 	if limits.MaxConns == 0 {
 		limits.MaxConns = 5
 	}
@@ -58,7 +28,7 @@
 		limits.RequestBudget = netconn.NewByteBudget(1 << 20)
 	}
 	classes := map[string]ClassLimits{"look": {}, "load": {Keyed: true}}
-	server, err := NewServer("127.0.0.1:0", classes, queue, dispatch.NewClock(), limits, newDiscardLogger())
+	server, err := NewServer("127.0.0.1:0", classes, queue, dispatch.NewClock(), limits, testlog.Discard())
 	require.NoError(t, err)
 	go server.Run()
 	t.Cleanup(func() { server.Stop(0) })
--- a/internal/jsonrpc/server_test.go
+++ b/internal/jsonrpc/server_test.go
@@ -20,7 +20,7 @@
 func TestServer_AnswersRequestOnce(t *testing.T) {
 	server, queue, conn, reader := newTestServer(t, Limits{})
 	send(conn, requestCall(7, "a1"))
-	request := queue.next(t).Request
+	request := queue.Next(t).Request
 	assert.Equal(t, []any{"a1", "look", uint64(17), 96.0, 82.0, "SELECT 1 FROM sales_17.t"},
 		[]any{request.ID, request.Class, request.TableGroup, request.MemoryMB, request.WorkMS, string(request.Body)})
 	assert.InDelta(t, server.clock.Now()+1500, request.Deadline, 1400)
@@ -32,7 +32,7 @@
 		9: func(request *dispatch.Request) { request.Client.Failed(request.Tag) },
 	} {
 		send(conn, requestCall(id, "b"))
-		answer(queue.next(t).Request)
+		answer(queue.Next(t).Request)
 		got, _ := readMessage(reader, nil)
 		assert.Contains(t, string(got), map[int]string{
 			8: `"code":-32008,"message":"denied","data":{"holdoff":200}`,
@@ -46,7 +46,7 @@
 func TestServer_BadRequestAffectsNoOther(t *testing.T) {
 	_, queue, conn, reader := newTestServer(t, Limits{})
 	send(conn, requestCall(1, "a"))
-	request := queue.next(t).Request
+	request := queue.Next(t).Request
 	for _, bad := range []string{
 		`{`,
 		`[]`,
@@ -79,11 +79,11 @@
 		"Content-Length: -1\r\n\r\n",
 	} {
 		send(conn, requestCall(1, "a"))
-		request := queue.next(t).Request
+		request := queue.Next(t).Request
 		fmt.Fprint(conn, malformed+strings.Repeat("x", 1000))
 		assertReply(t, reader, `{"jsonrpc":"2.0","id":1,"error":{"code":-32000,"message":"framing lost"}}`)
 		assertReply(t, reader, `{"jsonrpc":"2.0","id":null,"error":{"code":-32700,"message":"framing lost"}}`)
-		assert.Equal(t, scheduler.ClientLeft, queue.next(t).Event.Kind, "the attempts of the request are not cancelled")
+		assert.Equal(t, scheduler.ClientLeft, queue.Next(t).Event.Kind, "the attempts of the request are not cancelled")
 		request.Client.Succeeded(request.Tag, nil)
 		_, err := reader.ReadByte()
 		assert.Error(t, err)
@@ -103,7 +103,7 @@
 func TestServer_EvictsSilentConnections(t *testing.T) {
 	server, queue, conn, reader := newTestServer(t, Limits{MaxConns: 3})
 	send(conn, requestCall(1, "a"))
-	request := queue.next(t).Request
+	request := queue.Next(t).Request
 	start := time.Now()
 	silentConn, _ := dialServer(t, server)
 	incompleteConn, _ := dialServer(t, server)
@@ -132,7 +132,7 @@
 	var open []*dispatch.Request
 	for id := 1; id < 5; id++ {
 		send(conn, requestCall(id, fmt.Sprint("a", id)))
-		open = append(open, queue.next(t).Request)
+		open = append(open, queue.Next(t).Request)
 	}
 	for _, cancellation := range []string{
 		`{"jsonrpc":"2.0","method":"giveUp","params":{"req":"a1"}}`,
@@ -140,7 +140,7 @@
 		`{"jsonrpc":"2.0","id":77,"method":"giveUp","params":{"id":3}}`,
 	} {
 		send(conn, cancellation)
-		item := queue.next(t)
+		item := queue.Next(t)
 		assert.Equal(t, []any{scheduler.ClientLeft, open[0].ID, open[0].Tag},
 			[]any{item.Event.Kind, item.Event.Request, item.Token})
 		open[0].Client.Succeeded(open[0].Tag, nil) // an answer after the cancellation is dropped
@@ -148,31 +148,31 @@
 	}
 	assertReply(t, reader, `{"jsonrpc":"2.0","id":77,"result":{}}`)
 	conn.Close()
-	assert.Equal(t, "a4", queue.next(t).Event.Request)
+	assert.Equal(t, "a4", queue.Next(t).Event.Request)
 }
 
 func TestServer_LimitsConnectionsAndBytes(t *testing.T) {
 	limits := Limits{MaxConns: 2, RequestBudget: netconn.NewByteBudget(60), RetryAfterMS: 300}
 	server, queue, conn, reader := newTestServer(t, limits)
 	send(conn, requestCall(1, "a"))
-	request := queue.next(t).Request
+	request := queue.Next(t).Request
 	send(conn, strings.Replace(requestCall(2, "b"), "U0VM", strings.Repeat("U0VM", 20), 1)) // body over the request budget
 	got, _ := readMessage(reader, nil)
 	assert.Contains(t, string(got), `-32008,"message":"too much is open here","data":{"holdoff":300}`)
 	request.Client.Failed(request.Tag)
 	_, _ = readMessage(reader, nil)
 	send(conn, requestCall(4, "d"))
-	queue.next(t)
+	queue.Next(t)
 	busyConn, _ := dialServer(t, server)
 	send(busyConn, requestCall(5, "e"))
-	queue.next(t)
+	queue.Next(t)
 	waitingConn, waitingReader := dialServer(t, server) // no slot is free and no connection idle: waits until one ends
 	send(waitingConn, requestCall(3, "c"))
 	assert.Eventually(t, func() bool { return server.AcceptPauses.Load() > 0 }, 3*time.Second, time.Millisecond)
 	assert.Empty(t, queue)
 	conn.Close()
-	assert.Equal(t, scheduler.ClientLeft, queue.next(t).Event.Kind)
-	request = queue.next(t).Request
+	assert.Equal(t, scheduler.ClientLeft, queue.Next(t).Event.Kind)
+	request = queue.Next(t).Request
 	request.Client.Succeeded(request.Tag, nil)
 	assertReply(t, waitingReader, `{"jsonrpc":"2.0","id":3,"result":{"data":""}}`)
 }
@@ -193,7 +193,7 @@
 	for id := 1; id <= maxOpenRequests; id++ {
 		send(conn, requestCall(id, fmt.Sprint("a", id)))
 	}
-	first := queue.next(t).Request
+	first := queue.Next(t).Request
 	for id := range 2 * maxBadMessages {
 		send(conn, requestCall(1000+id, fmt.Sprint("b", id)))
 		got, err := readMessage(reader, nil)
@@ -209,7 +209,7 @@
 func TestServer_AnswersRequestsBehindRejections(t *testing.T) {
 	server, queue, conn, reader := newTestServer(t, Limits{RequestBudget: netconn.NewByteBudget(60)})
 	send(conn, requestCall(1, "a"))
-	open := queue.next(t).Request
+	open := queue.Next(t).Request
 	var burst strings.Builder
 	for id := range 2 * maxBadMessages {
 		call := requestCall(1000+id, fmt.Sprint("b", id))
@@ -254,14 +254,14 @@
 	for n := range 100 {
 		conn, reader := dialServer(t, server)
 		send(conn, requestCall(1, fmt.Sprint("a", n)))
-		request := queue.next(t).Request
+		request := queue.Next(t).Request
 		if n%2 == 0 {
 			request.Client.Succeeded(request.Tag, nil)
 			_, _ = readMessage(reader, nil)
 		}
 		conn.Close()
 		if n%2 == 1 {
-			assert.Equal(t, scheduler.ClientLeft, queue.next(t).Event.Kind)
+			assert.Equal(t, scheduler.ClientLeft, queue.Next(t).Event.Kind)
 		}
 	}
 	assert.Eventually(t, func() bool {
@@ -280,12 +280,12 @@
 		return `{"jsonrpc":"2.0","id":4,"method":"outcome","params":` + params + `}`
 	}
 	send(conn, outcomeCall(`{"req":"a1"}`))
-	item := queue.next(t)
+	item := queue.Next(t)
 	assert.Equal(t, []string{"a1", ""}, []string{item.Query.ID, item.Query.IdempotencyKey})
 	item.Query.Reply(ledger.Effect{Outcome: ledger.Succeeded, AgeMS: 1520.7, Body: []byte("x\n")})
 	assertReply(t, reader, `{"jsonrpc":"2.0","id":4,"result":{"outcome":"handled","age":1520,"data":"eAo="}}`)
 	send(conn, outcomeCall(`{"opkey":"k9"}`))
-	item = queue.next(t)
+	item = queue.Next(t)
 	assert.Equal(t, []string{"", "k9"}, []string{item.Query.ID, item.Query.IdempotencyKey})
 	item.Query.Reply(ledger.Effect{})
 	assertReply(t, reader, `{"jsonrpc":"2.0","id":4,"result":{"outcome":"unknown"}}`)
@@ -310,7 +310,7 @@
 	server, queue, conn, _ := newTestServer(t, Limits{EarliestArrival: func(now float64) float64 { return now - 700 }})
 	now := server.clock.Now()
 	send(conn, requestCall(1, "a"))
-	assert.InDelta(t, now+1500-700, queue.next(t).Request.Deadline, 200)
+	assert.InDelta(t, now+1500-700, queue.Next(t).Request.Deadline, 200)
 }
 
 // A request may wait in the kernel's buffer until its connection is accepted: its deadline must count from its arrival
@@ -318,15 +318,15 @@
 func TestServer_DeadlineCountsWaitForAccept(t *testing.T) {
 	server, queue, busyConn, _ := newTestServer(t, Limits{MaxConns: 1})
 	send(busyConn, requestCall(1, "a"))
-	queue.next(t)
+	queue.Next(t)
 	waitingConn, _ := dialServer(t, server)
 	send(waitingConn, requestCall(2, "b"))
 	sentAt := server.clock.Now()
 	time.Sleep(600 * time.Millisecond)
 	busyConn.Close()
-	item := queue.next(t)
+	item := queue.Next(t)
 	for item.Request == nil {
-		item = queue.next(t)
+		item = queue.Next(t)
 	}
 	assert.InDelta(t, sentAt+1500, item.Request.Deadline, 100)
 }
@@ -336,7 +336,7 @@
 func TestServer_WaitingClientGetsSlotOfIdleOne(t *testing.T) {
 	server, queue, busyConn, reader := newTestServer(t, Limits{MaxConns: 1})
 	send(busyConn, requestCall(1, "a"))
-	first := queue.next(t).Request
+	first := queue.Next(t).Request
 	waitingConn, _ := dialServer(t, server)
 	send(waitingConn, requestCall(2, "b"))
 	require.Eventually(t, func() bool { return server.AcceptPauses.Load() > 0 }, 3*time.Second, time.Millisecond)
@@ -347,7 +347,7 @@
 		busyConn.Close()
 	}()
 	start := time.Now()
-	assert.Equal(t, "b", queue.next(t).Request.ID)
+	assert.Equal(t, "b", queue.Next(t).Request.ID)
 	assert.Less(t, time.Since(start), 200*time.Millisecond)
 }
 
@@ -356,7 +356,7 @@
 func TestServer_DrainRejectsWaitingConnections(t *testing.T) {
 	server, queue, busyConn, _ := newTestServer(t, Limits{MaxConns: 1})
 	send(busyConn, requestCall(1, "a"))
-	queue.next(t)
+	queue.Next(t)
 	var readers []*bufio.Reader
 	for id := range 3 { // the first waits for a slot, the others in the listen backlog
 		conn, reader := dialServer(t, server)
--- a/internal/ledgerstore/golden_test.go
+++ b/internal/ledgerstore/golden_test.go
@@ -10,12 +10,12 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"liftshift/internal/goldenfile"
 	"liftshift/internal/ledger"
 	"liftshift/internal/store"
+	"liftshift/internal/testlog"
 	"liftshift/internal/vfs"
 	"liftshift/scheduler"
-
-	"liftshift/internal/goldenfile"
 )
 
 // goldenSettings returns ledgerSettings with a retry budget, so that the ledger writes a record of it.
@@ -53,7 +53,7 @@
 	c := &testController{now: 10000, stored: make(chan ledger.Event, 1000), runs: newRunRecorder()}
 	var err error
 	c.Store, _, err = OpenAt(disk, testOptions, goldenSettings(), func() float64 { return c.now }, clocksAt(c.now),
-		func(event ledger.Event) { c.stored <- event }, quietLogger())
+		func(event ledger.Event) { c.stored <- event }, testlog.Discard())
 	require.NoError(t, err)
 	step := func(event ledger.Event) { c.Step(c.now, &event) }
 	step(goldenEndpoints())
@@ -131,7 +131,7 @@
 			const now = 30000
 			disk := copyGoldenFolder(t, folder)
 			s, _, err := OpenAt(disk, testOptions, goldenSettings(), func() float64 { return now }, clocksAt(now),
-				func(ledger.Event) {}, quietLogger())
+				func(ledger.Event) {}, testlog.Discard())
 			require.NoError(t, err, folder)
 			compareRestoredState(t, folder, s, now)
 			require.NoError(t, s.store.Close())
--- a/internal/ledgerstore/helpers_test.go
+++ b/internal/ledgerstore/helpers_test.go
@@ -2,15 +2,13 @@
 
 import (
 	"fmt"
-	"io"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"liftshift/internal/ledger"
 	"liftshift/internal/store"
+	"liftshift/internal/testlog"
 	"liftshift/internal/vfs"
 	"liftshift/scheduler"
 )
@@ -52,12 +50,6 @@
 	return s
 }
 
-func quietLogger() *logrus.Logger {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	return log
-}
-
 var testOptions = store.Options{SegmentBytes: 4096, FlushDelay: time.Millisecond}
 
 // runRecorder records in which zones each idempotency key ran. A zone runs a key once and drops repeats of it; it does
@@ -107,7 +99,7 @@
 	c := &testController{now: now, stored: make(chan ledger.Event, 1000), runs: runs}
 	open := func() (err error) {
 		c.Store, _, err = OpenAt(disk, testOptions, ledgerSettings(), func() float64 { return now }, clocksAt(now),
-			func(event ledger.Event) { c.stored <- event }, quietLogger())
+			func(event ledger.Event) { c.stored <- event }, testlog.Discard())
 		return err
 	}
 	err := open()
--- a/internal/ledgerstore/ledgerstore_test.go
+++ b/internal/ledgerstore/ledgerstore_test.go
@@ -14,6 +14,7 @@
 	"liftshift/internal/dispatch"
 	"liftshift/internal/ledger"
 	"liftshift/internal/store"
+	"liftshift/internal/testlog"
 	"liftshift/internal/vfs"
 	"liftshift/scheduler"
 )
@@ -157,9 +158,9 @@
 // startLoop starts an event loop with a scheduler, a Store on a disk, and test executors.
 func startLoop(t *testing.T, disk *vfs.MemoryFS) (*dispatch.Loop, *testExecutors, *Store) {
 	clock := dispatch.NewClock()
-	loop := dispatch.New(clock, scheduler.New(7, testSettings()), quietLogger())
+	loop := dispatch.New(clock, scheduler.New(7, testSettings()), testlog.Discard())
 	s, _, err := Open(disk, testOptions, ledgerSettings(), clock.Now,
-		func(event ledger.Event) { loop.Put(dispatch.QueueItem{Message: &event}) }, quietLogger())
+		func(event ledger.Event) { loop.Put(dispatch.QueueItem{Message: &event}) }, testlog.Discard())
 	require.NoError(t, err)
 	executors := &testExecutors{loop: loop}
 	loop.Executors, loop.Peers, loop.EndpointList, loop.HealthCheckTimeoutMS = executors, executors, executors, 250
@@ -225,7 +226,7 @@
 			loop.Stop()
 			require.NoError(t, s.Close())
 			reopened, _, err := Open(disk, testOptions, ledgerSettings(), func() float64 { return 0 },
-				func(ledger.Event) {}, quietLogger())
+				func(ledger.Event) {}, testlog.Discard())
 			require.NoError(t, err)
 			query := &ledger.Event{Kind: ledger.OutcomeQueried, IdempotencyKey: "m1"}
 			assert.Equal(t, ledger.Succeeded, reopened.Step(1, query)[0].Outcome, "outcome of key m1 after a restart")
@@ -278,6 +279,6 @@
 	assert.InDelta(t, float64(time.Now().UnixMilli()), clocks.WallMS, 5000)
 	assert.Equal(t, clocks.UptimeMS > 0, clocks.BootID != "", "uptime %g ms, boot ID %q", clocks.UptimeMS, clocks.BootID)
 	_, _, err := Open(vfs.NewMemory(), store.Options{}, ledgerSettings(), func() float64 { return 0 },
-		func(ledger.Event) {}, quietLogger())
+		func(ledger.Event) {}, testlog.Discard())
 	assert.NoError(t, err)
 }
--- a/internal/localityagent/golden_test.go
+++ b/internal/localityagent/golden_test.go
@@ -11,12 +11,12 @@
 	"github.com/stretchr/testify/require"
 
 	"liftshift/internal/clusternet"
+	"liftshift/internal/goldenfile"
 	"liftshift/internal/locality"
 	"liftshift/internal/membership"
+	"liftshift/internal/testlog"
 	"liftshift/internal/testservers"
 	"liftshift/scheduler"
-
-	"liftshift/internal/goldenfile"
 )
 
 // startTransport starts a member's transport and returns it with the member.
@@ -25,7 +25,7 @@
 	t.Helper()
 	address, err := testservers.FreeAddress()
 	require.NoError(t, err)
-	transport := clusternet.New(address, discardLog())
+	transport := clusternet.New(address, testlog.Discard())
 	self := membership.Member{Name: name, Incarnation: 1, Address: address}
 	transport.LocalityDatagram = receive
 	settings := membership.DefaultSettings()
@@ -39,7 +39,7 @@
 // newTestAgent returns an agent in zone z0 without a node and a dispatch loop.
 func newTestAgent(name string, transport *clusternet.Transport, view *membership.View) *Agent {
 	monitor := locality.New(name, "z0", "r", locality.DefaultSettings())
-	return New(monitor, name, &scheduler.Settings{}, nil, transport, view, nil, discardLog())
+	return New(monitor, name, &scheduler.Settings{}, nil, transport, view, nil, testlog.Discard())
 }
 
 var (
--- a/internal/localityagent/localityagent_test.go
+++ b/internal/localityagent/localityagent_test.go
@@ -1,24 +1,17 @@
 package localityagent
 
 import (
-	"io"
 	"net/netip"
 	"testing"
 
-	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/assert"
 
 	"liftshift/internal/dispatch"
 	"liftshift/internal/locality"
+	"liftshift/internal/testlog"
 	"liftshift/scheduler"
 )
 
-func discardLog() logrus.FieldLogger {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	return log
-}
-
 // The agent must keep the demand of the open requests and whether the endpoint list is available, and translate the
 // scheduler's views of the listed executors. It must ignore malformed datagrams.
 func TestAgent_CollectsObservations(t *testing.T) {
@@ -26,7 +19,7 @@
 		Kinds:   []scheduler.ExecutorKind{{Name: "big", Cores: 8}},
 		Classes: []scheduler.RequestClass{{Name: "look", Threads: 4}},
 	}
-	a := New(locality.New("a", "z0", "r", locality.DefaultSettings()), "a", settings, nil, nil, nil, nil, discardLog())
+	a := New(locality.New("a", "z0", "r", locality.DefaultSettings()), "a", settings, nil, nil, nil, nil, testlog.Discard())
 	handle := func(ev dispatch.Event) {
 		assert.Empty(t, a.Handle(1, &ev, nil), "commands for event kind %d", ev.Kind)
 	}
--- a/internal/raftnode/golden_test.go
+++ b/internal/raftnode/golden_test.go
@@ -16,12 +16,12 @@
 
 	"liftshift/internal/clusternet"
 	"liftshift/internal/consensus"
+	"liftshift/internal/goldenfile"
 	"liftshift/internal/membership"
 	"liftshift/internal/placement"
 	"liftshift/internal/store"
+	"liftshift/internal/testlog"
 	"liftshift/internal/vfs"
-
-	"liftshift/internal/goldenfile"
 )
 
 // The JSON encodings of requests and replies between members are compatible with earlier versions.
@@ -83,14 +83,14 @@
 	idBatch.Put(recordKey(folderIDRecord, 0), 0, []byte("f0123456789abcdef01234567"))
 	require.NoError(t, seed.Write(recordTime, &idBatch))
 	require.NoError(t, seed.Close())
-	original, err := openStorage(fs, &Node{}, discardLog())
+	original, err := openStorage(fs, &Node{}, testlog.Discard())
 	require.NoError(t, err)
 	persistAndSync(t, original, consensus.Effect{Snapshot: snapshotAt(1), State: hardState(1, 7, 1)})
 	persistAndSync(t, original, consensus.Effect{Entries: []*raftpb.Entry{entryAt(2, 1), entryAt(3, 1), entryAt(4, 1)}})
 	persistAndSync(t, original, consensus.Effect{Entries: []*raftpb.Entry{entryAt(3, 2)}, State: hardState(2, 9, 2)})
 	original.close()
 	whole := compareGoldenFolder(t, "folder", fs)
-	reopened, err := openStorage(whole.Clone(), &Node{}, discardLog())
+	reopened, err := openStorage(whole.Clone(), &Node{}, testlog.Discard())
 	require.NoError(t, err)
 	assert.Equal(t, "0123456789abcdef01234567", reopened.folderID)
 	assert.True(t, proto.Equal(hardState(2, 9, 2), reopened.persisted.State))
@@ -106,7 +106,7 @@
 	content := whole.Bytes(lastLog)
 	end := len(strings.TrimRight(string(content), "\x00"))
 	whole.SetFile(lastLog, append(content[:end-5], make([]byte, 64)...))
-	torn, err := openStorage(compareGoldenFolder(t, "folder-torn", whole), &Node{}, discardLog())
+	torn, err := openStorage(compareGoldenFolder(t, "folder-torn", whole), &Node{}, testlog.Discard())
 	require.NoError(t, err)
 	defer torn.close()
 	assert.NotEqual(t, "0123456789abcdef01234567", torn.folderID)
@@ -149,11 +149,11 @@
 	peer := &recordingPeer{received: map[string]bool{}, reply: goldenfile.Compare(t, "reply-granted.json", granted)}
 	settings := membership.DefaultSettings()
 	peerMember := membership.Member{Name: "b", Incarnation: 1, Address: addresses[1]}
-	peerTransport := clusternet.New(addresses[1], discardLog())
+	peerTransport := clusternet.New(addresses[1], testlog.Discard())
 	peerView := membership.New(peerTransport.Now(), "f", peerMember, addresses, settings, 2)
 	require.NoError(t, peerTransport.Start(peerView, peer))
 	t.Cleanup(peerTransport.Stop)
-	transport := clusternet.New(addresses[0], discardLog())
+	transport := clusternet.New(addresses[0], testlog.Discard())
 	self := membership.Member{Name: "a", Incarnation: 3, Address: addresses[0]}
 	view := membership.New(transport.Now(), "f", self, addresses, settings, 1)
 	// Datagrams of an earlier view of b let the view of a know b at once.
@@ -167,7 +167,7 @@
 	_, known := view.Find("b")
 	require.True(t, known)
 	founders := []string{"c", "b", "a"}
-	node, err := New(transport, view, vfs.NewMemory(), founders, consensus.DefaultSettings(), 1, discardLog())
+	node, err := New(transport, view, vfs.NewMemory(), founders, consensus.DefaultSettings(), 1, testlog.Discard())
 	require.NoError(t, err)
 	confirmed := make(chan uint64, 100)
 	node.OnPlanConfirmed = func(_ float64, number uint64, _ float64) { confirmed <- number }
@@ -188,8 +188,8 @@
 	node.ReleaseLease()
 
 	idleView := membership.New(0, "f", self, nil, settings, 1)
-	idleTransport := clusternet.New(addresses[0], discardLog()) // never started
-	receiver, err := New(idleTransport, idleView, nil, founders, consensus.DefaultSettings(), 1, discardLog())
+	idleTransport := clusternet.New(addresses[0], testlog.Discard()) // never started
+	receiver, err := New(idleTransport, idleView, nil, founders, consensus.DefaultSettings(), 1, testlog.Discard())
 	require.NoError(t, err)
 	for file, want := range map[string]string{
 		"hello":      "h",
--- a/internal/raftnode/raftnode_test.go
+++ b/internal/raftnode/raftnode_test.go
@@ -1,14 +1,12 @@
 package raftnode
 
 import (
-	"io"
 	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.etcd.io/raft/v3/raftpb"
@@ -16,6 +14,7 @@
 	"liftshift/internal/clusternet"
 	"liftshift/internal/consensus"
 	"liftshift/internal/membership"
+	"liftshift/internal/testlog"
 	"liftshift/internal/vfs"
 )
 
@@ -23,14 +22,14 @@
 // recovered.
 func TestStorage_RecoversAfterCrash(t *testing.T) {
 	fs := vfs.NewMemory()
-	original, err := openStorage(fs, &Node{}, discardLog())
+	original, err := openStorage(fs, &Node{}, testlog.Discard())
 	require.NoError(t, err)
 	id := original.folderID
 	persistAndSync(t, original, consensus.Effect{Snapshot: snapshotAt(1), State: hardState(1, 7, 1)})
 	persistAndSync(t, original, consensus.Effect{Entries: []*raftpb.Entry{entryAt(2, 1), entryAt(3, 1), entryAt(4, 1)}})
 	persistAndSync(t, original, consensus.Effect{Entries: []*raftpb.Entry{entryAt(3, 2)}, State: hardState(2, 9, 2)})
 	for seed, loss := range []vfs.CrashLoss{vfs.LoseAll, vfs.LoseNothing} {
-		reopened, err := openStorage(fs.Clone().Crash(loss, uint64(seed)), &Node{}, discardLog())
+		reopened, err := openStorage(fs.Clone().Crash(loss, uint64(seed)), &Node{}, testlog.Discard())
 		require.NoError(t, err)
 		assert.Equal(t, id, reopened.folderID)
 		assert.Equal(t, uint64(9), reopened.persisted.State.GetVote())
@@ -41,7 +40,7 @@
 	persistAndSync(t, original, consensus.Effect{Snapshot: snapshotAt(3)})
 	persistAndSync(t, original, consensus.Effect{Entries: []*raftpb.Entry{entryAt(4, 2)}})
 	original.close()
-	reopened, err := openStorage(fs, &Node{}, discardLog())
+	reopened, err := openStorage(fs, &Node{}, testlog.Discard())
 	require.NoError(t, err)
 	defer reopened.close()
 	assert.Equal(t, uint64(3), reopened.persisted.Snapshot.GetMetadata().GetIndex())
@@ -52,7 +51,7 @@
 // A torn log may lack durable state: the folder gets another ID and loses all state, so that it cannot vote twice.
 func TestStorage_TornLogBecomesAnotherVoter(t *testing.T) {
 	fs := vfs.NewMemory()
-	original, err := openStorage(fs, &Node{}, discardLog())
+	original, err := openStorage(fs, &Node{}, testlog.Discard())
 	require.NoError(t, err)
 	id := original.folderID
 	persistAndSync(t, original, consensus.Effect{Snapshot: snapshotAt(1), State: hardState(1, 7, 1)})
@@ -66,7 +65,7 @@
 			fs.SetFile(name, append(content[:end-5], make([]byte, 64)...))
 		}
 	}
-	reopened, err := openStorage(fs, &Node{}, discardLog())
+	reopened, err := openStorage(fs, &Node{}, testlog.Discard())
 	require.NoError(t, err)
 	defer reopened.close()
 	assert.NotEqual(t, id, reopened.folderID)
@@ -104,10 +103,10 @@
 				return nil
 			}
 		}
-		transport := clusternet.New(addresses[i], discardLog())
+		transport := clusternet.New(addresses[i], testlog.Discard())
 		self := membership.Member{Name: name, Incarnation: 1, Address: addresses[i]}
 		view := membership.New(transport.Now(), "f", self, addresses, membership.DefaultSettings(), uint32(i))
-		node, err := New(transport, view, fs, names, consensus.DefaultSettings(), uint32(i), discardLog())
+		node, err := New(transport, view, fs, names, consensus.DefaultSettings(), uint32(i), testlog.Discard())
 		require.NoError(t, err)
 		if name == "b" {
 			node.OnEffect = func(_ float64, e consensus.Effect) {
@@ -139,10 +138,3 @@
 	time.Sleep(7 * time.Second) // longer than a lease
 	assert.True(t, nodes["b"].LeaseHeld(), "the member of the failed voter gets its lease from the others")
 }
-
-// discardLog returns a logger without output.
-func discardLog() logrus.FieldLogger {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	return log
-}
--- a/internal/resp/client_test.go
+++ b/internal/resp/client_test.go
@@ -23,7 +23,7 @@
 	fake.expect(t, `fetch a profile=load,max=[1-4]\d\d\d,replay=k1,mb=64,nice=3 SELECT 1`)
 	conn := <-fake.conns
 	sendReply(conn, "a", "news", "remark=queued,num=2", "")
-	item := queue.next(t)
+	item := queue.Next(t)
 	assert.Equal(t, []any{scheduler.ProgressReported, scheduler.Waiting, 2.0},
 		[]any{item.Event.Kind, item.Event.Progress, item.Event.Value})
 	running.SetLevel(1)
@@ -37,7 +37,7 @@
 	sendReply(conn, "zz", "data", "-", "unrequested\n")
 	sendReply(conn, "a", "page", "batch=1", "two\t1\tx\n")
 	fake.expect(t, "done a")
-	item = queue.next(t)
+	item = queue.Next(t)
 	assert.Equal(t, scheduler.Succeeded, item.Event.Outcome)
 	assert.Equal(t, "one\t1\tx\ntwo\t1\tx\nthree\t1\tx\n", string(item.Body))
 	assert.Equal(t, dispatch.AlreadyEnded, running.Cancel())
@@ -46,7 +46,7 @@
 	fake.expect(t, "fetch b .*")
 	sendReply(conn, "b", "page", "batch=1", "two\t1\tx\n")
 	sendReply(conn, "b", "data", "-", "one\t1\tx\n")
-	assert.Equal(t, "one\t1\tx\n", string(queue.next(t).Body))
+	assert.Equal(t, "one\t1\tx\n", string(queue.Next(t).Body))
 }
 
 // Attempts that share a connection are lost together, so each one gets its own while connections are available. The
@@ -62,7 +62,7 @@
 	<-fake.conns
 	_, _ = first.Write([]byte("*1\r\n$9\r\nspoilt"))
 	first.Close()
-	assert.Equal(t, "a", queue.next(t).Event.Request)
+	assert.Equal(t, "a", queue.Next(t).Event.Request)
 	fake.expect(t, "closed")
 	assert.Empty(t, queue, "attempt b is not affected")
 	assert.Equal(t, dispatch.CancelSent, b.Cancel())
@@ -71,7 +71,7 @@
 	client.HealthCheck(1, 1)
 	fake.expect(t, "alive probe-1")
 	sendReply(<-fake.conns, "probe-1", "well", "-", "")
-	queue.next(t)
+	queue.Next(t)
 	client.Send(newAttempt("c"))
 	fake.expect(t, "fetch c .*")
 	assert.Empty(t, fake.conns, "the unused connection is used again")
@@ -95,12 +95,12 @@
 		conn = fake.nextConn(t)
 		if !pagesKept {
 			sendReply(conn, "a", "failed", "-", "")
-			assert.Equal(t, scheduler.Errored, queue.next(t).Event.Outcome)
+			assert.Equal(t, scheduler.Errored, queue.Next(t).Event.Outcome)
 			continue
 		}
 		sendReply(conn, "a", "page", "batch=1", "two\t1\tx\n")
 		fake.expect(t, "done a")
-		assert.Equal(t, "one\t1\tx\ntwo\t1\tx\nthree\t1\tx\n", string(queue.next(t).Body))
+		assert.Equal(t, "one\t1\tx\ntwo\t1\tx\nthree\t1\tx\n", string(queue.Next(t).Body))
 		assert.Equal(t, uint64(1), client.ResumedAnswers.Load())
 	}
 }
@@ -116,7 +116,7 @@
 	sendReply(conn, "b", "data", "batches=2", "one\t1\tx\n")
 	fake.expect(t, "more b 1")
 	conn.Close()
-	assert.Equal(t, scheduler.ConnectionLost, queue.next(t).Event.Outcome)
+	assert.Equal(t, scheduler.ConnectionLost, queue.Next(t).Event.Outcome)
 }
 
 // Losses must be counted separately for new connections and those that have carried an attempt before.
@@ -127,11 +127,11 @@
 	fake.expect(t, "fetch a .*")
 	conn := fake.nextConn(t)
 	sendReply(conn, "a", "data", "-", "")
-	queue.next(t)
+	queue.Next(t)
 	client.Send(newAttempt("b")) // over the same connection, and lost with it
 	fake.expect(t, "fetch b .*")
 	conn.Close()
-	assert.Equal(t, scheduler.ConnectionLost, queue.next(t).Event.Outcome)
+	assert.Equal(t, scheduler.ConnectionLost, queue.Next(t).Event.Outcome)
 	want := connpool.LossStats{New: connpool.LossCount{Attempts: 1}, Used: connpool.LossCount{Attempts: 1, Lost: 1}}
 	assert.Equal(t, want, client.losses)
 }
@@ -170,14 +170,14 @@
 			conn = <-fake.conns
 		}
 		sendReply(conn, word, word, "-", "")
-		assert.Equal(t, want, queue.next(t).Event.Outcome)
+		assert.Equal(t, want, queue.Next(t).Event.Outcome)
 	}
 	client.Send(newAttempt("lost")) // the executor lost the pages, the request may have run
 	fake.expect(t, "fetch .*")
 	sendReply(conn, "lost", "data", "batches=2", "one\t1\tx\n")
 	fake.expect(t, "more lost 1")
 	sendReply(conn, "lost", "failed", "-", "")
-	assert.Equal(t, scheduler.Errored, queue.next(t).Event.Outcome)
+	assert.Equal(t, scheduler.Errored, queue.Next(t).Event.Outcome)
 }
 
 // A refused connection proves that the attempt did not run. A reset or a malformed reply does not.
@@ -199,15 +199,15 @@
 			conn.Close()
 		}
 		_, _ = conn.Write([]byte(reply))
-		assert.Equal(t, scheduler.ConnectionLost, queue.next(t).Event.Outcome, "%q", reply)
+		assert.Equal(t, scheduler.ConnectionLost, queue.Next(t).Event.Outcome, "%q", reply)
 		fake.expect(t, "closed")
 	}
 	assert.Equal(t, uint64(5), client.MalformedReplies.Load())
 	fake.listener.Close()
 	client.Send(newAttempt("b"))
-	assert.Equal(t, scheduler.ConnectFailed, queue.next(t).Event.Outcome)
+	assert.Equal(t, scheduler.ConnectFailed, queue.Next(t).Event.Outcome)
 	client.HealthCheck(1, 4)
-	item := queue.next(t)
+	item := queue.Next(t)
 	assert.Equal(t, []any{scheduler.HealthChecked, scheduler.ConnectFailed, uint64(4)},
 		[]any{item.Event.Kind, item.Event.Outcome, item.Token})
 	running, _ := client.Send(dispatch.Attempt{Request: &dispatch.Request{}, Executor: 9})
@@ -229,7 +229,7 @@
 	client.Send(newAttempt("shared")) // shares a connection, as the limit is reached
 	fake.expect(t, "fetch shared .*")
 	sendReply(first, "shared", "news", "remark=pct,num=0.5", "")
-	queue.next(t)
+	queue.Next(t)
 	assert.Equal(t, dispatch.CancelSent, running.Cancel())
 	fake.expect(t, "abort a")
 	client.mu.Lock()
@@ -247,7 +247,7 @@
 	sendReply(first, "a", "data", "-", "old\t1\tx\n")
 	assert.Eventually(t, func() bool { return client.StrayReplies.Load() == 1 }, 3*time.Second, time.Millisecond)
 	sendReply(second, "a", "data", "-", "new\t1\tx\n")
-	assert.Equal(t, "new\t1\tx\n", string(queue.next(t).Body))
+	assert.Equal(t, "new\t1\tx\n", string(queue.Next(t).Body))
 	sendReply(second, "zz", "data", "-", "unrequested\n")
 	assert.Eventually(t, func() bool { return client.StrayReplies.Load() == 2 }, 3*time.Second, time.Millisecond)
 	assert.Empty(t, queue)
@@ -283,7 +283,7 @@
 	client, queue := newTestClient(t, address, 15000)
 	start := time.Now()
 	client.Send(newAttempt("a"))
-	assert.Equal(t, scheduler.ConnectFailed, queue.next(t).Event.Outcome)
+	assert.Equal(t, scheduler.ConnectFailed, queue.Next(t).Event.Outcome)
 	assert.GreaterOrEqual(t, time.Since(start), 150*time.Millisecond)
 }
 
@@ -293,7 +293,7 @@
 	client.Send(newAttempt("a"))
 	fake.expect(t, "fetch a .*")
 	sendReply(<-fake.conns, "a", "data", "-", "")
-	queue.next(t)
+	queue.Next(t)
 	time.Sleep(60 * time.Millisecond) // the connection is idle for too long
 	client.Send(newAttempt("b"))
 	select {
@@ -310,13 +310,13 @@
 	fake.expect(t, "stats probe-7")
 	conn := <-fake.conns
 	sendReply(conn, "probe-7", "well", "report=backlog:1;x0:2", "")
-	item := queue.next(t)
+	item := queue.Next(t)
 	assert.Equal(t, []any{scheduler.Succeeded, uint64(7), []float64{1, 2}},
 		[]any{item.Event.Outcome, item.Token, item.Event.LoadReport})
 	client.HealthCheck(1, 8)
 	fake.expect(t, "stats probe-8")
 	sendReply(conn, "probe-8", "ill", "-", "")
-	assert.Equal(t, scheduler.Errored, queue.next(t).Event.Outcome)
+	assert.Equal(t, scheduler.Errored, queue.Next(t).Event.Outcome)
 	client.HealthCheck(1, 9)
 	fake.expect(t, "stats probe-9")
 	client.ForgetHealthCheck(1, 9) // drains the unresponsive connection
--- a/internal/resp/helpers_test.go
+++ b/internal/resp/helpers_test.go
@@ -2,42 +2,21 @@
 
 import (
 	"bufio"
-	"io"
 	"net"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"liftshift/internal/dispatch"
+	"liftshift/internal/dispatchtest"
 	"liftshift/internal/netconn"
+	"liftshift/internal/testlog"
 	"liftshift/scheduler"
 )
 
-// fakeQueue is an event queue whose items a test receives.
-type fakeQueue chan dispatch.QueueItem
-
-func (q fakeQueue) Put(item dispatch.QueueItem) { q <- item }
-
-func (q fakeQueue) next(t *testing.T) dispatch.QueueItem {
-	select {
-	case item := <-q:
-		return item
-	case <-time.After(3 * time.Second):
-		require.Fail(t, "the event queue got no item")
-	}
-	return dispatch.QueueItem{}
-}
-
-func discardLog() *logrus.Logger {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	return log
-}
-
 // fakeExecutor records the commands that it receives, and "closed" for each connection that ends. The test sends the
 // replies.
 type fakeExecutor struct {
@@ -101,10 +80,10 @@
 func sendReply(conn net.Conn, words ...string) { _, _ = conn.Write(appendArray(nil, words...)) }
 
 // newTestClient returns a client with executor 1 at the address. It allows 3 connections with 2 attempts each.
-func newTestClient(t *testing.T, address string, idleMS float64, reports ...string) (*Client, fakeQueue) {
-	queue := make(fakeQueue, 100)
+func newTestClient(t *testing.T, address string, idleMS float64, reports ...string) (*Client, dispatchtest.Queue) {
+	queue := make(dispatchtest.Queue, 100)
 	limits := Limits{ConnectMS: 200, IdleMS: idleMS, MaxPerConn: 2, MaxConns: 3, ReportNames: reports}
-	client := NewClient(queue, dispatch.NewClock(), netconn.NewByteBudget(1<<20), limits, discardLog())
+	client := NewClient(queue, dispatch.NewClock(), netconn.NewByteBudget(1<<20), limits, testlog.Discard())
 	client.Update(true, []Endpoint{{scheduler.Endpoint{Executor: 1}, "s-1", address}})
 	t.Cleanup(client.Stop)
 	return client, queue
--- a/internal/resp/races_test.go
+++ b/internal/resp/races_test.go
@@ -14,11 +14,12 @@
 	"github.com/stretchr/testify/require"
 
 	"liftshift/internal/dispatch"
+	"liftshift/internal/dispatchtest"
 	"liftshift/scheduler"
 )
 
 // newClientWithGatedDial returns a client with one executor. Each dial waits until the test sends to the channel.
-func newClientWithGatedDial(t *testing.T) (*Client, fakeQueue, *fakeExecutor, chan struct{}) {
+func newClientWithGatedDial(t *testing.T) (*Client, dispatchtest.Queue, *fakeExecutor, chan struct{}) {
 	fake := newFakeExecutor(t, "127.0.0.1:0")
 	client, queue := newTestClient(t, fake.listener.Addr().String(), 15000)
 	dialGate := make(chan struct{}, 10)
@@ -58,7 +59,7 @@
 		}
 		change(client, &spec)
 		dialGate <- struct{}{}
-		item := queue.next(t)
+		item := queue.Next(t)
 		assert.Equal(t, []any{scheduler.AttemptEnded, scheduler.NeverSent, false},
 			[]any{item.Event.Kind, item.Event.Outcome, item.Event.Blocked}, name)
 		assert.Equal(t, name == "lease lost", item.Event.Unrecorded, "%s: only the lease may return", name)
@@ -79,7 +80,7 @@
 		fake.expect(t, "fetch a .*")
 		first := fake.nextConn(t)
 		sendReply(first, "a", word, "-", "")
-		queue.next(t)
+		queue.Next(t)
 		spec := newAttempt("a")
 		spec.Number = 1
 		client.Send(spec)
@@ -89,7 +90,7 @@
 		sendReply(first, "a", word, "-", "")
 		assert.Eventually(t, func() bool { return client.StrayReplies.Load() == 2 }, 3*time.Second, time.Millisecond)
 		sendReply(second, "a", "data", "-", "x\ty\tz\n")
-		item := queue.next(t)
+		item := queue.Next(t)
 		assert.Equal(t, []any{scheduler.Succeeded, 1}, []any{item.Event.Outcome, item.Event.Attempt}, word)
 		assert.Empty(t, queue)
 	}
@@ -121,7 +122,7 @@
 	accepted.Close()
 	outcomes := map[string]scheduler.Outcome{}
 	for range 2 {
-		item := queue.next(t)
+		item := queue.Next(t)
 		outcomes[item.Event.Request] = item.Event.Outcome
 	}
 	assert.Equal(t, map[string]scheduler.Outcome{"big": scheduler.ConnectionLost, "c": scheduler.ConnectFailed}, outcomes)
@@ -159,7 +160,7 @@
 	assert.Nil(t, running, "no connection is idle")
 	for k := range client.maxConns {
 		sendReply(fake.nextConn(t), fmt.Sprint("a", k), "data", "-", "")
-		queue.next(t)
+		queue.Next(t)
 	}
 	running, _ = client.Send(spec)
 	assert.NotNil(t, running)
@@ -182,9 +183,9 @@
 			return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", errno)}
 		}
 		client.Send(newAttempt("a"))
-		assert.Equal(t, scheduler.LocalFailure, queue.next(t).Event.Outcome, errno.Error())
+		assert.Equal(t, scheduler.LocalFailure, queue.Next(t).Event.Outcome, errno.Error())
 		assert.True(t, client.HealthCheck(1, 7))
-		assert.Equal(t, scheduler.LocalFailure, queue.next(t).Event.Outcome, errno.Error())
+		assert.Equal(t, scheduler.LocalFailure, queue.Next(t).Event.Outcome, errno.Error())
 	}
 	for _, errno := range []syscall.Errno{
 		syscall.ECONNREFUSED, syscall.ECONNRESET, syscall.ETIMEDOUT, syscall.EHOSTUNREACH,
@@ -194,6 +195,6 @@
 			return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", errno)}
 		}
 		client.Send(newAttempt("a"))
-		assert.Equal(t, scheduler.ConnectFailed, queue.next(t).Event.Outcome, errno.Error())
+		assert.Equal(t, scheduler.ConnectFailed, queue.Next(t).Event.Outcome, errno.Error())
 	}
 }
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -19,6 +19,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"liftshift/internal/testlog"
 	"liftshift/internal/testservers"
 )
 
@@ -80,8 +81,7 @@
 
 // startController runs a controller until stop is called; done then receives the result of Run.
 func startController(t *testing.T, config *Config) (reload chan os.Signal, stop func(), done chan error) {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := testlog.Discard()
 	reload, done = make(chan os.Signal), make(chan error, 1)
 	ctx, stop := context.WithCancel(t.Context())
 	go func() { done <- Run(ctx, config, NoExtensions{}, reload, log) }()
@@ -241,8 +241,7 @@
 
 func TestRun_IdleShutdownEndsOnceBalancerHasLeft(t *testing.T) {
 	config := newConfig(t, freeAddress(t), freeAddress(t), unreachableAddress)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := testlog.Discard()
 	ctx, stop := context.WithCancel(t.Context())
 	stop()
 	began := time.Now()
