--- a/review/_drive2/play.go
+++ b/review/_drive2/play.go
@@ -253,3 +253,11 @@
 	p.note("all links between controllers are whole")
 	p.relay.SetLinks(func(int, int) chaostest.Link { return chaostest.Link{} })
 }
+
+// writeFile replaces a file as a whole.
+func writeFile(name, text string) error {
+	if err := os.WriteFile(name+".new", []byte(text), 0o644); err != nil {
+		return err
+	}
+	return os.Rename(name+".new", name)
+}
