--- a/review/_drive2/executor.go
+++ b/review/_drive2/executor.go
@@ -75,6 +75,7 @@
 // executor is a stand-in for an executor. It runs all that it is sent at once.
 type executor struct {
 	name string
+	zone string
 	runs *runs
 	// decide says how a request is answered: the answer's word, and after which time. "" never answers.
 	decide   func(id, key, class string) (word string, after time.Duration)
@@ -86,7 +87,7 @@
 
 // addExecutor starts an executor that answers after the given time.
 func (p *play) addExecutor(name string, r *runs, work time.Duration) *executor {
-	e := &executor{name: name, runs: r, conns: map[net.Conn]bool{}}
+	e := &executor{name: name, zone: "room", runs: r, conns: map[net.Conn]bool{}}
 	e.decide = func(string, string, string) (string, time.Duration) { return "data", work }
 	var err error
 	e.listener, err = net.Listen("tcp", "127.0.0.1:0")
--- a/review/_drive2/play.go
+++ b/review/_drive2/play.go
@@ -130,7 +130,7 @@
 	}
 	var endpoints []any
 	for _, e := range p.executors {
-		endpoints = append(endpoints, map[string]any{"name": e.name, "address": e.address(), "zone": "room",
+		endpoints = append(endpoints, map[string]any{"name": e.name, "address": e.address(), "zone": e.zone,
 			"type": "std", "group": 0, "status": "Ready", "weight": 8, "since_ms": 0})
 	}
 	update := map[string]any{"index": 1, "snapshot": true, "endpoints": endpoints}
