--- a/review/_drive2/case_outcome.go
+++ b/review/_drive2/case_outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"time"
 )
 
@@ -12,14 +13,13 @@
 // that is not so.
 func outcomeOfOpenKey(p *play) (held bool) {
 	r := &runs{play: p, window: 20 * time.Second}
-	tries := 0
+	var tries atomic.Int32
 	e := p.addExecutor("s-1", r, 20*time.Millisecond)
 	e.decide = func(string, string, string) (string, time.Duration) {
-		tries++
-		switch {
+		switch try := tries.Add(1); {
 		case !p.trouble:
 			return "data", 20 * time.Millisecond
-		case tries <= 2:
+		case try <= 2:
 			return "full", 0
 		}
 		return "data", 1500 * time.Millisecond
--- a/review/_drive2/case_scope.go
+++ b/review/_drive2/case_scope.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -89,14 +90,14 @@
 func scope(p *play) (held bool) {
 	const window = 5 * time.Second
 	rooms := [2]*runs{{play: p, window: window}, {play: p, window: window}}
-	full := true
+	var room atomic.Bool // s-1 has room
 	old := p.addExecutor("s-1", rooms[0], 20*time.Millisecond)
 	old.zone = "room-1"
 	old.decide = func(string, string, string) (string, time.Duration) {
-		if full {
-			return "full", 0
+		if room.Load() {
+			return "data", 20 * time.Millisecond
 		}
-		return "data", 20 * time.Millisecond
+		return "full", 0
 	}
 	joins := p.addExecutor("s-2", rooms[1], 2*time.Second)
 	joins.zone = "room-2"
@@ -130,7 +131,7 @@
 	p.note("s-2 of room-2 joins")
 	log.publish(false, joins)
 	p.await("the key runs", 5*time.Second, func() bool { return len(rooms[0].of(key))+len(rooms[1].of(key)) > 0 })
-	full = false
+	room.Store(true)
 	time.Sleep(500 * time.Millisecond)
 	if p.trouble {
 		n.signal(syscall.SIGKILL)
