Handoff: an answer waits for replicas no longer than the stop lasts

Callers saw: a controller that had the answer to a keyed request ended after SIGTERM without giving any.

Cause: an answer that comes while the lease is over is withheld until a quorum of replicas has stored the outcome, up to the request's deadline less 60 ms. The manager did not know when the stop ends: ShutdownStarted carried no time. Rejections of non-idempotent requests, withheld up to 300 ms also under the lease, could outlive the stop in the same way.

Change: ShutdownStarted names the time by which all must be answered, which ends the wait. An answer that is decided with no time left is replaced by a failure at once (FailAnswer); it waited for the next tick. A withheld answer that is delivered as its request is closed no longer has the scheduler told that the request goes on (TestLoop_DeliveryAtCloseEndsRequest failed before).

Why it works: answers are due 150 ms before connections end, the last tick that ends a wait comes up to 100 ms after that, and a failure promises nothing.

--- a/internal/clustersim/handoff_request.go
+++ b/internal/clustersim/handoff_request.go
@@ -180,14 +180,19 @@
 }
 
 // finishRequest ends a request with an outcome. It answers the client unless the handoff manager withholds the
-// answer.
+// answer, with a failure if the manager replaces it.
 func (c *HandoffCluster) finishRequest(nodeIndex int, request *nodeRequest, outcome handoff.Outcome) {
 	if request.finished {
 		return
 	}
 	request.finished = true
 	ending := &handoff.Event{Kind: handoff.RequestEnding, ID: request.id, Outcome: outcome, Answer: []byte("rows")}
-	if c.stepHandoff(nodeIndex, ending) != handoff.WithholdAnswer {
+	switch c.stepHandoff(nodeIndex, ending) {
+	case handoff.WithholdAnswer:
+	case handoff.FailAnswer:
+		delete(c.HandoffNodes[nodeIndex].open, request.id)
+		c.answerClient(request, handoff.Failed)
+	default:
 		delete(c.HandoffNodes[nodeIndex].open, request.id)
 		c.answerClient(request, outcome)
 	}
--- a/internal/clustersim/handoff_step.go
+++ b/internal/clustersim/handoff_step.go
@@ -13,8 +13,8 @@
 )
 
 // stepHandoff passes an event to a node's handoff manager and applies the effects. It returns the effect that decides
-// on the request or attempt of the event: HoldAttempt, BlockAttempt, PostponeAttempt, WithholdAnswer, or Admit if there
-// is none of them.
+// on the request or attempt of the event: HoldAttempt, BlockAttempt, PostponeAttempt, WithholdAnswer, FailAnswer, or
+// Admit if there is none of them.
 func (c *HandoffCluster) stepHandoff(nodeIndex int, event *handoff.Event) handoff.EffectKind {
 	event.LeaseHeld = c.leaseHeld(nodeIndex)
 	now := c.LocalTime(nodeIndex)
@@ -28,7 +28,8 @@
 	verdict := handoff.Admit
 	for i, effect := range effects {
 		switch effect.Kind {
-		case handoff.HoldAttempt, handoff.BlockAttempt, handoff.PostponeAttempt, handoff.WithholdAnswer:
+		case handoff.HoldAttempt, handoff.BlockAttempt, handoff.PostponeAttempt, handoff.WithholdAnswer,
+			handoff.FailAnswer:
 			verdict = effect.Kind
 		case handoff.Admit:
 			c.startWaitingRequest(nodeIndex, event.ID, false)
--- a/internal/dispatch/command.go
+++ b/internal/dispatch/command.go
@@ -20,6 +20,7 @@
 	consumed       bool
 	suspend        bool
 	withholdAnswer bool
+	failAnswer     bool
 	retryAfterMS   float64
 }
 
@@ -49,6 +50,8 @@
 		d.suspend = true
 	case WithholdAnswer:
 		d.withholdAnswer = true
+	case FailAnswer:
+		d.failAnswer = true
 	case SetRetryAfter:
 		d.retryAfterMS = command.RetryAfterMS
 	case Consume:
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -28,7 +28,7 @@
 	case event.Kind == scheduler.EndpointsUpdated:
 		l.notify(Event{Kind: EndpointsUpdated, EndpointsUpdate: event})
 	case event.Kind == scheduler.ShutdownStarted:
-		l.notify(Event{Kind: ShutdownStarted})
+		l.notify(Event{Kind: ShutdownStarted, Deadline: event.Deadline})
 	}
 }
 
@@ -118,11 +118,12 @@
 			l.abandonRequest(state)
 		}
 	}
+	event.Final = state.answered
 	if event.Outcome == scheduler.Succeeded && !state.answered {
+		event.Final = true // before the answer, which may release the state
 		l.answerRequest(state, ledger.Succeeded, body, 0, event.CostMS)
 		l.counters.Succeeded++
 	}
-	event.Final = state.answered
 	return state, true
 }
 
--- a/internal/dispatch/extension.go
+++ b/internal/dispatch/extension.go
@@ -39,7 +39,8 @@
 	RequestReturned
 	// RequestRejecting says that a request is about to be rejected. SetRetryAfter changes when the client may retry.
 	RequestRejecting
-	// RequestEnding says that a request is about to be answered. WithholdAnswer delays the answer until DeliverAnswer.
+	// RequestEnding says that a request is about to be answered. WithholdAnswer delays the answer until DeliverAnswer;
+	// FailAnswer replaces it.
 	RequestEnding
 	// RequestClosed says that a request has its final answer or that its client has left.
 	RequestClosed
@@ -47,7 +48,7 @@
 	EndpointsUpdated
 	// ListUnavailable says that the endpoint list cannot be reached.
 	ListUnavailable
-	// ShutdownStarted says that a graceful shutdown has begun.
+	// ShutdownStarted says that a graceful shutdown has begun. All requests must be answered by Deadline.
 	ShutdownStarted
 	// Ticked occurs every 100 ms.
 	Ticked
@@ -79,6 +80,7 @@
 	Payload         []byte                 // PeerMessage
 	Message         any                    // MessagePosted
 	Query           *OutcomeQuery          // OutcomeQueried
+	Deadline        float64                // ShutdownStarted: the time by which all requests must be answered
 
 	// SchedulerState is set on Ticked. It returns the scheduler's view of the executors and its estimates; the slices
 	// are valid only until Handle returns.
@@ -103,6 +105,8 @@
 	Discard
 	// WithholdAnswer answers RequestEnding: the client gets its answer at DeliverAnswer.
 	WithholdAnswer
+	// FailAnswer answers RequestEnding: the client is told that its request failed, as the answer could not be withheld.
+	FailAnswer
 	// DeliverAnswer gives the client of request ID, whose answer was withheld, the answer of Outcome and Body.
 	DeliverAnswer
 	// ForwardQuery passes Query to the extensions behind the first one.
--- a/internal/dispatch/extension_test.go
+++ b/internal/dispatch/extension_test.go
@@ -213,6 +213,27 @@
 	assert.Len(t, transport.calls, 1, "the answer is delivered once")
 }
 
+// Guards against a further attempt at a request that was answered: its withheld answer may be delivered as it is closed.
+func TestLoop_DeliveryAtCloseEndsRequest(t *testing.T) {
+	loop, policy, _ := newExtendedLoop(&fakeTransport{}, commandsByEvent{
+		RequestEnding: {{Kind: WithholdAnswer}},
+		RequestClosed: {{Kind: DeliverAnswer, ID: "a", Outcome: ledger.Failed}},
+	})
+	loop.process(attemptEnded(scheduler.Succeeded))
+	assert.True(t, policy.lastEvent(scheduler.AttemptEnded).Final)
+	assert.Zero(t, loop.OpenRequests())
+}
+
+// Guards against a client without any answer: an answer that can't wait for an extension any more goes out as a failure.
+func TestLoop_FailedAnswerReplacesAnswer(t *testing.T) {
+	transport := &fakeTransport{}
+	loop, _, received := newExtendedLoop(transport, commandsByEvent{RequestEnding: {{Kind: FailAnswer}}})
+	loop.process(attemptEnded(scheduler.Succeeded))
+	assert.Equal(t, []string{"failed"}, transport.calls)
+	assert.Contains(t, *received, RequestClosed)
+	assert.Zero(t, loop.OpenRequests())
+}
+
 func TestLoop_AdoptsAndDiscardsRequest(t *testing.T) {
 	transport := &fakeTransport{cancelResult: CancelSent}
 	loop, policy, received := newExtendedLoop(transport, commandsByEvent{
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -166,13 +166,15 @@
 }
 
 // answerRequest closes a request with its final answer. If an extension withholds the answer, the client gets it at
-// DeliverAnswer.
+// DeliverAnswer; if one has no time for that, the client is told of a failure.
 func (l *Loop) answerRequest(state *requestState, outcome ledger.Outcome, body []byte, retryAfterMS, costMS float64) {
-	ending := Event{Kind: RequestEnding, Request: &state.Request, Outcome: outcome, Body: body}
+	decided := l.notify(Event{Kind: RequestEnding, Request: &state.Request, Outcome: outcome, Body: body})
 	switch {
-	case l.notify(ending).withholdAnswer:
+	case decided.withholdAnswer:
 		state.answerWithheld = true
 		l.openCount.Add(1) // until it is delivered
+	case decided.failAnswer:
+		state.Client.Failed(state.Tag)
 	case outcome == ledger.Succeeded:
 		state.Client.Succeeded(state.Tag, body)
 	default:
--- a/internal/handoff/closing.go
+++ b/internal/handoff/closing.go
@@ -14,6 +14,9 @@
 // controller lost its lease or the owning incarnation has ended, because a successor may have continued the request. A
 // rejection of a non-idempotent request must wait as well, because a successor of an earlier version may send an attempt
 // after it.
+//
+// If this controller is no longer the owner and no time is left to wait, the answer is replaced by a failure, which
+// promises nothing.
 func (m *Manager) gateAnswer(ev *Event) {
 	req := m.ownedByID[ev.ID]
 	if req == nil || ev.Outcome == Abandoned || req.phase != phaseActive {
@@ -34,6 +37,11 @@
 		since:         m.now,
 		ownershipLost: ownershipLost,
 	}
+	if ownershipLost && !m.mayKeepWithholding(req) {
+		req.withheld = nil
+		m.emit(Effect{Kind: FailAnswer, ID: req.ID})
+		return
+	}
 	m.emit(Effect{Kind: WithholdAnswer, ID: req.ID})
 }
 
@@ -139,9 +147,15 @@
 // mayKeepWithholding reports whether a withheld answer may wait longer for a quorum.
 func (m *Manager) mayKeepWithholding(req *ownedRequest) bool {
 	if req.withheld.ownershipLost {
-		return m.now < req.Deadline-answerMarginMS
+		return m.now < m.answerDue(req.Deadline)
 	}
-	return m.now < req.withheld.since+holdTimeoutMS
+	return m.now < min(req.withheld.since+holdTimeoutMS, req.Deadline, m.shutdownDeadline)
+}
+
+// answerDue returns the time from which a request with a deadline is answered, whatever it waits for: a margin before
+// its deadline, or before the time by which a shutdown wants all requests answered.
+func (m *Manager) answerDue(deadline float64) float64 {
+	return min(deadline, m.shutdownDeadline) - answerMarginMS
 }
 
 // superseded reports whether replicas refuse a close because another controller owns the request by now, or because a
--- a/internal/handoff/manager.go
+++ b/internal/handoff/manager.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"hash/crc32"
+	"math"
 	"slices"
 
 	"liftshift/internal/placement"
@@ -52,13 +53,14 @@
 	seed                uint32
 	randomDraws         uint64 // how many random numbers have been drawn from seed
 
-	now          float64
-	leaseHeld    bool
-	shuttingDown bool
-	shutdownAt   float64
-	effects      []Effect
-	outgoing     map[string]*Batch // batches sent at the end of the step, by member
-	loopback     []loopbackMessage
+	now              float64
+	leaseHeld        bool
+	shuttingDown     bool
+	shutdownAt       float64
+	shutdownDeadline float64 // by which all requests must be answered; infinite until a shutdown starts
+	effects          []Effect
+	outgoing         map[string]*Batch // batches sent at the end of the step, by member
+	loopback         []loopbackMessage
 
 	// The state agreed on by the consensus group.
 	members map[string]*placement.Member
@@ -129,6 +131,7 @@
 			started:     map[string]timedRequest{},
 		},
 		seed:              seed,
+		shutdownDeadline:  math.Inf(1),
 		outgoing:          map[string]*Batch{},
 		members:           map[string]*placement.Member{},
 		copies:            map[Key]*storedCopy{},
@@ -230,6 +233,7 @@
 	case ShutdownStarted:
 		m.shuttingDown = true
 		m.shutdownAt = m.now
+		m.shutdownDeadline = ev.Deadline
 	case IncarnationChanged:
 		m.self.Incarnation = ev.Incarnation
 	case ReleaseRequested:
--- /dev/null
+++ b/internal/handoff/shutdown_test.go
@@ -0,0 +1,51 @@
+package handoff
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// answersTo returns the outcomes that the client of a request of member 0 was told after the answer of the scheduler.
+func (c *testCluster) answersTo(id string) (outcomes []Outcome) {
+	for range c.effectsFor(0, FailAnswer, id) {
+		outcomes = append(outcomes, Failed)
+	}
+	for _, effect := range c.effectsFor(0, DeliverAnswer, id) {
+		outcomes = append(outcomes, effect.Outcome)
+	}
+	return outcomes
+}
+
+// Guards against an answer that waits for replicas until after the end of a planned stop, so that its client gets none.
+func TestManager_WithholdsNoAnswerPastShutdown(t *testing.T) {
+	const tickMS, shutdownMS = 100, 1500
+	for _, class := range []string{"keyed", "once"} {
+		for _, outcome := range []Outcome{Succeeded, Rejected} {
+			for _, endedAfterMS := range []float64{500, shutdownMS - 20} {
+				for _, leaseOver := range []bool{true, false} {
+					if !leaseOver && (class == "keyed" || outcome == Succeeded) {
+						continue // not withheld
+					}
+					name := fmt.Sprintf("%s, %v after %v ms, lease over %v", class, outcome, endedAfterMS, leaseOver)
+					t.Run(name, func(t *testing.T) {
+						cluster := newCluster(t, 5, 2, nil)
+						cluster.submitRequest(0, class, "a", "m")
+						cluster.leaseOver[0] = leaseOver
+						cluster.drops = func(from, _ int, _ *Item) bool { return from == 0 }
+						deadline := cluster.now + shutdownMS
+						cluster.step(0, &Event{Kind: ShutdownStarted, Deadline: deadline})
+						cluster.tick(endedAfterMS - tickMS)
+						cluster.now = deadline - shutdownMS + endedAfterMS
+						withheld := cluster.finishRequest(0, "a", outcome, "rows")
+						require.Equal(t, withheld, len(cluster.answersTo("a")) == 0)
+						cluster.tick(deadline + tickMS - cluster.now)
+						assert.Equal(t, []Outcome{Failed}, cluster.answersTo("a"))
+					})
+				}
+			}
+		}
+	}
+}
--- a/internal/handoff/types.go
+++ b/internal/handoff/types.go
@@ -136,7 +136,7 @@
 	OutcomeQueried                      // a client asks for an outcome by ID or IdempotencyKey; ReplyOutcome returns Token
 	CopyRestored                        // Copy was read from this replica's disk; its times are as they were written
 	Ticked                              // sent every 100 ms
-	ShutdownStarted                     // a graceful shutdown began
+	ShutdownStarted                     // a graceful shutdown began; all requests must be answered by Deadline
 	IncarnationChanged                  // this controller continues as Incarnation
 	ReleaseRequested                    // an operator gives up the orphaned requests with this id or idempotency key
 	AdoptionRequested                   // an operator wants this controller to claim the requests of the lost member ID
@@ -167,6 +167,7 @@
 	To             string
 	Token          uint64
 	Incarnation    uint64
+	Deadline       float64
 	Members        []placement.Member
 	Table          *placement.Table
 }
@@ -186,6 +187,7 @@
 	ReleaseAttempt                     // the held Attempt may be sent
 	FailAttempt                        // the held Attempt must not be sent
 	WithholdAnswer                     // RequestEnding: the answer waits for DeliverAnswer
+	FailAnswer                         // RequestEnding: there is no time to withhold the answer, so a failure replaces it
 	DeliverAnswer                      // a request with a withheld answer is answered: Outcome, Answer
 	Adopt                              // the request in Copy is dispatched here with Prior
 	CancelLocal                        // the request ended elsewhere, so its execution here stops
@@ -199,8 +201,8 @@
 )
 
 var effectKindNames = [...]string{"Suspend", "Admit", "Resume", "AnswerSuspended", "HoldAttempt", "BlockAttempt",
-	"PostponeAttempt", "ReleaseAttempt", "FailAttempt", "WithholdAnswer", "DeliverAnswer", "Adopt", "CancelLocal",
-	"SendBatch", "ReplyBatch", "ReplyOutcome", "Propose", "RefreshPlacement", "PersistCopy", "LogMessage"}
+	"PostponeAttempt", "ReleaseAttempt", "FailAttempt", "WithholdAnswer", "FailAnswer", "DeliverAnswer", "Adopt",
+	"CancelLocal", "SendBatch", "ReplyBatch", "ReplyOutcome", "Propose", "RefreshPlacement", "PersistCopy", "LogMessage"}
 
 // String returns the name of the kind.
 func (k EffectKind) String() string { return effectKindNames[k] }
--- a/internal/handoffnet/effects.go
+++ b/internal/handoffnet/effects.go
@@ -93,6 +93,8 @@
 		return append(out, dispatch.Command{Kind: dispatch.FailAttempt, ID: effect.ID, Attempt: effect.Attempt})
 	case handoff.WithholdAnswer:
 		return append(out, dispatch.Command{Kind: dispatch.WithholdAnswer})
+	case handoff.FailAnswer:
+		return append(out, dispatch.Command{Kind: dispatch.FailAnswer})
 	case handoff.DeliverAnswer:
 		return append(out, dispatch.Command{
 			Kind:    dispatch.DeliverAnswer,
--- a/internal/handoffnet/extension.go
+++ b/internal/handoffnet/extension.go
@@ -100,7 +100,7 @@
 			Answer:  event.Body,
 		}, true
 	case dispatch.ShutdownStarted:
-		return handoff.Event{Kind: handoff.ShutdownStarted}, true
+		return handoff.Event{Kind: handoff.ShutdownStarted, Deadline: event.Deadline}, true
 	case dispatch.Ticked:
 		return handoff.Event{Kind: handoff.Ticked}, true
 	case dispatch.OutcomeQueried:
