Handoff: a failure is not withheld where the request is left to a successor

Cause: gateAnswer withheld the scheduler's failure as the lease was over, and handleClosed then removed the request, which a successor continues. Nobody was left to deliver the answer.

Change: such a failure goes out at once.

Why it works: withholding waits until replicas know of the end, and here they are told of none. A failure promises nothing; the test sees the request adopted.

--- a/internal/handoff/closing.go
+++ b/internal/handoff/closing.go
@@ -22,7 +22,7 @@
 	if req == nil || ev.Outcome == Abandoned || req.phase != phaseActive {
 		return
 	}
-	if req.unreplicated || req.bestEffort || req.adopted {
+	if req.unreplicated || req.bestEffort || req.adopted || m.leftToSuccessor(req, ev.Outcome) {
 		return
 	}
 	ownershipLost := !m.leaseHeld || req.Owner != m.self
--- a/internal/handoff/shutdown_test.go
+++ b/internal/handoff/shutdown_test.go
@@ -49,3 +49,20 @@
 		}
 	}
 }
+
+// Guards against a failure that is never delivered because its request is left to a successor, which it does not wait for.
+func TestManager_AnswersRequestThatIsLeftToSuccessor(t *testing.T) {
+	for _, leaseOver := range []bool{true, false} {
+		cluster := newCluster(t, 5, 2, nil)
+		cluster.submitRequest(0, "keyed", "a", "m")
+		require.True(t, cluster.startAttempt(0, "a"))
+		cluster.leaseOver[0] = leaseOver
+		cluster.step(0, &Event{Kind: ShutdownStarted, Deadline: cluster.now + 3000})
+		withheld := cluster.finishRequest(0, "a", Failed, "")
+		cluster.tick(3000)
+		assert.True(t, !withheld || len(cluster.answersTo("a")) == 1, "lease over: %v", leaseOver)
+		cluster.declareLost(0)
+		cluster.tick(2000)
+		assert.Len(t, cluster.adopters("a"), 1, "lease over: %v", leaseOver)
+	}
+}
