Handoff: suspended requests are answered before a planned stop ends

Callers saw: nothing yet; looked for as a relative of the withheld answer. With deadlines under some 2 s a stop is shorter than the 2 s that a suspended request goes on waiting in one, and than a registration (1 s) that begins late in it: no answer before the connections end.

Cause: only the request's deadline and fixed times ended these waits.

Change: both waits end when the stop wants all requests answered, less the usual margin.

--- a/internal/handoff/registration.go
+++ b/internal/handoff/registration.go
@@ -166,17 +166,17 @@
 func (m *Manager) expireRegistration(req *ownedRequest) {
 	m.withdraw(req)
 	m.removeOwned(req)
-	if req.reportedCopy != nil && req.reportedCopy.Outcome == Open && m.now < req.Deadline-answerMarginMS {
+	if req.reportedCopy != nil && req.reportedCopy.Outcome == Open && m.now < m.answerDue(req.Deadline) {
 		m.settleOrAwait(waitingFor(req, m.now))
 		return
 	}
 	m.admitOrRejectUnreplicated(&waitingRequest{Copy: req.Copy, key: req.key})
 }
 
-// registrationExpired reports whether a registration timed out or its request's deadline is too close.
+// registrationExpired reports whether a registration timed out or its request must be answered.
 func (m *Manager) registrationExpired(req *ownedRequest) bool {
 	return req.phase == phaseRegistering &&
-		(m.now > req.startedAt+registrationTimeoutMS || m.now > req.Deadline-answerMarginMS)
+		(m.now > req.startedAt+registrationTimeoutMS || m.now >= m.answerDue(req.Deadline))
 }
 
 // renewRegistrations continues pending registrations of an earlier incarnation of this controller under the current
--- a/internal/handoff/shutdown_test.go
+++ b/internal/handoff/shutdown_test.go
@@ -66,3 +66,23 @@
 		assert.Len(t, cluster.adopters("a"), 1, "lease over: %v", leaseOver)
 	}
 }
+
+// Guards against a request that is still suspended when a planned stop ends: while it waits for another request with its
+// key, and while too few replicas answer for its registration.
+func TestManager_SuspendsNoRequestPastShutdown(t *testing.T) {
+	const tickMS, shutdownMS = 100, 700
+	for _, waits := range []bool{true, false} {
+		cluster := newCluster(t, 5, 2, nil)
+		if waits {
+			cluster.submitRequest(1, "keyed", "a", "m")
+		} else {
+			cluster.drops = func(_, _ int, _ *Item) bool { return true }
+		}
+		cluster.submitRequest(0, "keyed", "b", "m")
+		cluster.step(0, &Event{Kind: ShutdownStarted, Deadline: cluster.now + shutdownMS})
+		cluster.tick(shutdownMS - 2*tickMS)
+		assert.Empty(t, cluster.effectsFor(0, AnswerSuspended, "b"), "waits: %v", waits)
+		cluster.tick(2 * tickMS)
+		assert.Len(t, cluster.effectsFor(0, AnswerSuspended, "b"), 1, "waits: %v", waits)
+	}
+}
--- a/internal/handoff/waiting.go
+++ b/internal/handoff/waiting.go
@@ -108,7 +108,7 @@
 
 // waitIsOver reports whether a waiting request must be answered, because of its deadline or a shutdown.
 func (m *Manager) waitIsOver(waiter *waitingRequest) bool {
-	return m.now >= waiter.Deadline-answerMarginMS || m.shuttingDown && m.now >= m.shutdownAt+shutdownGraceMS
+	return m.now >= m.answerDue(waiter.Deadline) || m.shuttingDown && m.now >= m.shutdownAt+shutdownGraceMS
 }
 
 // expiredOutcome returns the outcome of a request whose waiting time is over: Failed if the request that it waited for
