Bodies of requests stay counted until the event loop has dropped them

Cause: the budget of bodies was given back when the client was answered or left, while up to 1,024 requests wait in the loop's queue with their bodies. Bodies were decoded before admission, so that a rejection left as much garbage.

Evidence: heap profile with 28 MB of bodies at request_bytes of 6 MB, its limit.

Change: the loop gives a body back as it drops the request; bodies are decoded once admitted; a request whose client left while it was queued is dropped there, unsent.

Why it works: every body that the loop can reach is in the budget, whatever its client does.

Tests: where the fake queue stands for the loop, tests of the server now give bodies back themselves and check the same sums. The case "data is not base64" moved from the parser's test to the server's, which also checks that nothing stays reserved.

--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -58,6 +58,10 @@
 
 // prepareArrival admits a request. The scheduler gets it later if an extension holds it.
 func (l *Loop) prepareArrival(item *QueueItem) (state *requestState, deliver bool) {
+	if !item.resumed && item.Request.Abandoned() && !item.Request.halfClosed() {
+		l.dropAbandoned(item.Request)
+		return nil, false
+	}
 	state = l.admit(item.Request, &item.Event, item.resumed)
 	if state == nil {
 		return nil, false
@@ -98,6 +102,7 @@
 	l.openCount.Add(-1)
 	l.counters.ClientLeft++
 	l.notify(Event{Kind: SuspendedClientLeft, Request: request})
+	request.freeBody()
 	if halfClosed {
 		request.Client.Failed(request.Tag)
 	}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -17,6 +17,9 @@
 	Failed(tag uint64)
 }
 
+// BodyBudget accounts for the memory of request bodies.
+type BodyBudget interface{ Free(bytes int) }
+
 // Request is a request as a client server submits it.
 type Request struct {
 	ID                string
@@ -32,7 +35,8 @@
 	Schema            string
 	WantsWaitEstimate bool // the client accepts estimates of how long the request will wait
 	Retried           bool
-	Body              []byte // passed on unchanged
+	Body              []byte     // passed on unchanged
+	BodyBudget        BodyBudget // gets the length of Body back once the loop has dropped the request; nil: there is none
 	Client            Client
 	Tag               uint64
 	// ClientGone is set once the client is known to have left, which may be before ClientLeft is read from the queue.
@@ -45,6 +49,14 @@
 // Abandoned returns whether the client is known to have left.
 func (r *Request) Abandoned() bool { return r.ClientGone != nil && r.ClientGone.Load() }
 
+// freeBody returns the length of the body to its budget, as the loop drops the request.
+func (r *Request) freeBody() {
+	if r.BodyBudget != nil {
+		r.BodyBudget.Free(len(r.Body))
+		r.BodyBudget = nil
+	}
+}
+
 // halfClosed returns whether the client closed only its writing side and still gets an answer.
 func (r *Request) halfClosed() bool { return r.HalfClosed != nil && r.HalfClosed.Load() }
 
@@ -111,6 +123,15 @@
 	return state
 }
 
+// dropAbandoned drops a request whose client left while the request was in the queue. Nothing has been sent for it, so
+// its id is not remembered.
+func (l *Loop) dropAbandoned(request *Request) {
+	l.counters.Received++
+	l.counters.ClientLeft++
+	l.openCount.Add(-1)
+	request.freeBody()
+}
+
 // suspend returns whether an extension suspends a request, or has answered or resumed it already.
 func (l *Loop) suspend(request *Request) bool {
 	l.suspended[request.ID] = request // set before the event, because a command may resume or answer it at once
@@ -147,6 +168,7 @@
 // failDuplicate fails a request whose id is known already.
 func (l *Loop) failDuplicate(request *Request, resumed bool) {
 	request.Client.Failed(request.Tag)
+	request.freeBody()
 	l.openCount.Add(-1)
 	l.counters.DuplicateIDs++
 	if resumed {
@@ -198,6 +220,7 @@
 // answerFromRecord answers a request that was never admitted.
 func (l *Loop) answerFromRecord(request *Request, command *Command) {
 	reply(request, command.Outcome, command.Body, command.RetryAfterMS)
+	request.freeBody()
 	l.openCount.Add(-1)
 	l.counters.FromRecord++
 }
@@ -239,6 +262,7 @@
 	if l.clock.Now() < state.idKnownUntil { // its deadline timer has not fired yet and will delete the id
 		l.closedIDs[state.ID] = struct{}{}
 	}
+	state.freeBody()
 	*state = requestState{}
 	l.freeRequests = append(l.freeRequests, state)
 }
--- a/internal/jsonrpc/call.go
+++ b/internal/jsonrpc/call.go
@@ -1,7 +1,6 @@
 package jsonrpc
 
 import (
-	"encoding/base64"
 	"encoding/json"
 	"math"
 )
@@ -73,18 +72,18 @@
 	team                         string
 	wantsWait                    bool // the client accepts estimates of how long the request will wait
 	timeoutMS, workMS, memoryMB  float64
-	retried                      bool // the client sends the request again
-	body                         []byte
+	retried                      bool   // the client sends the request again
+	data                         []byte // the body in base64; nil if missing
 }
 
 // paramsReader collects the members of a request's params.
 type paramsReader struct {
 	requestParams
-	data        []byte // body in base64; nil if missing
 	invalidName string // the last member with an invalid value; empty: none
 }
 
-// parseRequestParams reads and validates the params of a request.
+// parseRequestParams reads and validates the params of a request. The body stays encoded: it takes memory only once the
+// request is admitted.
 func parseRequestParams(params []byte) (requestParams, *rpcError) {
 	reader := paramsReader{}
 	if len(params) == 0 || !forEachMember(params, reader.readMember) {
@@ -93,12 +92,6 @@
 	if problem := reader.problem(); problem != "" {
 		return requestParams{}, &rpcError{codeInvalidParams, problem}
 	}
-	body := make([]byte, base64.StdEncoding.DecodedLen(len(reader.data)))
-	n, err := base64.StdEncoding.Decode(body, reader.data)
-	if err != nil {
-		return requestParams{}, &rpcError{codeInvalidParams, "data is not base64"}
-	}
-	reader.body = body[:n]
 	return reader.requestParams, nil
 }
 
--- a/internal/jsonrpc/helpers_test.go
+++ b/internal/jsonrpc/helpers_test.go
@@ -36,6 +36,9 @@
 	return server, queue, conn, reader
 }
 
+// releaseBody does what the event loop does once it drops a request.
+func releaseBody(request *dispatch.Request) { request.BodyBudget.Free(len(request.Body)) }
+
 // dialServer connects a client to the server. Its reads and writes fail after 5 s.
 func dialServer(t *testing.T, server *Server) (net.Conn, *bufio.Reader) {
 	conn, err := net.Dial("tcp", server.listener.Addr().String())
--- a/internal/jsonrpc/parsers_test.go
+++ b/internal/jsonrpc/parsers_test.go
@@ -105,7 +105,7 @@
 		timeoutMS:      1500,
 		workMS:         820.5,
 		memoryMB:       96,
-		body:           []byte("select"),
+		data:           []byte("c2VsZWN0"),
 	}
 	assert.Equal(t, want, got)
 	for _, invalid := range []string{
@@ -116,7 +116,7 @@
 		`{"req":"a","timeout":0,"data":""}`,
 		`{"req":"a","timeout":"5","data":""}`,
 		`{"req":"a","timeout":5}`,
-		`{"req":"a","timeout":5,"data":"%"}`,
+		`{"req":"a","timeout":5,"data":5}`,
 		`{"req":"a,b=c","timeout":5,"data":""}`,
 		`{"req":"a","timeout":5,"opkey":"x y","data":""}`,
 		`{"req":"a","timeout":5,"ms":-1,"data":""}`,
--- a/internal/jsonrpc/request.go
+++ b/internal/jsonrpc/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/base64"
 	"slices"
 	"sync/atomic"
 
@@ -15,7 +16,6 @@
 	tag        uint64 // identifies the request on its connection
 	callID     []byte // id of the JSON-RPC call
 	requestID  string
-	bodyBytes  int          // reserved in the server's requestBudget
 	clientGone *atomic.Bool // set once no further attempt may start
 	halfClosed *atomic.Bool // set if the client closed only its writing side
 }
@@ -105,18 +105,24 @@
 	open := openRequest{
 		callID:     slices.Clone(call.id),
 		requestID:  params.id,
-		bodyBytes:  len(params.body),
 		clientGone: &flags[0],
 		halfClosed: &flags[1],
 	}
-	if rpcErr = c.admit(&open); rpcErr != nil {
+	bodyBytes := base64.StdEncoding.DecodedLen(len(params.data))
+	if rpcErr = c.admit(&open, bodyBytes); rpcErr != nil {
 		return rpcErr
 	}
+	body, err := base64.StdEncoding.AppendDecode(make([]byte, 0, bodyBytes), params.data)
+	if err != nil {
+		c.withdraw(&open, bodyBytes)
+		return &rpcError{codeInvalidParams, "data is not base64"}
+	}
+	server.requestBudget.Free(bodyBytes - len(body)) // the padding
 	timeoutMS := params.timeoutMS
 	if class.MaxDeadlineMS > 0 { // clients must not choose for how long state that lives until the deadline is kept
 		timeoutMS = min(timeoutMS, class.MaxDeadlineMS)
 	}
-	group, schema, _ := parseTables(params.body)
+	group, schema, _ := parseTables(body)
 	server.queue.Submit(&dispatch.Request{
 		ID:                params.id,
 		Class:             call.method,
@@ -131,7 +137,8 @@
 		Schema:            schema,
 		WantsWaitEstimate: params.wantsWait,
 		Retried:           params.retried,
-		Body:              params.body,
+		Body:              body,
+		BodyBudget:        server.requestBudget,
 		Client:            c,
 		Tag:               open.tag,
 		ClientGone:        open.clientGone,
@@ -140,9 +147,9 @@
 	return nil
 }
 
-// admit assigns a tag to a request and adds it to the open requests, unless a limit is reached or the connection is
-// closing.
-func (c *clientConn) admit(r *openRequest) *rpcError {
+// admit assigns a tag to a request, adds it to the open requests and reserves memory for its body, unless a limit is
+// reached or the connection is closing. The event loop frees the memory.
+func (c *clientConn) admit(r *openRequest, bodyBytes int) *rpcError {
 	server := c.server
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -153,7 +160,7 @@
 		return &rpcError{codeRejected, "this connection takes no more"}
 	case len(c.openRequests) >= maxOpenRequests,
 		server.maxOpen > 0 && server.queue.OpenRequests() >= server.maxOpen,
-		!server.requestBudget.Reserve(r.bodyBytes):
+		!server.requestBudget.Reserve(bodyBytes):
 		server.Rejected.Add(1)
 		return &rpcError{codeRejected, "too much is open here"}
 	}
@@ -163,6 +170,16 @@
 	return nil
 }
 
+// withdraw takes back the admission of a request that is not submitted.
+func (c *clientConn) withdraw(r *openRequest, bodyBytes int) {
+	c.mu.Lock()
+	if index, ok := c.findLocked(r.tag); ok {
+		c.openRequests = slices.Delete(c.openRequests, index, index+1)
+	}
+	c.mu.Unlock()
+	c.server.requestBudget.Free(bodyBytes)
+}
+
 // cancel ends a request of this connection on behalf of the client. If the cancellation has an id that differs
 // from that of the cancelled call, it gets an empty result of its own.
 func (c *clientConn) cancel(call rpcCall) {
@@ -198,7 +215,6 @@
 // is about to be sent to an executor checks the flag, even while the event still waits in the queue.
 func (c *clientConn) abandon(r openRequest) {
 	r.clientGone.Store(true)
-	c.server.requestBudget.Free(r.bodyBytes)
 	if r.halfClosed.Load() {
 		return // answerHalfClosed has sent the event
 	}
@@ -245,7 +261,6 @@
 	// Push while holding mu: isDone must not see the request closed before its answer is queued.
 	c.Push(func(b []byte) []byte { return appendReply(b, r.callID) })
 	c.mu.Unlock()
-	c.server.requestBudget.Free(r.bodyBytes)
 	c.endIfDone()
 }
 
--- a/internal/jsonrpc/server_test.go
+++ b/internal/jsonrpc/server_test.go
@@ -27,12 +27,15 @@
 	request.Client.Succeeded(request.Tag, []byte("x\n"))
 	request.Client.Rejected(request.Tag, 5)
 	assertReply(t, reader, `{"jsonrpc":"2.0","id":7,"result":{"data":"eAo="}}`)
+	releaseBody(request)
 	for id, answer := range map[int]func(*dispatch.Request){
 		8: func(request *dispatch.Request) { request.Client.Rejected(request.Tag, 200) },
 		9: func(request *dispatch.Request) { request.Client.Failed(request.Tag) },
 	} {
 		send(conn, requestCall(id, "b"))
-		answer(queue.Next(t).Request)
+		request = queue.Next(t).Request
+		answer(request)
+		releaseBody(request)
 		got, _ := readMessage(reader, nil)
 		assert.Contains(t, string(got), map[int]string{
 			8: `"code":-32008,"message":"denied","data":{"holdoff":200}`,
@@ -44,15 +47,17 @@
 
 // A bad request must get an error and must not affect other requests on its connection.
 func TestServer_BadRequestAffectsNoOther(t *testing.T) {
-	_, queue, conn, reader := newTestServer(t, Limits{})
+	server, queue, conn, reader := newTestServer(t, Limits{})
 	send(conn, requestCall(1, "a"))
 	request := queue.Next(t).Request
+	bodyBytes := server.requestBudget.Reserved()
 	for _, bad := range []string{
 		`{`,
 		`[]`,
 		`{"jsonrpc":"2.0","id":4,"method":"none"}`,
 		requestCall(1, "again"),
 		requestCall(5, "no good"),
+		strings.Replace(requestCall(5, "c"), "U0VM", "%%%%", 1),
 		`{"jsonrpc":"2.0","method":"look","params":{}}`,
 		strings.Replace(requestCall(6, "b"), "look", "load", 1),
 	} {
@@ -62,6 +67,7 @@
 		assert.Contains(t, string(got), `"error"`, bad)
 		assert.NotContains(t, string(got), `"id":1,`, "the client would take the error for the answer of call 1")
 	}
+	assert.Equal(t, bodyBytes, server.requestBudget.Reserved())
 	send(conn, `{"jsonrpc":"2.0","id":"p","method":"probe"}`)
 	assertReply(t, reader, `{"jsonrpc":"2.0","id":"p","result":{"fit":false}}`)
 	request.Client.Succeeded(request.Tag, nil)
@@ -85,6 +91,7 @@
 		assertReply(t, reader, `{"jsonrpc":"2.0","id":null,"error":{"code":-32700,"message":"framing lost"}}`)
 		assert.Equal(t, scheduler.ClientLeft, queue.Next(t).Event.Kind, "the attempts of the request are not cancelled")
 		request.Client.Succeeded(request.Tag, nil)
+		releaseBody(request)
 		_, err := reader.ReadByte()
 		assert.Error(t, err)
 		conn, reader = dialServer(t, server)
@@ -123,7 +130,7 @@
 	idleConn := &clientConn{server: server, lastMessage: time.Now().Add(-idleTimeout)}
 	assert.NoError(t, (&clientConn{server: server, lastMessage: time.Now()}).checkIdle())
 	assert.ErrorIs(t, idleConn.checkIdle(), netconn.ErrClosed, "a connection idle for idleTimeout is not closed")
-	assert.Equal(t, codeRejected, idleConn.admit(&openRequest{}).code, "a closing connection admits a request")
+	assert.Equal(t, codeRejected, idleConn.admit(&openRequest{}, 0).code, "a closing connection admits a request")
 	assert.False(t, idleConn.closeIfIdle())
 }
 
@@ -160,9 +167,10 @@
 	got, _ := readMessage(reader, nil)
 	assert.Contains(t, string(got), `-32008,"message":"too much is open here","data":{"holdoff":300}`)
 	request.Client.Failed(request.Tag)
+	releaseBody(request)
 	_, _ = readMessage(reader, nil)
 	send(conn, requestCall(4, "d"))
-	queue.Next(t)
+	first := queue.Next(t).Request
 	busyConn, _ := dialServer(t, server)
 	send(busyConn, requestCall(5, "e"))
 	queue.Next(t)
@@ -170,6 +178,7 @@
 	send(waitingConn, requestCall(3, "c"))
 	assert.Eventually(t, func() bool { return server.AcceptPauses.Load() > 0 }, 3*time.Second, time.Millisecond)
 	assert.Empty(t, queue)
+	releaseBody(first)
 	conn.Close()
 	assert.Equal(t, scheduler.ClientLeft, queue.Next(t).Event.Kind)
 	request = queue.Next(t).Request
@@ -224,6 +233,23 @@
 	assert.Zero(t, server.FramingErrors.Load())
 }
 
+// Guards against memory that nobody counts: the event loop may still hold the bodies of clients that have left.
+func TestServer_CountsBodiesOfGoneClients(t *testing.T) {
+	server, queue, conn, _ := newTestServer(t, Limits{RequestBudget: netconn.NewByteBudget(40)}) // one body
+	send(conn, requestCall(1, "a"))
+	held := queue.Next(t).Request
+	conn.Close()
+	assert.Equal(t, scheduler.ClientLeft, queue.Next(t).Event.Kind)
+	nextConn, nextReader := dialServer(t, server)
+	send(nextConn, requestCall(1, "b"))
+	got, err := readMessage(nextReader, nil)
+	require.NoError(t, err)
+	assert.Contains(t, string(got), `"id":1,"error":{"code":-32008`)
+	releaseBody(held)
+	send(nextConn, requestCall(2, "c"))
+	assert.Equal(t, "c", queue.Next(t).Request.ID)
+}
+
 // A client that does not read must not exhaust the memory: its connection is closed at a limit, and its queued bytes
 // are freed.
 func TestServer_ClosesSlowReader(t *testing.T) {
@@ -255,6 +281,7 @@
 		conn, reader := dialServer(t, server)
 		send(conn, requestCall(1, fmt.Sprint("a", n)))
 		request := queue.Next(t).Request
+		releaseBody(request)
 		if n%2 == 0 {
 			request.Client.Succeeded(request.Tag, nil)
 			_, _ = readMessage(reader, nil)
