Open requests and remembered ids are limited by the memory

Cause: the id of each request is remembered until its deadline, with a timer, and nothing limited their number. Open requests were limited by the platform's setting alone.

Evidence: heap profile: request states 11 MB, timers 9 MB, ids 6 MB of 39 MB; closed_ids 125,506.

Change: 15% of the memory for remembered ids, 10% for open requests. Past the first, requests with new ids are rejected with a time to retry after (no_room); repeats of known ids fail as before. Past the second, the server rejects as at the platform's limit.

--- a/internal/dispatch/counters.go
+++ b/internal/dispatch/counters.go
@@ -18,6 +18,7 @@
 
 	Overdue      uint64                             // requests not answered by their deadline
 	DuplicateIDs uint64                             // requests with an id that was known already
+	NoRoom       uint64                             // requests rejected because too many ids are remembered
 	FromRecord   uint64                             // requests answered by an extension, without an attempt
 	Stray        uint64                             // events of attempts or health checks that had ended before
 	HealthChecks uint64                             // health checks that were started
@@ -98,6 +99,7 @@
 		"client_left":       counters.ClientLeft,
 		"overdue":           counters.Overdue,
 		"duplicate_ids":     counters.DuplicateIDs,
+		"no_room":           counters.NoRoom,
 		"from_record":       counters.FromRecord,
 		"stray":             counters.Stray,
 		"health_checks":     counters.HealthChecks,
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -45,6 +45,10 @@
 	Peers                PeerSender
 	EndpointList         ListWatcher
 	HealthCheckTimeoutMS float64 // after which an unanswered health check counts as timed out
+	// MaxKnownIDs limits the ids of open and closed requests that are remembered. Requests past it are rejected, and told
+	// to retry after RetryAfterMS. 0: no limit.
+	MaxKnownIDs  int
+	RetryAfterMS float64
 	// LeaseHeld tells whether an attempt that an extension held may still be sent. The executor client calls it right
 	// before sending. Nil permits every attempt.
 	LeaseHeld func() bool
--- a/internal/dispatch/memory_test.go
+++ b/internal/dispatch/memory_test.go
@@ -72,3 +72,24 @@
 	loop.process(requestArrived(request))
 	assert.True(t, loop.isKnown("b"), "a client that may still read gets its answer from the scheduler")
 }
+
+// Guards against memory that grows with a flood of new ids: past a limit, requests with new ids are rejected until the
+// deadlines of earlier ones have passed. A repeat of a known id still fails, as its first request may have run.
+func TestLoop_LimitsRememberedIDs(t *testing.T) {
+	transport := &fakeTransport{}
+	loop, policy := newLoopWithAttempt(transport, nil)
+	loop.MaxKnownIDs = 1
+	transport.calls = nil
+	second := newRequest(loop, transport)
+	second.ID = "b"
+	loop.process(requestArrived(second))
+	loop.process(requestArrived(newRequest(loop, transport)))
+	assert.Equal(t, []string{"rejected", "failed"}, transport.calls)
+	loop.process(attemptEnded(scheduler.Succeeded))
+	loop.process(requestArrived(second))
+	assert.Equal(t, []string{"rejected", "failed", "succeeded", "rejected"}, transport.calls, "the id of a is remembered")
+	loop.expireRequest("a")
+	arrivals := len(policy.events)
+	loop.process(requestArrived(second))
+	assert.Len(t, policy.events, arrivals+1)
+}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -93,6 +93,10 @@
 	_, closed := l.closedIDs[request.ID]
 	if !resumed {
 		l.counters.Received++
+		if !closed && !l.isKnown(request.ID) && l.remembersMaxIDs() {
+			l.rejectUnadmitted(request)
+			return nil
+		}
 		if len(l.extensions) > 0 && !closed && !l.isKnown(request.ID) && l.suspend(request) {
 			return nil
 		}
@@ -132,6 +136,19 @@
 	request.freeBody()
 }
 
+// remembersMaxIDs returns whether no further id can be remembered.
+func (l *Loop) remembersMaxIDs() bool {
+	return l.MaxKnownIDs > 0 && len(l.requests)+len(l.suspended)+len(l.closedIDs) >= l.MaxKnownIDs
+}
+
+// rejectUnadmitted rejects a request that the loop has no room for.
+func (l *Loop) rejectUnadmitted(request *Request) {
+	request.Client.Rejected(request.Tag, l.RetryAfterMS)
+	request.freeBody()
+	l.openCount.Add(-1)
+	l.counters.NoRoom++
+}
+
 // suspend returns whether an extension suspends a request, or has answered or resumed it already.
 func (l *Loop) suspend(request *Request) bool {
 	l.suspended[request.ID] = request // set before the event, because a command may resume or answer it at once
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -30,6 +30,15 @@
 	bufferMemoryShare   = 0.12 // bodies of open requests, and the same again for queued output
 	clientSocketShare   = 0.55
 	executorSocketShare = 0.3
+
+	openRequestShare = 0.1  // of memory, for the state of open requests
+	knownIDShare     = 0.15 // of memory, for ids that are remembered
+)
+
+// Memory that is reckoned for each item.
+const (
+	openRequestBytes = 2500 // state of an open request in all parts, without its body
+	knownIDBytes     = 200  // id, map entry and deadline timer
 )
 
 // gcPercent lets the heap grow far between two collections while it stays well below the memory limit.
@@ -112,7 +121,7 @@
 	c.maxDeadline = maxDeadline
 	c.clients, err = jsonrpc.NewServer(config.Listen, classes, c.loop, c.clock, jsonrpc.Limits{
 		MaxConns:        shareOf(config.Limits.Sockets, clientSocketShare),
-		MaxOpen:         platform.MaxRequests,
+		MaxOpen:         maxOpenRequests(platform.MaxRequests, config.Limits.MemoryMB),
 		RequestBudget:   c.requestBytes,
 		OutputBudget:    c.outputBytes,
 		RetryAfterMS:    platform.Scheduler.LongestRetryAfterMS(),
@@ -143,6 +152,8 @@
 	c.loop.Peers = c.peers
 	c.loop.EndpointList = c.discovery
 	c.loop.HealthCheckTimeoutMS = platform.Executors.ConnectTimeoutMS
+	c.loop.MaxKnownIDs = itemsWithin(config.Limits.MemoryMB, knownIDShare, knownIDBytes)
+	c.loop.RetryAfterMS = platform.Scheduler.LongestRetryAfterMS()
 	return nil
 }
 
@@ -226,5 +237,19 @@
 	return limits, time.Duration(longestMS * float64(time.Millisecond))
 }
 
+// maxOpenRequests returns the limit of open requests: the platform's, if it names one, and no more than the memory allows.
+func maxOpenRequests(platformLimit int, memoryMB float64) int {
+	limit := itemsWithin(memoryMB, openRequestShare, openRequestBytes)
+	if platformLimit > 0 {
+		limit = min(limit, platformLimit)
+	}
+	return limit
+}
+
+// itemsWithin returns how many items of a size fit into a share of the memory, at least 1.
+func itemsWithin(memoryMB, share, itemBytes float64) int {
+	return max(1, int(memoryMB*(1<<20)*share/itemBytes))
+}
+
 // shareOf returns a share of a total, rounded down but at least 1.
 func shareOf(total int, share float64) int { return max(1, int(float64(total)*share)) }
