Tests: the body test's client resets its connection, so that it has left

Cause: a client that closes in order counts as half closed until it is answered, and kept its body in the budget before, too, so TestServer_CountsBodiesOfGoneClients did not show the fault.

Change: the client resets its connection.

Result: with the body given back as the client leaves, as before the fix, the test fails; with the fix it passes.

--- a/internal/jsonrpc/server_test.go
+++ b/internal/jsonrpc/server_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -238,6 +239,7 @@
 	server, queue, conn, _ := newTestServer(t, Limits{RequestBudget: netconn.NewByteBudget(40)}) // one body
 	send(conn, requestCall(1, "a"))
 	held := queue.Next(t).Request
+	require.NoError(t, conn.(*net.TCPConn).SetLinger(0)) // a reset, after which nothing is waited for
 	conn.Close()
 	assert.Equal(t, scheduler.ClientLeft, queue.Next(t).Event.Kind)
 	nextConn, nextReader := dialServer(t, server)
