Large messages that are being read take a limited number of buffers

Cause: each of 563 connections may hold 64 KiB of a message, and buffers grew by doubling, with as much garbage.

Evidence: heap profiles with 18 MB of netconn.ReadBody, 77% of all that was allocated. TestServer_LargeMessagesWaitForMemory fails where nothing is reserved.

Change: messages over 8 KiB take one of a number of buffers, 12% of the memory, that are used again. A connection waits for one until its message must be complete and goes on writing answers. While others wait, a message with a buffer must be complete within 0.2 s.

Why it works: without a reservation a connection holds 12 KiB at most, and clients that stop within large messages keep others out for 0.2 s.

--- a/internal/jsonrpc/conn.go
+++ b/internal/jsonrpc/conn.go
@@ -28,8 +28,9 @@
 
 	// Used only by the connection's goroutine.
 	badMessages     int
-	receivedAny     bool      // a message was read before
-	messageDeadline time.Time // when the message that is being read must be complete; zero between messages
+	receivedAny     bool                   // a message was read before
+	messageDeadline time.Time              // when the message that is being read must be complete; zero between messages
+	messageBuffer   *[maxMessageBytes]byte // reserved for a large message that is being read or handled
 
 	mu           sync.Mutex    // guards the fields below
 	openRequests []openRequest // in ascending order of their tags
@@ -50,6 +51,7 @@
 	case errors.Is(err, io.EOF):
 		c.answerHalfClosed()
 	}
+	c.freeMessage()
 	c.Close()
 	c.abandonOpenRequests()
 	server.mu.Lock()
@@ -72,12 +74,12 @@
 		if c.messageDeadline.IsZero() {
 			c.messageDeadline = time.Now().Add(messageTimeout)
 		}
-		text, err := readMessage(r, buffer)
+		text, err := c.readMessage(r, buffer)
 		if err != nil {
 			return err
 		}
 		buffer = nil
-		if cap(text) <= maxReusedBufferBytes {
+		if cap(text) <= unreservedMessageBytes {
 			buffer = text[:0]
 		}
 		c.messageDeadline = time.Time{}
@@ -85,6 +87,7 @@
 		c.lastMessage = time.Now()
 		c.mu.Unlock()
 		c.handleMessage(text, c.arrivalTime()) // a request's deadline counts from the last byte of its message
+		c.freeMessage()
 		if c.badMessages >= maxBadMessages {
 			return netconn.Malformed("%d messages that can't be used", c.badMessages)
 		}
@@ -164,7 +167,7 @@
 // idleDeadline returns the time by which the client must send something.
 func (c *clientConn) idleDeadline() time.Time {
 	if !c.messageDeadline.IsZero() {
-		return c.messageDeadline
+		return c.messageReadDeadline()
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -181,9 +184,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case !c.messageDeadline.IsZero() && now.After(c.messageDeadline):
+	case !c.messageDeadline.IsZero() && now.After(c.messageDue()):
 		c.server.TimedOut.Add(1)
-		return netconn.Malformed("no whole message within %v", messageTimeout)
+		return netconn.Malformed("no whole message in time")
 	case c.messageDeadline.IsZero() && len(c.openRequests) == 0 && now.After(c.lastMessage.Add(idleTimeout)):
 		c.closing = true
 		return netconn.ErrClosed
--- a/internal/jsonrpc/helpers_test.go
+++ b/internal/jsonrpc/helpers_test.go
@@ -24,6 +24,9 @@
 		limits.MaxConns = 5
 	}
 	limits.OutputBudget = netconn.NewByteBudget(1 << 20)
+	if limits.MessageBudget == nil {
+		limits.MessageBudget = netconn.NewByteBudget(1 << 20)
+	}
 	if limits.RequestBudget == nil {
 		limits.RequestBudget = netconn.NewByteBudget(1 << 20)
 	}
@@ -62,6 +65,16 @@
 		`"data":"U0VMRUNUIDEgRlJPTSBzYWxlc18xNy50"}}`, callID, requestID)
 }
 
+// readMessage reads a message from a server and returns its body.
+func readMessage(r *bufio.Reader, buffer []byte) ([]byte, error) {
+	length, err := readHeader(r)
+	if err != nil {
+		return nil, err
+	}
+	body, err := netconn.ReadBody(r, length, buffer)
+	return body, netconn.UnexpectedEOF(err)
+}
+
 // assertReply reads a message and compares it with the expected JSON.
 func assertReply(t *testing.T, reader *bufio.Reader, want string) {
 	t.Helper()
--- a/internal/jsonrpc/message.go
+++ b/internal/jsonrpc/message.go
@@ -14,24 +14,24 @@
 	maxMessageBytes = 64 << 10
 )
 
-// readMessage reads a message and returns its body, in buffer if that is large enough. An error that wraps
-// netconn.ErrMalformed means that the framing is lost: nothing more can be read from the connection.
-func readMessage(r *bufio.Reader, buffer []byte) ([]byte, error) {
-	length := -1
+// readHeader reads the header of a message and returns the length of its body. An error that wraps netconn.ErrMalformed
+// means that the framing is lost: nothing more can be read from the connection.
+func readHeader(r *bufio.Reader) (length int, err error) {
+	length = -1
 	for lineCount := 0; ; lineCount++ {
 		line, err := netconn.ReadLine(r)
 		if err != nil {
 			if lineCount > 0 {
 				err = netconn.UnexpectedEOF(err)
 			}
-			return nil, err
+			return 0, err
 		}
 		if len(line) == 0 {
 			break
 		}
 		name, value, ok := strings.Cut(string(line), ":")
 		if !ok || lineCount == maxHeaderLines {
-			return nil, netconn.Malformed(`header line %q: want at most %d lines "name: value"`,
+			return 0, netconn.Malformed(`header line %q: want at most %d lines "name: value"`,
 				netconn.Clip(line), maxHeaderLines)
 		}
 		if !strings.EqualFold(strings.TrimSpace(name), "Content-Length") {
@@ -40,16 +40,15 @@
 		value = strings.TrimSpace(value)
 		parsed, err := strconv.ParseUint(value, 10, 31)
 		if err != nil || parsed > maxMessageBytes || length >= 0 {
-			return nil, netconn.Malformed("Content-Length %q: want a single number up to %d",
+			return 0, netconn.Malformed("Content-Length %q: want a single number up to %d",
 				netconn.Clip([]byte(value)), maxMessageBytes)
 		}
 		length = int(parsed)
 	}
 	if length < 0 {
-		return nil, netconn.Malformed("header without Content-Length")
+		return 0, netconn.Malformed("header without Content-Length")
 	}
-	body, err := netconn.ReadBody(r, length, buffer)
-	return body, netconn.UnexpectedEOF(err)
+	return length, nil
 }
 
 // appendMessage appends a message: a Content-Length header and the body that appendBody appends.
--- a/internal/jsonrpc/server.go
+++ b/internal/jsonrpc/server.go
@@ -20,16 +20,15 @@
 
 // Limits of one connection.
 const (
-	maxOpenRequests      = 32
-	maxQueuedBytes       = 3 << 20         // of output; fits the largest answers of maxOpenRequests requests
-	writeTimeout         = 2 * time.Second // the longest that a write may make no progress
-	messageTimeout       = 2 * time.Second // from the accept to the end of the first message, then from first to last byte
-	idleTimeout          = 5 * time.Second // without a message and without open requests; typical clients close after 4 s
-	openCheckInterval    = 15 * time.Second
-	maxBadMessages       = 64 // the connection is closed at this many unusable messages
-	readBufferBytes      = 4 << 10
-	maxReusedBufferBytes = 16 << 10  // larger message buffers are not reused
-	socketBufferBytes    = 128 << 10 // output that the kernel buffers for a client that does not read
+	maxOpenRequests   = 32
+	maxQueuedBytes    = 3 << 20         // of output; fits the largest answers of maxOpenRequests requests
+	writeTimeout      = 2 * time.Second // the longest that a write may make no progress
+	messageTimeout    = 2 * time.Second // from the accept to the end of the first message, then from first to last byte
+	idleTimeout       = 5 * time.Second // without a message and without open requests; typical clients close after 4 s
+	openCheckInterval = 15 * time.Second
+	maxBadMessages    = 64 // the connection is closed at this many unusable messages
+	readBufferBytes   = 4 << 10
+	socketBufferBytes = 128 << 10 // output that the kernel buffers for a client that does not read
 )
 
 // EventQueue receives the requests and events of clients.
@@ -52,6 +51,7 @@
 	RetryAfterMS  float64             // sent to clients that the server itself rejects; 0: nothing is sent
 	ServeOutcomes bool                // serve the method "outcome"
 	RequestBudget *netconn.ByteBudget // bodies of open requests
+	MessageBudget *netconn.ByteBudget // messages over unreservedMessageBytes that are being read
 	OutputBudget  *netconn.ByteBudget // queued output
 
 	// EarliestArrival returns the earliest time at which data that is read now may have arrived. That is before now if
@@ -65,6 +65,9 @@
 	clock           dispatch.Clock
 	log             logrus.FieldLogger
 	requestBudget   *netconn.ByteBudget // bodies of open requests
+	messageBudget   *netconn.ByteBudget // messages over unreservedMessageBytes that are being read
+	messageBuffers  sync.Pool           // of *[maxMessageBytes]byte; each in use is reserved in messageBudget
+	messageWaiters  atomic.Int32        // connections that wait for such a buffer
 	outputBudget    *netconn.ByteBudget // queued output
 	classes         map[string]ClassLimits
 	maxOpen         int
@@ -106,6 +109,8 @@
 		clock:           clock,
 		log:             log,
 		requestBudget:   limits.RequestBudget,
+		messageBudget:   limits.MessageBudget,
+		messageBuffers:  sync.Pool{New: func() any { return new([maxMessageBytes]byte) }},
 		outputBudget:    limits.OutputBudget,
 		classes:         classes,
 		maxOpen:         limits.MaxOpen,
--- a/internal/jsonrpc/server_test.go
+++ b/internal/jsonrpc/server_test.go
@@ -404,3 +404,38 @@
 	}
 	assert.Empty(t, queue)
 }
+
+// Guards against memory that half-sent messages take up: a large message waits while others hold the buffers, a client
+// that stops within one gives its buffer up when others wait, and small messages, and answers, wait for nothing.
+func TestServer_LargeMessagesWaitForMemory(t *testing.T) {
+	limits := Limits{MessageBudget: netconn.NewByteBudget(maxMessageBytes)} // one large message
+	server, queue, halfSent, halfReader := newTestServer(t, limits)
+	large := strings.Replace(requestCall(1, "large"), "U0VM", strings.Repeat("U0VM", 4000), 1)
+	start := time.Now()
+	fmt.Fprint(halfSent, withLength(large)[:12000])
+	require.Eventually(t, func() bool { return server.messageBudget.Reserved() > 0 }, time.Second, time.Millisecond)
+
+	conn, reader := dialServer(t, server)
+	send(conn, requestCall(2, "small"))
+	small := queue.Next(t).Request
+	send(conn, large)
+	require.Eventually(t, func() bool { return server.messageWaiters.Load() > 0 }, time.Second, time.Millisecond)
+	small.Client.Failed(small.Tag)
+	got, err := readMessage(reader, nil)
+	require.NoError(t, err, "answers are written meanwhile")
+	assert.Contains(t, string(got), `"id":2`)
+	assert.Equal(t, int64(maxMessageBytes), server.messageBudget.Reserved())
+	assert.Equal(t, "large", queue.Next(t).Request.ID)
+	assert.Less(t, time.Since(start), messageTimeout, "the half-sent message has made room")
+	got, err = readMessage(halfReader, nil)
+	require.NoError(t, err)
+	assert.Contains(t, string(got), "framing lost")
+	assert.Eventually(t, func() bool { return server.messageBudget.Reserved() == 0 }, time.Second, time.Millisecond)
+
+	waiting, waitingReader := dialServer(t, server)
+	server.messageBudget.Reserve(maxMessageBytes)
+	send(waiting, large)
+	got, err = readMessage(waitingReader, nil)
+	require.NoError(t, err, "a message that finds no buffer in time is answered")
+	assert.Contains(t, string(got), "framing lost")
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -27,7 +27,7 @@
 // Shares of the configured limits of memory and sockets.
 const (
 	heapMemoryShare     = 0.7  // memory limit of the Go runtime; the rest covers stacks, sockets and unswept memory
-	bufferMemoryShare   = 0.12 // bodies of open requests, and the same again for queued output
+	bufferMemoryShare   = 0.12 // bodies of open requests; the same again for messages being read, and for queued output
 	clientSocketShare   = 0.55
 	executorSocketShare = 0.3
 
@@ -63,6 +63,7 @@
 	discovery  *discovery.Client
 
 	requestBytes *netconn.ByteBudget // bodies of open requests
+	messageBytes *netconn.ByteBudget // large messages that are being read
 	outputBytes  *netconn.ByteBudget // queued output
 	maxDeadline  time.Duration       // the longest of all request classes
 
@@ -110,6 +111,7 @@
 		clock:        clock,
 		loop:         dispatch.New(clock, scheduler.New(config.seed, config.settings.Scheduler), log),
 		requestBytes: netconn.NewByteBudget(bufferBytes),
+		messageBytes: netconn.NewByteBudget(bufferBytes),
 		outputBytes:  netconn.NewByteBudget(bufferBytes),
 	}
 }
@@ -123,6 +125,7 @@
 		MaxConns:        shareOf(config.Limits.Sockets, clientSocketShare),
 		MaxOpen:         maxOpenRequests(platform.MaxRequests, config.Limits.MemoryMB),
 		RequestBudget:   c.requestBytes,
+		MessageBudget:   c.messageBytes,
 		OutputBudget:    c.outputBytes,
 		RetryAfterMS:    platform.Scheduler.LongestRetryAfterMS(),
 		ServeOutcomes:   c.loop.HasLedger(),
@@ -217,6 +220,7 @@
 		"gossip_dropped":        c.peers.Dropped.Load(),
 		"gossip_unknown_sender": c.peers.UnknownSender.Load(),
 		"request_bytes":         c.requestBytes.Reserved(),
+		"message_bytes":         c.messageBytes.Reserved(),
 		"unwritten_bytes":       c.outputBytes.Reserved(),
 		"goroutines":            runtime.NumGoroutine(),
 	}).Info(message)
