--- a/internal/testservers/executor.go
+++ b/internal/testservers/executor.go
@@ -16,6 +16,9 @@
 // ResultRows is the result that every executor returns for every request.
 const ResultRows = "a\tb\tc\n"
 
+// resultPage is a full page of a result that has several.
+var resultPage = strings.Repeat("0123456789\tabcdefghi\t0123456789abcdefghi\n", 145)
+
 // writeTimeout bounds each write of an executor to a connection.
 const writeTimeout = time.Second
 
@@ -33,6 +36,8 @@
 	WorkByClass map[string]time.Duration
 	// Cores are shared by the requests according to the weights of their priorities, 1 : 4 : 8 : 16; 0: without limit.
 	Cores int
+	// Pages is the number of full pages that each result has; 0: the result is ResultRows.
+	Pages int
 	// RunLog may be shared by several executors; Start creates one if it is nil.
 	RunLog *RunLog
 	// MaxInFlight is the number of concurrent requests past which requests are rejected; 0: without limit. It applies
@@ -191,8 +196,8 @@
 			defer c.mu.Unlock()
 			c.executor.setPriority(c.jobs[id], arguments[0])
 		}
-	case "more": // asks for a page of a result; results are not kept
-		c.write(id, "failed", "-")
+	case "more":
+		c.writePage(id, arguments)
 	case "fetch":
 		c.fetch(id, parseFetch(arguments[0]))
 	}
@@ -262,7 +267,20 @@
 	aborted := c.aborted[id]
 	delete(c.jobs, id)
 	c.mu.Unlock()
-	if !aborted {
+	switch {
+	case aborted:
+	case c.executor.Pages > 0:
+		c.write(id, "data", "batches="+strconv.Itoa(c.executor.Pages), resultPage)
+	default:
 		c.write(id, "data", "batches=1", ResultRows)
 	}
 }
+
+// writePage answers with a page of a result. All pages are alike, so results are not kept.
+func (c *executorConn) writePage(id string, arguments []string) {
+	if c.executor.Pages == 0 || len(arguments) == 0 {
+		c.write(id, "failed", "-")
+		return
+	}
+	c.write(id, "page", "batch="+arguments[0], resultPage)
+}
