--- a/internal/jsonrpc/request.go
+++ b/internal/jsonrpc/request.go
@@ -112,12 +112,11 @@
 	if rpcErr = c.admit(&open, bodyBytes); rpcErr != nil {
 		return rpcErr
 	}
-	body, err := base64.StdEncoding.AppendDecode(make([]byte, 0, bodyBytes), params.data)
-	if err != nil {
+	body, rpcErr := c.decodeBody(params.data, bodyBytes)
+	if rpcErr != nil {
 		c.withdraw(&open, bodyBytes)
-		return &rpcError{codeInvalidParams, "data is not base64"}
+		return rpcErr
 	}
-	server.requestBudget.Free(bodyBytes - len(body)) // the padding
 	timeoutMS := params.timeoutMS
 	if class.MaxDeadlineMS > 0 { // clients must not choose for how long state that lives until the deadline is kept
 		timeoutMS = min(timeoutMS, class.MaxDeadlineMS)
@@ -170,6 +169,16 @@
 	return nil
 }
 
+// decodeBody decodes the body of an admitted request, for which bodyBytes are reserved, and frees what it does not need.
+func (c *clientConn) decodeBody(data []byte, bodyBytes int) ([]byte, *rpcError) {
+	body, err := base64.StdEncoding.AppendDecode(make([]byte, 0, bodyBytes), data)
+	if err != nil {
+		return nil, &rpcError{codeInvalidParams, "data is not base64"}
+	}
+	c.server.requestBudget.Free(bodyBytes - len(body))
+	return body, nil
+}
+
 // withdraw takes back the admission of a request that is not submitted.
 func (c *clientConn) withdraw(r *openRequest, bodyBytes int) {
 	c.mu.Lock()
