Keys are not repeated where another process may have taken an executor's address

Cause: the protocol does not say which process answers, and lost attempts were repeated at the same address; attempts at the new process counted for the old one's zone.

Change: where repeats are dropped by zone or cell, a key that may have run is not repeated at an executor that lost a connection, until an attempt older than that by 20 ms shows activity, the list names the executor, or 7 s have passed. What was sent there meanwhile and may have run fails instead of running again.

Why it works: a process that dies loses all connections, so no older attempt answers any more.

--- a/internal/memorytest/controller_test.go
+++ b/internal/processtest/controller_test.go
@@ -1,6 +1,6 @@
-// Package memorytest checks that a controller with little memory survives clients that send much, slowly or without
-// reading. It runs the program as a process, since the limit is one of the process.
-package memorytest
+// Package processtest runs the program as a process with little memory, beside bad clients and beside executors that are
+// replaced.
+package processtest
 
 import (
 	"encoding/json"
@@ -44,26 +44,37 @@
 	return filepath.Join(directory, "liftshift")
 }
 
-// startController starts a controller with the least limits and three executors whose results have some full pages, and
-// ends it after the test.
-func startController(t *testing.T, program string, resultPages int) *controller {
+// dedupWindow is how long the executors of a zone drop repeats of a key.
+const dedupWindow = 20 * time.Second
+
+// startExecutor starts an executor and stops it after the test.
+func startExecutor(t *testing.T, executor *testservers.Executor) *testservers.Executor {
+	t.Helper()
+	require.Eventually(t, func() bool { return executor.Start() == nil }, time.Second, time.Millisecond)
+	t.Cleanup(executor.Stop)
+	return executor
+}
+
+// startDiscovery starts the discovery service and stops it after the test.
+func startDiscovery(t *testing.T) *testservers.Discovery {
 	t.Helper()
-	var executors []*testservers.Executor
-	for n := range 3 {
-		executor := &testservers.Executor{Name: fmt.Sprint("s-", n), Zone: "z0", Work: 20 * time.Millisecond, Pages: resultPages}
-		require.NoError(t, executor.Start())
-		t.Cleanup(executor.Stop)
-		executors = append(executors, executor)
-	}
 	discovery, err := testservers.NewDiscovery()
 	require.NoError(t, err)
 	t.Cleanup(discovery.Stop)
+	return discovery
+}
+
+// startController starts a controller with the least limits, and ends it after the test.
+func startController(
+	t *testing.T, program string, discovery *testservers.Discovery, executors []*testservers.Executor,
+) *controller {
+	t.Helper()
 	address, err := testservers.FreeAddress()
 	require.NoError(t, err)
 
 	directory := t.TempDir()
 	config := map[string]any{}
-	require.NoError(t, json.Unmarshal(testservers.NodeConfig(address, discovery.Address, 20*time.Second, executors...), &config))
+	require.NoError(t, json.Unmarshal(testservers.NodeConfig(address, discovery.Address, dedupWindow, executors...), &config))
 	config["limits"] = map[string]any{"cores": 1, "memory_mb": memoryMB, "sockets": sockets}
 	text, err := json.Marshal(config)
 	require.NoError(t, err)
--- a/internal/memorytest/flood_test.go
+++ b/internal/processtest/flood_test.go
@@ -1,4 +1,4 @@
-package memorytest
+package processtest
 
 import (
 	"bytes"
@@ -148,7 +148,13 @@
 	program := buildProgram(t)
 	for _, flood := range floods {
 		t.Run(flood.name, func(t *testing.T) {
-			controller := startController(t, program, flood.pages)
+			var executors []*testservers.Executor
+			for n := range 3 {
+				executors = append(executors, startExecutor(t, &testservers.Executor{
+					Name: fmt.Sprint("s-", n), Zone: "z0", Work: 20 * time.Millisecond, Pages: flood.pages,
+				}))
+			}
+			controller := startController(t, program, startDiscovery(t), executors)
 			until := time.Now().Add(floodTime(t))
 			flooded := make(chan struct{})
 			go func() {
--- a/internal/testservers/executor.go
+++ b/internal/testservers/executor.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"net"
 	"strconv"
 	"strings"
@@ -36,6 +37,8 @@
 	WorkByClass map[string]time.Duration
 	// Cores are shared by the requests according to the weights of their priorities, 1 : 4 : 8 : 16; 0: without limit.
 	Cores int
+	// ListenAddress is the first address, for example that of an executor that was stopped; empty: a free one.
+	ListenAddress string
 	// Pages is the number of full pages that each result has; 0: the result is ResultRows.
 	Pages int
 	// RunLog may be shared by several executors; Start creates one if it is nil.
@@ -62,7 +65,7 @@
 
 // Start listens on two loopback addresses and begins to serve.
 func (e *Executor) Start() error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", cmp.Or(e.ListenAddress, "127.0.0.1:0"))
 	if err != nil {
 		return err
 	}
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -63,11 +63,15 @@
 	if !s.attemptsLeft(r) {
 		return sendNever
 	}
+	scoped := class.idempotency == Keyed && class.dedupScope != DedupAll
+	if scoped && s.ranUnconfirmed(r) {
+		return sendNever
+	}
 	for prior := range s.priorAttempts(r) {
 		if class.idempotency != Keyed || s.now > s.latestStart(r) {
 			return sendNever
 		}
-		if !class.deduplicates(prior, e) {
+		if !class.deduplicates(prior, e) || scoped && s.mayBeReplaced(e) {
 			return sendElsewhere
 		}
 	}
--- a/scheduler/attempts.go
+++ b/scheduler/attempts.go
@@ -30,6 +30,7 @@
 	s.setStartPriority(r, class)
 	grant := s.memoryGrant(r, e)
 	s.reserve(r, s.assignTo, grant)
+	r.lastAttempt().unconfirmed = s.mayBeReplaced(e)
 	e.backlogMS = s.backlog(e) + r.workMS
 	e.backlogAt = s.now
 	e.reportedThreads += float64(class.threads)
@@ -139,6 +140,8 @@
 	case Errored, ConnectFailed, ConnectionLost:
 		if ev.Outcome == Errored {
 			r.errorCount++
+		} else {
+			e.lostAt = s.now
 		}
 		s.recordFailure(a.executor, ev.Outcome)
 	}
--- a/scheduler/endpoints.go
+++ b/scheduler/endpoints.go
@@ -41,4 +41,7 @@
 	}
 	e.startedAt = endpoint.StartedAt
 	e.availability = endpoint.Availability
+	if e.availability == Active {
+		e.lostAt = 0
+	}
 }
--- a/scheduler/executors.go
+++ b/scheduler/executors.go
@@ -5,6 +5,9 @@
 	"slices"
 )
 
+// dialAllowanceMS is the time from the start of an attempt until its connection is usually established.
+const dialAllowanceMS = 20
+
 // executor is the state that this controller keeps of one executor.
 type executor struct {
 	id           uint32
@@ -30,6 +33,7 @@
 	state          executorState
 	lastActivityAt float64 // time of the last progress report or answer
 	acceptedAt     float64 // latest sending time of an attempt that ran here; a draining executor refuses new ones
+	lostAt         float64 // when a connection was last lost or refused; 0: since then the process has shown that it lives on
 	failures       int     // consecutive failures
 	proven         bool    // has done work since it last started or recovered
 	slowdown       float64 // relative to the other executors; 1 is average
@@ -194,6 +198,15 @@
 	e.lastActivityAt = now
 	e.probeFailed = false
 	e.acceptedAt = max(e.acceptedAt, a.sentAt)
+	if a.sentAt+dialAllowanceMS < e.lostAt { // its connection is older than the loss
+		e.lostAt = 0
+	}
+}
+
+// mayBeReplaced reports whether another process may answer at an executor's address: a connection was lost or refused,
+// no attempt from before has shown activity since, and the endpoint list may not yet tell that the executor is gone.
+func (s *Scheduler) mayBeReplaced(e *executor) bool {
+	return e.lostAt > 0 && s.now < e.lostAt+s.settings.PresumedNotifiedAfterMS
 }
 
 // silentMS returns how long an executor with attempts in flight has sent neither a progress report nor an answer.
--- a/scheduler/requests.go
+++ b/scheduler/requests.go
@@ -22,6 +22,7 @@
 	queued         bool // it waits in its executor's own queue
 	inFlight       bool // it has no outcome yet
 	mayHaveRun     bool // it is in flight, or ended without proof that it never ran
+	unconfirmed    bool // sent while another process might answer at its executor's address
 }
 
 // request is an open request in a slot of the request table.
@@ -168,6 +169,14 @@
 	}
 }
 
+// ranUnconfirmed reports whether an attempt may have run at another process than its executor, so that no executor is
+// known to drop its repeat.
+func (s *Scheduler) ranUnconfirmed(r *request) bool {
+	return slices.ContainsFunc(r.attempts[:r.attemptCount], func(a attempt) bool {
+		return a.mayHaveRun && a.unconfirmed && s.executors[a.executor].lostAt > 0
+	})
+}
+
 // startedCount returns the number of attempts that were sent, or may have been.
 func (r *request) startedCount() int { return r.attemptCount - r.unsentCount }
 
--- a/scheduler/retry_test.go
+++ b/scheduler/retry_test.go
@@ -212,3 +212,50 @@
 	assert.False(t, s.executors[0].probeFailed)
 	assert.Zero(t, s.executors[0].avoidUntil)
 }
+
+// Guards against keys that run in two zones: another process may have come up at the address of an executor whose
+// connection was lost. A repeat of a key goes to that executor only once the process has shown that it is the same, the
+// list has named the executor again, or the list would have told that it is gone.
+func TestScheduler_RepeatsNoKeyWhereExecutorMayBeReplaced(t *testing.T) {
+	inZone := func(settings *Settings) {
+		settings.Classes[1].DedupScope = DedupZone
+		settings.Classes[1].DedupWindowMS = 60e3
+		settings.PresumedNotifiedAfterMS = 7000
+	}
+	arriveKeyed := func(s *Scheduler, now float64, id string) []Action {
+		ev := Event{Kind: RequestArrived, Request: id, Class: "keyed", MemoryMB: 100, WorkMS: 100, Deadline: 30e3}
+		return s.Step(now, &ev, nil)
+	}
+	here := Endpoint{Executor: 1, Zone: "here", Kind: "big"}
+	for name, confirm := range map[string]func(*Scheduler) float64{
+		"activity of an earlier attempt": func(s *Scheduler) float64 { endAttempt(s, 3000, "b", 0, Succeeded); return 3000 },
+		"the list": func(s *Scheduler) float64 {
+			s.Step(3000, &Event{Kind: EndpointsUpdated, List: ListDelta, Endpoints: []Endpoint{here}}, nil)
+			return 3000
+		},
+		"time": func(*Scheduler) float64 { return 2000 + 7000 },
+	} {
+		s := newTestScheduler(1, inZone)
+		arriveKeyed(s, 1500, "a")
+		arriveKeyed(s, 1500, "b")
+		endAttempt(s, 2000, "a", 0, ConnectionLost)
+		slot, _ := s.requests.find("a")
+		r := s.requests.at(slot)
+		r.retryNotBefore = 0
+		s.executors[0].avoidUntil = 0
+		assert.Equal(t, sendElsewhere, s.maySend(r, 0), "%s: before", name)
+		s.now = confirm(s)
+		assert.NotEqual(t, sendElsewhere, s.maySend(r, 0), "%s: after", name)
+	}
+
+	s := newTestScheduler(1, inZone)
+	arriveKeyed(s, 1500, "a")
+	endAttempt(s, 2000, "a", 0, ConnectFailed) // it has not run, so it may be sent there again
+	s.executors[0].avoidUntil = 0
+	s.executors[0].state = executorHealthy
+	tickAt(s, 2100)
+	slot, _ := s.requests.find("a")
+	assert.Equal(t, 2, s.requests.at(slot).attemptCount)
+	assert.Contains(t, actionKinds(endAttempt(s, 2200, "a", 1, ConnectionLost)), Fail,
+		"nobody knows which zone it ran in")
+}
