Ledger: attempts are recorded with the location by which the scheduler chose

Cause: the scheduler gets a new endpoint list before the extensions, and sends waiting requests in that very step. The ledger looked the executor's zone and cell up in its own table, still that of the list before: an executor it did not know kept the zone of an earlier attempt, also of one that never ran, and passed every scope check. Later attempts replaced the zone of the first.

Change: the action Send names where its executor runs, the event of a starting attempt carries it, and the ledger records it and checks by it. A key keeps the location of its first attempt that may have run.

Why it works: what is recorded is what the attempt was decided by, whatever list the ledger has by then. No second table can lag.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -26,7 +26,13 @@
 	}
 	number := state.started
 	request, executor := &state.Request, action.Executor
-	decided := l.notify(Event{Kind: AttemptStarting, Request: request, Attempt: number, Executor: executor})
+	decided := l.notify(Event{
+		Kind:     AttemptStarting,
+		Request:  request,
+		Attempt:  number,
+		Executor: executor,
+		Target:   action.Target,
+	})
 	held := decided.holds > 0
 	running, delayMS := l.Executors.Send(Attempt{
 		Request:     request,
--- a/internal/dispatch/extension.go
+++ b/internal/dispatch/extension.go
@@ -68,6 +68,7 @@
 	Request         *Request
 	Attempt         int
 	Executor        uint32                 // AttemptStarting, AttemptStarted
+	Target          scheduler.Location     // AttemptStarting: where the executor ran when the scheduler chose it
 	GrantMB         float64                // AttemptStarted
 	NeverRan        bool                   // AttemptEnded: the outcome proves that the attempt never ran
 	Prior           scheduler.PriorAttempt // RequestReceived
--- a/internal/dispatch/ledger_extension.go
+++ b/internal/dispatch/ledger_extension.go
@@ -76,6 +76,8 @@
 			ID:       request.ID,
 			Attempt:  event.Attempt,
 			Executor: event.Executor,
+			Zone:     event.Target.Zone,
+			Cell:     event.Target.Cell,
 		}, true
 	case AttemptEnded:
 		return ledger.Event{
--- a/internal/ledger/event.go
+++ b/internal/ledger/event.go
@@ -40,6 +40,8 @@
 
 	Attempt  int    // AttemptStarting, AttemptEnded: its number within the request, from 0
 	Executor uint32 // AttemptStarting
+	Zone     string // AttemptStarting: of the executor, as the scheduler knew it when it chose the executor
+	Cell     int64  // AttemptStarting: of the executor, likewise
 	NeverRan bool   // AttemptEnded: the attempt is known not to have run
 
 	Outcome Outcome // RequestClosed
--- a/internal/ledger/helpers_test.go
+++ b/internal/ledger/helpers_test.go
@@ -81,9 +81,14 @@
 	return l.step(now, Event{Kind: RequestReceived, ID: id, IdempotencyKey: key, Class: class, Deadline: now + 5000})[0]
 }
 
+// attemptStarting returns the event of an attempt on one of the executors of updateEndpoints.
+func attemptStarting(id string, attempt int, executor uint32) Event {
+	return Event{Kind: AttemptStarting, ID: id, Attempt: attempt, Executor: executor, Zone: zoneOf(executor)}
+}
+
 // startAttempt starts an attempt, reports its record as durable, and returns whether the attempt may be sent.
 func (l *testLedger) startAttempt(now float64, id string, attempt int, executor uint32) bool {
-	for _, e := range l.step(now, Event{Kind: AttemptStarting, ID: id, Attempt: attempt, Executor: executor}) {
+	for _, e := range l.step(now, attemptStarting(id, attempt, executor)) {
 		if e.Kind == HoldAttempt {
 			r := l.step(now, Event{Kind: RecordsStored, Token: e.Token, OK: true})
 			return len(r) == 1 && r[0].Kind == ReleaseAttempt && r[0].ID == id && r[0].Attempt == attempt
@@ -98,15 +103,19 @@
 	return ofID, l.step(now, Event{Kind: OutcomeQueried, IdempotencyKey: key})[0].Outcome
 }
 
-// updateEndpoints sends a complete list with executors 1 and 2 in zone "here" and executor 3 in zone "there". The
-// executors in draining are marked as draining.
+// zoneOf returns the zone of an executor: "here" for 1 and 2, "there" for 3.
+func zoneOf(executor uint32) string {
+	if executor == 3 {
+		return "there"
+	}
+	return "here"
+}
+
+// updateEndpoints sends a complete list with executors 1 to 3. The executors in draining are marked as draining.
 func (l *testLedger) updateEndpoints(now float64, version uint64, draining ...uint32) {
 	var list []scheduler.Endpoint
 	for id := range uint32(3) {
-		endpoint := scheduler.Endpoint{Executor: id + 1, Zone: "here"}
-		if id == 2 {
-			endpoint.Zone = "there"
-		}
+		endpoint := scheduler.Endpoint{Executor: id + 1, Zone: zoneOf(id + 1)}
 		for _, executor := range draining {
 			if executor == id+1 {
 				endpoint.Availability = scheduler.Draining
--- a/internal/ledger/idempotencykey.go
+++ b/internal/ledger/idempotencykey.go
@@ -12,8 +12,8 @@
 	firstAt    float64 // log time of the first attempt that may have run; in the distant past if its age is unknown
 	lastAt     float64 // log time of the last attempt or of the answer
 	executor   uint32  // executor of the last attempt
-	zone       string  // zone of the last attempt
-	cell       int64   // cell of the last attempt
+	zone       string  // zone of the first attempt that may have run
+	cell       int64   // cell of that attempt
 	class      int     // index in Ledger.classes
 	unresolved int     // number of attempts that are in flight or may have run
 	succeeded  bool
@@ -169,45 +169,39 @@
 
 // startKeyedAttempt records an attempt under the idempotency key of a request. It returns false if the attempt must
 // not be sent.
-func (l *Ledger) startKeyedAttempt(req *request, class *requestClass, executorID uint32) bool {
-	if key := l.keys.Get(req.keyRecord); key != nil && !l.maySendTo(class, key, executorID) {
+func (l *Ledger) startKeyedAttempt(req *request, class *requestClass, ev *Event) bool {
+	if key := l.keys.Get(req.keyRecord); key != nil && !l.maySendTo(class, key, ev) {
 		return false
 	}
 	key, _ := l.keys.Put(req.keyRecord, clampMS(l.now+class.windowMS+l.retentionMS))
-	if key.unresolved == 0 && !key.succeeded {
+	if key.state() == keyUnused {
 		key.firstAt = l.now
+		key.zone, key.cell = ev.Zone, ev.Cell
 	}
 	key.text, key.class = req.idempotencyKey, req.class
 	key.lastAt = l.now
 	key.unresolved++
-	key.executor = executorID
-	if executor := l.executors[executorID]; executor != nil {
-		key.zone, key.cell = executor.zone, executor.cell
-	}
+	key.executor = ev.Executor
 	l.persistKey(req.keyRecord, key)
 	return true
 }
 
-// maySendTo returns whether an attempt under a key may be sent to an executor. If an earlier attempt may have run,
-// only executors in its deduplication scope qualify, and only within the deduplication window. The scheduler observes
-// the same rule for the prior attempts it knows of, but two requests with the same key may be received before either
-// is sent.
-func (l *Ledger) maySendTo(class *requestClass, key *idempotencyKey, executorID uint32) bool {
+// maySendTo returns whether a starting attempt under a key may be sent to its executor. If an earlier attempt may have
+// run, only executors in its deduplication scope qualify, and only within the deduplication window. The scheduler
+// observes the same rule for the prior attempts it knows of, but two requests with the same key may be received before
+// either is sent.
+func (l *Ledger) maySendTo(class *requestClass, key *idempotencyKey, ev *Event) bool {
 	if key.state() == keyUnused {
 		return true
 	}
 	if !l.withinWindow(key) {
 		return false
 	}
-	executor := l.executors[executorID]
-	if executor == nil {
-		return true
-	}
 	switch class.scope {
 	case scheduler.DedupZone:
-		return executor.zone == key.zone
+		return ev.Zone == key.zone
 	case scheduler.DedupCell:
-		return executor.cell == key.cell
+		return ev.Cell == key.cell
 	default:
 		return true
 	}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -215,7 +215,7 @@
 func TestLedger_AdmitsKeyInDoubtWhileTheDiskFails(t *testing.T) {
 	l := newTestLedger(1000)
 	l.receive(1000, "mark", "a", "m")
-	held := l.step(1000, Event{Kind: AttemptStarting, ID: "a", Executor: 1})
+	held := l.step(1000, attemptStarting("a", 0, 1))
 	l.step(1010, Event{Kind: RecordsStored, Token: held[0].Token})
 	require.True(t, l.Counts().DiskFailing)
 	prior := scheduler.PriorAttempt{At: 900, Zone: "here"}
@@ -224,7 +224,7 @@
 	require.Len(t, admitted, 1)
 	assert.Equal(t, Admit, admitted[0].Kind)
 	assert.Equal(t, prior.At, admitted[0].Prior.At)
-	starting := l.step(1100, Event{Kind: AttemptStarting, ID: "b", Executor: 1})
+	starting := l.step(1100, attemptStarting("b", 0, 1))
 	require.Len(t, starting, 1)
 	assert.Equal(t, HoldAttempt, starting[0].Kind)
 }
@@ -236,7 +236,7 @@
 		t.Run(fmt.Sprintf("slow %v", slow), func(t *testing.T) {
 			l := newTestLedger(1000)
 			l.receive(1000, "mark", "a", "m")
-			held := l.step(1000, Event{Kind: AttemptStarting, ID: "a", Executor: 1})
+			held := l.step(1000, attemptStarting("a", 0, 1))
 			require.Equal(t, HoldAttempt, held[0].Kind)
 			var failed []Effect
 			if slow {
@@ -277,9 +277,9 @@
 func TestLedger_RecordOfEndedAttemptReleasesNoOther(t *testing.T) {
 	l := newTestLedger(1000)
 	l.receive(1000, "mark", "a", "m")
-	first := l.step(1000, Event{Kind: AttemptStarting, ID: "a", Executor: 1})
+	first := l.step(1000, attemptStarting("a", 0, 1))
 	l.step(1010, Event{Kind: AttemptEnded, ID: "a", NeverRan: true})
-	second := l.step(1020, Event{Kind: AttemptStarting, ID: "a", Executor: 1})
+	second := l.step(1020, attemptStarting("a", 0, 1))
 	require.NotEqual(t, first[0].Token, second[0].Token)
 	assert.Empty(t, l.step(1030, Event{Kind: RecordsStored, Token: first[0].Token, OK: true}))
 	released := l.step(1040, Event{Kind: RecordsStored, Token: second[0].Token, OK: true})
@@ -417,7 +417,6 @@
 		ran := map[string]map[string]float64{} // by key and zone: the time from which the zone drops repeats
 		ids := map[string]bool{}
 		var open []string
-		zones := map[uint32]string{1: "here", 2: "here", 3: "there"}
 		for n := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			gap := rapid.SampledFrom([]float64{1, 50, 3000, 19000}).Draw(t, "gap")
 			if now += gap; gap > 1000 { // open requests are closed by their deadline
@@ -452,7 +451,7 @@
 				}
 				open, ids[id] = append(open, id), true
 				executor := rapid.Uint32Range(1, 3).Draw(t, "executor")
-				if received.Prior.At != 0 && (received.Prior.Zone != zones[executor] || now > received.Prior.At+20000) {
+				if received.Prior.At != 0 && (received.Prior.Zone != zoneOf(executor) || now > received.Prior.At+20000) {
 					break // the scheduler would not send the attempt
 				}
 				neverRan := rapid.Bool().Draw(t, "never ran")
@@ -461,11 +460,11 @@
 						ran[key] = map[string]float64{}
 					}
 					for zone, at := range ran[key] {
-						dropped := zone == zones[executor] && now <= at+20000
-						assert.True(t, dropped, "key %s ran at %v in %s, and again at %v in %s", key, at, zone, now, zones[executor])
+						dropped := zone == zoneOf(executor) && now <= at+20000
+						assert.True(t, dropped, "key %s ran at %v in %s, and again at %v in %s", key, at, zone, now, zoneOf(executor))
 					}
-					if at, known := ran[key][zones[executor]]; !known || now > at+20000 {
-						ran[key][zones[executor]] = now
+					if at, known := ran[key][zoneOf(executor)]; !known || now > at+20000 {
+						ran[key][zoneOf(executor)] = now
 					}
 				}
 				if rapid.Bool().Draw(t, "ends") {
@@ -510,7 +509,7 @@
 		assert.Equal(t, []any{Admit, 0.0}, []any{received.Kind, received.Prior.At})
 	}
 	assert.True(t, l.startAttempt(1010, "a", 0, 1))
-	effects := l.step(1020, Event{Kind: AttemptStarting, ID: "b", Executor: 3})
+	effects := l.step(1020, attemptStarting("b", 0, 3))
 	kinds := []EffectKind{effects[0].Kind, effects[1].Kind}
 	assert.Equal(t, []EffectKind{HoldAttempt, FailAttempt}, kinds, "executor 3 is in another zone")
 	l.step(1020, Event{Kind: AttemptEnded, ID: "b", NeverRan: true})
@@ -521,3 +520,33 @@
 	_, ofKey := after.outcomes(2000, "a", "m")
 	assert.Equal(t, Failed, ofKey, "the attempt of the first request may have run")
 }
+
+// TestLedger_AttemptsNeedNoEndpointList checks that the zone of an attempt does not depend on the endpoint list, which
+// the ledger gets after the scheduler: a list that has not arrived let keys run in a second zone.
+func TestLedger_AttemptsNeedNoEndpointList(t *testing.T) {
+	l := newTestLedger(1000)
+	l.receive(1000, "mark", "a", "m")
+	l.receive(1000, "mark", "b", "m")
+	require.True(t, l.startAttempt(1010, "a", 0, 1))
+	assert.False(t, l.startAttempt(1020, "b", 0, 3), "executor 3 is in another zone than the first attempt")
+	l.step(1030, Event{Kind: AttemptEnded, ID: "b", NeverRan: true})
+	after := startLedger(l.store, 2000, clocksAt(2000), false)
+	assert.Equal(t, "here", after.receive(2000, "mark", "c", "m").Prior.Zone)
+}
+
+// TestLedger_KeyKeepsLocationOfFirstAttempt checks that a later attempt in the same cell does not replace the location
+// of the first one, as that location and the start of the window belong to one attempt.
+func TestLedger_KeyKeepsLocationOfFirstAttempt(t *testing.T) {
+	l := newTestLedger(1000)
+	for i := range l.classes {
+		l.classes[i].scope = scheduler.DedupCell
+	}
+	l.receive(1000, "mark", "a", "m")
+	for attempt, zone := range []string{"here", "there"} {
+		starting := attemptStarting("a", attempt, 1)
+		starting.Zone, starting.Cell = zone, 7
+		l.step(1010+float64(attempt), starting)
+	}
+	after := startLedger(l.store, 2000, clocksAt(2000), false)
+	assert.Equal(t, scheduler.PriorAttempt{At: 1010, Zone: "here", Cell: 7}, after.receive(2000, "mark", "b", "m").Prior)
+}
--- a/internal/ledger/request.go
+++ b/internal/ledger/request.go
@@ -225,7 +225,7 @@
 	if !class.mustPersist() {
 		return
 	}
-	if req.keyRecord != (Key{}) && !l.startKeyedAttempt(req, class, ev.Executor) {
+	if req.keyRecord != (Key{}) && !l.startKeyedAttempt(req, class, ev) {
 		// Another request with the same key was attempted first, outside the deduplication scope or window of this
 		// attempt.
 		req.inFlight &^= 1 << ev.Attempt
--- a/internal/ledgerstore/helpers_test.go
+++ b/internal/ledgerstore/helpers_test.go
@@ -151,7 +151,7 @@
 		zone = first.Prior.Zone
 		executor = map[string]uint32{dedupZone: 1, otherZone: 2}[zone]
 	}
-	effects = c.startAttempt(id, executor)
+	effects = c.startAttempt(id, executor, zone)
 	if len(effects) > 0 && effects[len(effects)-1].Kind == ledger.FailAttempt {
 		c.Step(c.now, &ledger.Event{Kind: ledger.AttemptEnded, ID: id, NeverRan: true})
 		c.Step(c.now, &ledger.Event{Kind: ledger.RequestClosed, ID: id, Outcome: ledger.Rejected})
@@ -172,8 +172,9 @@
 }
 
 // startAttempt starts an attempt and returns its effects. If the attempt is held, it returns those that end the hold.
-func (c *testController) startAttempt(id string, executor uint32) []ledger.Effect {
-	effects := slices.Clone(c.Step(c.now, &ledger.Event{Kind: ledger.AttemptStarting, ID: id, Executor: executor}))
+func (c *testController) startAttempt(id string, executor uint32, zone string) []ledger.Effect {
+	starting := &ledger.Event{Kind: ledger.AttemptStarting, ID: id, Executor: executor, Zone: zone}
+	effects := slices.Clone(c.Step(c.now, starting))
 	for len(effects) == 1 && effects[0].Kind == ledger.HoldAttempt {
 		event := <-c.stored
 		effects = slices.Clone(c.Step(c.now, &event))
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -35,10 +35,15 @@
 	Level       int
 	AfterMS     float64 // Reject, and Fail with RejectIfUnsent: when the client may retry; SetTimer
 	LatestStart float64 // Send: the attempt must not start after this time
-	Token       uint64
-	Text        string
-	Peer        int
-	Payload     []byte // valid until the next Step
+
+	// Target applies to Send: where Executor ran when it was chosen. A caller that records attempts uses this location,
+	// because its own view of the endpoint list may be older or newer.
+	Target Location
+
+	Token   uint64
+	Text    string
+	Peer    int
+	Payload []byte // valid until the next Step
 
 	// RejectIfUnsent applies to Fail: only the attempt in flight can have run. If the caller knows that it has not been
 	// sent, Request is rejected instead.
--- a/scheduler/attempts.go
+++ b/scheduler/attempts.go
@@ -42,7 +42,7 @@
 		s.groupHolders = append(s.groupHolders, groupHolder{r.tableGroup, s.assignTo, math.Inf(1)})
 	}
 	s.setResources(r)
-	s.emit(Action{Kind: Send, Request: r.id, Executor: e.id, LatestStart: latest})
+	s.emit(Action{Kind: Send, Request: r.id, Executor: e.id, LatestStart: latest, Target: e.location()})
 }
 
 // recordProgress handles a progress report of an attempt in flight. It abandons an attempt that waits for a
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -67,6 +67,18 @@
 	StartedAt    float64 // 0: long ago
 }
 
+// Location tells where an executor runs, as its entry in the endpoint list states it.
+type Location struct {
+	Zone string
+	Kind string
+	Cell int64
+}
+
+// Location returns where the executor of an entry runs.
+func (e *Endpoint) Location() Location {
+	return Location{Zone: e.Zone, Kind: e.Kind, Cell: e.Cell}
+}
+
 // Outcome is the result of an attempt or a health check.
 type Outcome uint8
 
--- a/scheduler/executors.go
+++ b/scheduler/executors.go
@@ -192,6 +192,11 @@
 	e.memoryMB = kind.MemoryMB
 }
 
+// location returns where an executor runs.
+func (e *executor) location() Location {
+	return Location{Zone: e.zone, Kind: e.kind, Cell: e.cell}
+}
+
 // recordActivity records a progress report or an answer for an attempt. It also proves that the executor was accepting
 // attempts when this one was sent.
 func (e *executor) recordActivity(now float64, a *attempt) {
