Handoff: attempts are replicated with the location by which they were decided

What callers would see: the owner of a keyed request is lost, and its successor sends the key to another zone or cell than the one in which it may have run. Forced, not seen with real processes.

Cause: the agent kept endpoints of its own and updated them after the scheduler had acted on a list. An attempt that starts in that step went to the replicas with the zone and cell of the list before, or with none.

Change: the agent passes on what the scheduler named in Send; its table of endpoints is gone.

Why it works: replicas hold what the attempt was decided by.

--- a/internal/handoffnet/agent.go
+++ b/internal/handoffnet/agent.go
@@ -18,7 +18,6 @@
 	"liftshift/internal/dispatch"
 	"liftshift/internal/handoff"
 	"liftshift/internal/raftnode"
-	"liftshift/scheduler"
 )
 
 const (
@@ -44,7 +43,6 @@
 	log       logrus.FieldLogger
 
 	// State of the dispatch loop's goroutine.
-	endpoints   map[uint32]scheduler.Endpoint // by executor
 	lastToken   uint64
 	refreshedAt float64
 	replies     map[uint64]func([]byte, error)    // by token: callbacks of received batches without a reply yet
@@ -93,7 +91,6 @@
 		clock:           clock,
 		transport:       transport,
 		log:             log,
-		endpoints:       map[uint32]scheduler.Endpoint{},
 		replies:         map[uint64]func([]byte, error){},
 		queries:         map[uint64]*dispatch.OutcomeQuery{},
 		streams:         map[string]*peerStream{},
--- a/internal/handoffnet/extension.go
+++ b/internal/handoffnet/extension.go
@@ -4,7 +4,6 @@
 	"liftshift/internal/dispatch"
 	"liftshift/internal/handoff"
 	"liftshift/internal/ledger"
-	"liftshift/scheduler"
 )
 
 var outcomeFromLedger = map[ledger.Outcome]handoff.Outcome{
@@ -27,9 +26,6 @@
 // resulting commands to out.
 func (a *Agent) Handle(now float64, event *dispatch.Event, out []dispatch.Command) []dispatch.Command {
 	switch event.Kind {
-	case dispatch.EndpointsUpdated:
-		a.updateEndpoints(event.EndpointsUpdate)
-		return out
 	case dispatch.OutcomeQueried:
 		out = append(out, dispatch.Command{Kind: dispatch.Consume})
 	case dispatch.MessagePosted:
@@ -68,13 +64,12 @@
 	case dispatch.SuspendedClientLeft:
 		return handoff.Event{Kind: handoff.ClientLeft, ID: request.ID}, true
 	case dispatch.AttemptStarting:
-		endpoint := a.endpoints[event.Executor]
 		return handoff.Event{
 			Kind:    handoff.AttemptStarting,
 			ID:      request.ID,
 			Attempt: event.Attempt,
-			Zone:    endpoint.Zone,
-			Cell:    endpoint.Cell,
+			Zone:    event.Target.Zone,
+			Cell:    event.Target.Cell,
 		}, true
 	case dispatch.AttemptPermitted:
 		return handoff.Event{Kind: handoff.AttemptPermitted, ID: request.ID, Attempt: event.Attempt}, true
@@ -158,16 +153,3 @@
 		},
 	}
 }
-
-// updateEndpoints applies an update of the endpoint list. The zones and cells in it go into the copies of requests.
-func (a *Agent) updateEndpoints(update *scheduler.Event) {
-	if update.List != scheduler.ListDelta {
-		clear(a.endpoints)
-	}
-	for _, endpoint := range update.Endpoints {
-		delete(a.endpoints, endpoint.Executor)
-		if endpoint.Availability != scheduler.Removed {
-			a.endpoints[endpoint.Executor] = endpoint
-		}
-	}
-}
--- a/internal/handoffnet/helpers_test.go
+++ b/internal/handoffnet/helpers_test.go
@@ -28,6 +28,25 @@
 	return out
 }
 
+// silentExecutors is a transport to executors that take every attempt and never answer, and an attempt of it.
+type silentExecutors struct{}
+
+func (e silentExecutors) Send(dispatch.Attempt) (dispatch.RunningAttempt, float64) { return e, 0 }
+
+func (silentExecutors) HealthCheck(uint32, uint64) bool { return true }
+
+func (silentExecutors) ForgetHealthCheck(uint32, uint64) {}
+
+func (silentExecutors) ConnectionState(uint32) dispatch.ConnectionState {
+	return dispatch.ConnectionState{}
+}
+
+func (silentExecutors) Release() {}
+
+func (silentExecutors) Cancel() dispatch.CancelResult { return dispatch.CancelledUnsent }
+
+func (silentExecutors) SetLevel(int) {}
+
 // answerRecorder is an extension of the dispatch loop that records the answers that the agent's streams post.
 type answerRecorder struct {
 	mu       sync.Mutex
@@ -125,15 +144,23 @@
 // startMember starts a member whose loop has the given extension. If that is nil, the agent itself is the extension, as
 // a replica of all partitions that holds its lease.
 func startMember(t *testing.T, name string, extension dispatch.Extension) *testMember {
+	return startMemberWithPolicy(t, name, extension, idlePolicy{})
+}
+
+// startMemberWithPolicy is startMember with a scheduling policy, whose attempts go to silentExecutors.
+func startMemberWithPolicy(
+	t *testing.T, name string, extension dispatch.Extension, policy scheduler.Policy,
+) *testMember {
 	log := testlog.Discard()
 	address, err := testservers.FreeAddress()
 	require.NoError(t, err)
 	clock := dispatch.NewClock()
 	m := &testMember{
 		transport: clusternet.New(address, log),
-		loop:      dispatch.New(clock, idlePolicy{}, log),
+		loop:      dispatch.New(clock, policy, log),
 		address:   address,
 	}
+	m.loop.Executors = silentExecutors{}
 	settings := handoff.DefaultSettings()
 	settings.Classes = []scheduler.RequestClass{
 		{Name: "mark", Idempotency: scheduler.Keyed, DedupWindowMS: 20e3, DeadlineMS: 5e3},
