Scheduler: a key is repeated where its attempt was sent, not where its executor is now

What callers would see: a keyed request runs in two zones. Forced, not seen with real processes: the list names an executor in another zone or cell, as it was replaced under its name, while an attempt there may have run.

Cause: priorAttempts read the zone and cell of the attempt's executor as the latest list has them.

Change: an attempt keeps the zone and cell that its executor had when it was sent. Where no executor ever moves, decisions are the same.

Why it works: repeats are dropped by the group in which the attempt ran.

Evidence: TestScheduler_RepeatsKeyWhereItsAttemptWasSent failed before in the first of its four cases (a Send to the new zone), and passes.

--- a/scheduler/admission_test.go
+++ b/scheduler/admission_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 func TestScheduler_AnswersBeforeDeadline(t *testing.T) {
@@ -158,3 +159,45 @@
 	assert.Equal(t, []ActionKind{Reject}, actionKinds(s.Step(2010, &ev, nil)))
 	assert.Empty(t, s.requests.byID)
 }
+
+// A list that names an executor in another zone and cell, as it was replaced under its name, moved the attempts that may
+// have run there along with it: their repeats went to a group that does not drop them.
+func TestScheduler_RepeatsKeyWhereItsAttemptWasSent(t *testing.T) {
+	entry := func(executor uint32, zone string, cell int64, startedAt float64) Endpoint {
+		return Endpoint{Executor: executor, Zone: zone, Kind: "big", Cell: cell, StartedAt: startedAt}
+	}
+	replaced := entry(1, "there", 2, 2000)
+	draining := entry(1, "", 0, 0)
+	draining.Availability = Draining
+	for name, moved := range map[string]Endpoint{"replaced": replaced, "drains without a zone": draining} {
+		for _, scope := range []DedupScope{DedupZone, DedupCell} {
+			s := newTestScheduler(0, func(settings *Settings) {
+				for i := range settings.Classes {
+					settings.Classes[i].DedupScope = scope
+				}
+			})
+			s.Step(1100, &Event{Kind: EndpointsUpdated, List: ListDelta, Endpoints: []Endpoint{entry(1, "here", 1, 0)}}, nil)
+			first := arrive(s, 1200, "a", "keyed")
+			requireSend(t, first, 1)
+			others := []Endpoint{moved, entry(3, "there", 2, 0)}
+			s.Step(2100, &Event{Kind: EndpointsUpdated, List: ListDelta, Endpoints: others}, nil)
+			actions := endAttempt(s, 2200, "a", 0, ConnectionLost)
+			assert.NotContains(t, actionKinds(actions), Send, "%s, scope %v: only here are repeats dropped", name, scope)
+			back := []Endpoint{entry(2, "here", 1, 0)}
+			actions = s.Step(2300, &Event{Kind: EndpointsUpdated, List: ListDelta, Endpoints: back}, nil)
+			requireSend(t, actions, 2)
+		}
+	}
+}
+
+// requireSend requires that exactly one attempt is sent, to the given executor.
+func requireSend(t *testing.T, actions []Action, executor uint32) {
+	t.Helper()
+	var sent []uint32
+	for _, action := range actions {
+		if action.Kind == Send {
+			sent = append(sent, action.Executor)
+		}
+	}
+	require.Equal(t, []uint32{executor}, sent)
+}
--- a/scheduler/requests.go
+++ b/scheduler/requests.go
@@ -12,7 +12,9 @@
 
 // attempt is one attempt at running a request on an executor.
 type attempt struct {
-	executor       int // index of its executor
+	executor       int    // index of its executor
+	zone           string // of its executor when it was sent, as is the cell
+	cell           int64
 	sentAt         float64
 	progressAt     float64 // time of the last progress report, or of sending
 	runningMS      float64 // running time so far, without the time in the executor's own queue
@@ -161,8 +163,7 @@
 			if !a.mayHaveRun {
 				continue
 			}
-			e := &s.executors[a.executor]
-			if !yield(PriorAttempt{At: a.sentAt, Zone: e.zone, Cell: e.cell}) {
+			if !yield(PriorAttempt{At: a.sentAt, Zone: a.zone, Cell: a.cell}) {
 				return
 			}
 		}
--- a/scheduler/reservations.go
+++ b/scheduler/reservations.go
@@ -19,6 +19,8 @@
 	}
 	r.attempts[r.attemptCount] = attempt{
 		executor:   index,
+		zone:       e.zone,
+		cell:       e.cell,
 		sentAt:     s.now,
 		progressAt: s.now,
 		threads:    threads,
