resp: an attempt goes to no other location than the scheduler decided for

What callers would see: a keyed request runs in another zone than recorded, and one bound to zones or kinds runs elsewhere. Forced, not seen with real processes: an executor is replaced under its name in another zone or as another kind, while an attempt decided by the list before waits.

Cause: discovery updates the executors' client first and queues the list for the loop then, so for a moment one id means two processes; and attempts wait for records and connections.

Change: an attempt names the location that it was decided for. It is refused at Send and at the last look before the write where its executor is listed elsewhere. The entry kept of an executor is the latest one now.

Why it works: the last look and each update are under one lock.

Evidence: TestClient_RefusesAttemptForEarlierLocation (zone, cell, kind) and the new case of TestClient_FinalCheckBlocksAttempt failed before: each attempt was taken or written. Both pass, with the race detector, too.

--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -116,6 +116,7 @@
 const (
 	ClientGone     BlockReason = iota + 1 // the client of the request has disconnected
 	ExecutorClosed                        // the executor drains or was removed
+	ExecutorMoved                         // the executor is listed at another location than the attempt was decided for
 	TooLate                               // the latest start time has passed
 	LeaseLost                             // this controller has lost its lease
 )
@@ -124,6 +125,7 @@
 	"none",
 	ClientGone:     "client gone",
 	ExecutorClosed: "executor closed",
+	ExecutorMoved:  "executor moved",
 	TooLate:        "too late",
 	LeaseLost:      "lease lost",
 }
@@ -133,8 +135,9 @@
 
 // FinalCheck is the state that is checked right before an attempt is written to its connection.
 type FinalCheck struct {
-	ClientGone, ExecutorClosed, LeaseLost bool
-	NowMS, LatestStartMS                  float64 // LatestStartMS 0: no limit
+	ClientGone, ExecutorClosed, ExecutorMoved, LeaseLost bool
+
+	NowMS, LatestStartMS float64 // LatestStartMS 0: no limit
 }
 
 // Reason returns why the attempt must not be sent, or 0. The state may have changed since the scheduler started the
@@ -145,6 +148,8 @@
 		return ClientGone
 	case c.ExecutorClosed:
 		return ExecutorClosed
+	case c.ExecutorMoved:
+		return ExecutorMoved
 	case c.LatestStartMS > 0 && c.NowMS > c.LatestStartMS:
 		return TooLate
 	case c.LeaseLost:
--- a/internal/connpool/connpool_test.go
+++ b/internal/connpool/connpool_test.go
@@ -62,7 +62,8 @@
 	for want, check := range map[BlockReason]FinalCheck{
 		0:              {NowMS: 5, LatestStartMS: 5},
 		ClientGone:     {ClientGone: true, ExecutorClosed: true},
-		ExecutorClosed: {ExecutorClosed: true, LeaseLost: true},
+		ExecutorClosed: {ExecutorClosed: true, ExecutorMoved: true, LeaseLost: true},
+		ExecutorMoved:  {ExecutorMoved: true, LeaseLost: true},
 		TooLate:        {NowMS: 6, LatestStartMS: 5, LeaseLost: true},
 		LeaseLost:      {LeaseLost: true, NowMS: 6},
 	} {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -38,6 +38,7 @@
 		Request:     request,
 		Number:      number,
 		Executor:    executor,
+		Target:      action.Target,
 		GrantMB:     state.grantMB,
 		Level:       state.level,
 		TimeoutMS:   state.Deadline - now,
--- a/internal/dispatch/ledger_extension_test.go
+++ b/internal/dispatch/ledger_extension_test.go
@@ -98,6 +98,7 @@
 				}
 				loop.process(listChanged(scheduler.ListDelta, c.joins))
 				require.Len(t, transport.sent, sentBefore+1, "the request starts in the step of the list")
+				assert.Equal(t, c.joins.Location(), transport.sent[sentBefore].Target)
 
 				now := loop.clock.Now() + 1000
 				restarted := newRecordingLedger(recorded, now, written.records)
--- a/internal/dispatch/transport.go
+++ b/internal/dispatch/transport.go
@@ -1,10 +1,13 @@
 package dispatch
 
+import "liftshift/scheduler"
+
 // Attempt describes one attempt of a request to the executor protocol.
 type Attempt struct {
 	Request     *Request
 	Number      int // index among the attempts of the request
 	Executor    uint32
+	Target      scheduler.Location // where the executor ran when the scheduler chose it; the attempt must go nowhere else
 	GrantMB     float64
 	Level       int     // priority on the executor
 	TimeoutMS   float64 // until the deadline of the request
--- a/internal/resp/attempt.go
+++ b/internal/resp/attempt.go
@@ -38,7 +38,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	target := c.executors[spec.Executor]
-	if target == nil {
+	if target == nil || target.hasMovedFrom(spec.Target) {
 		return nil, 0
 	}
 	id := spec.Request.ID
@@ -192,6 +192,7 @@
 	check := connpool.FinalCheck{
 		ClientGone:     a.spec.Request.Abandoned(),
 		ExecutorClosed: c.executor.closed,
+		ExecutorMoved:  c.executor.hasMovedFrom(a.spec.Target),
 		NowMS:          client.clock.Now(),
 		LatestStartMS:  a.spec.LatestStart,
 		LeaseLost:      a.spec.Held && client.LeaseHeld != nil && !client.LeaseHeld(),
--- a/internal/resp/endpoints.go
+++ b/internal/resp/endpoints.go
@@ -22,8 +22,7 @@
 type executor struct {
 	id            uint32
 	name, address string
-	entry         scheduler.Endpoint // as first listed
-	startedAt     float64
+	entry         scheduler.Endpoint // the latest
 	conns         []*executorConn
 	cancelledAt   map[string]float64 // times of the cancellations of the last resendDelayMS, by request id
 	closed        bool               // takes no new attempts: draining or removed, or its address was reassigned
@@ -67,13 +66,14 @@
 	switch {
 	case endpoint.Entry.Availability == scheduler.Removed:
 		delete(c.executors, id)
-	case known == nil:
+	case known != nil:
+		known.entry = endpoint.Entry
+	default:
 		c.executors[id] = &executor{
 			id:          id,
 			name:        endpoint.Name,
 			address:     endpoint.Address,
 			entry:       endpoint.Entry,
-			startedAt:   endpoint.Entry.StartedAt,
 			cancelledAt: map[string]float64{},
 			closed:      endpoint.Entry.Availability != scheduler.Active,
 		}
@@ -82,10 +82,14 @@
 
 // isReplacedBy returns whether an entry shows that the executor is removed or now is another process.
 func (e *executor) isReplacedBy(endpoint Endpoint) bool {
-	return e.address != endpoint.Address || endpoint.Entry.StartedAt != e.startedAt ||
+	return e.address != endpoint.Address || endpoint.Entry.StartedAt != e.entry.StartedAt ||
 		endpoint.Entry.Availability == scheduler.Removed
 }
 
+// hasMovedFrom returns whether the executor is listed at another location than the one for which the scheduler decided an
+// attempt. This client hears of a list before the scheduler does, and an attempt may wait after it was decided.
+func (e *executor) hasMovedFrom(target scheduler.Location) bool { return e.entry.Location() != target }
+
 // displace removes the executors whose address belongs to an active entry of the list and which the list does not
 // contain themselves. The lock is held.
 func (c *Client) displace(list []Endpoint, listed map[uint32]bool) (displaced []Endpoint) {
--- a/internal/resp/races_test.go
+++ b/internal/resp/races_test.go
@@ -38,6 +38,10 @@
 			draining := scheduler.Endpoint{Executor: 1, Availability: scheduler.Draining}
 			client.Update(false, []Endpoint{{draining, "s-1", client.executors[1].address}})
 		},
+		"executor listed elsewhere": func(client *Client, _ *dispatch.Attempt) {
+			moved := scheduler.Endpoint{Executor: 1, Zone: "there"}
+			client.Update(false, []Endpoint{{moved, "s-1", client.executors[1].address}})
+		},
 		"executor removed": func(client *Client, _ *dispatch.Attempt) { client.Update(true, nil) },
 		"another executor at the address": func(client *Client, _ *dispatch.Attempt) {
 			client.Update(false, []Endpoint{{scheduler.Endpoint{Executor: 2}, "s-2", client.executors[1].address}})
@@ -71,6 +75,28 @@
 	}
 }
 
+// The client hears of a new list before the scheduler does. An attempt that the scheduler decides by the list before must
+// not go to a process in another zone or cell, or of another kind, than the one it was decided and recorded for.
+func TestClient_RefusesAttemptForEarlierLocation(t *testing.T) {
+	here := scheduler.Location{Zone: "here", Kind: "std", Cell: 1}
+	for name, listed := range map[string]scheduler.Endpoint{
+		"zone": {Executor: 1, Zone: "there", Kind: "std", Cell: 1, StartedAt: 5},
+		"cell": {Executor: 1, Zone: "here", Kind: "std", Cell: 2, StartedAt: 5},
+		"kind": {Executor: 1, Zone: "here", Kind: "big", Cell: 1, StartedAt: 5},
+	} {
+		fake := newFakeExecutor(t, "127.0.0.1:0")
+		client, _ := newTestClient(t, fake.listener.Addr().String(), 15000)
+		client.Update(false, []Endpoint{{listed, "s-1", fake.listener.Addr().String()}})
+		spec := newAttempt("a")
+		spec.Target = here
+		running, _ := client.Send(spec)
+		assert.Nil(t, running, name)
+		spec.Target = listed.Location()
+		running, _ = client.Send(spec)
+		assert.NotNil(t, running, name)
+	}
+}
+
 // A duplicate of the reply that ended an attempt must not end the next attempt of the same request.
 func TestClient_DuplicateEndEndsNoOtherAttempt(t *testing.T) {
 	for _, word := range []string{"full", "failed", "moot"} {
