Zones: a zone without a known limit is closed, not near

What callers would see: with the block zones, requests leave their own zone, though it is whole, as a list names another zone for the first time or a controller has just started, until the monitor sets a limit (0.1 to 0.3 s by reading). Forced, not measured with real processes.

Cause: the monitor hears of a list after the scheduler has acted on it, and the scheduler took a zone without a limit for a near one.

Change: the limits name the own zone, beside which zones without a limit are closed, from before the first list on.

Why it works: what the scheduler does not know is closed, so no order of list and limits opens it. Without the block nothing changes.

Evidence: TestScheduler_ZoneOfNewListIsClosedUntilItsLimitIsKnown fails with the new rule taken out.

--- a/internal/clustersim/locality_monitor.go
+++ b/internal/clustersim/locality_monitor.go
@@ -134,7 +134,9 @@
 			s.proposePlan(controllerIndex, *effect.Plan)
 		case locality.SetReach:
 			s.controllers[controllerIndex].appliedPlan = effect.Number
-			s.stepScheduler(controllerIndex, &scheduler.Event{Kind: scheduler.ReachabilityChanged, RemoteZones: effect.Reaches})
+			s.stepScheduler(controllerIndex, &scheduler.Event{
+				Kind: scheduler.ReachabilityChanged, OwnZone: effect.Zone, RemoteZones: effect.Reaches,
+			})
 		}
 	}
 }
--- a/internal/locality/events.go
+++ b/internal/locality/events.go
@@ -64,7 +64,8 @@
 	FetchPlan
 	// ProposePlan proposes Plan to the consensus group.
 	ProposePlan
-	// SetReach passes Reaches to the scheduler. Number comes back in Event.AppliedReachVersion.
+	// SetReach passes Reaches to the scheduler, and the own Zone, beside which zones without a limit are closed. An empty
+	// Zone leaves them open. Number comes back in Event.AppliedReachVersion.
 	SetReach
 	// LogWarning logs Text.
 	LogWarning
--- a/internal/locality/locality_test.go
+++ b/internal/locality/locality_test.go
@@ -369,18 +369,25 @@
 func TestReach_UnknownOwnZoneIsUnlimited(t *testing.T) {
 	fleet := newSimulatedFleet(t, 2, 2, testSettings())
 	warnings := 0
+	var ownZones []string // as passed to the scheduler: others without a limit are closed
 	monitor := New("c000", "zO", "r", testSettings())
+	monitor.Step(fleet.now, &Event{Kind: Ticked})
+	assert.Equal(t, "zO", monitor.reachOwnZone, "before anything was observed")
 	for range 3 {
 		fleet.now += 300
 		for _, ev := range []*Event{{Kind: Observed, Executors: fleet.executorsSeenBy(0)}, {Kind: Ticked}} {
 			for _, effect := range monitor.Step(fleet.now, ev) {
-				if effect.Kind == LogWarning {
+				switch effect.Kind {
+				case LogWarning:
 					warnings++
+				case SetReach:
+					ownZones = append(ownZones, effect.Zone)
 				}
 			}
 		}
 	}
 	assert.Equal(t, 1, warnings)
+	assert.Equal(t, []string{""}, ownZones, "no zone is closed")
 	assert.Empty(t, monitor.Reaches(), "all zones are treated as local")
 }
 
--- a/internal/locality/monitor.go
+++ b/internal/locality/monitor.go
@@ -56,6 +56,7 @@
 
 	// The limits that the scheduler has.
 	reaches        []scheduler.ZoneReach
+	reachOwnZone   string // as passed along with them
 	reachVersion   uint64
 	ownZoneUnknown bool // no executor was ever listed in this controller's zone
 	loans          loanState
@@ -94,6 +95,9 @@
 
 func (m *Monitor) emit(e Effect) { m.effects = append(m.effects, e) }
 
+// Zone returns the zone of this controller.
+func (m *Monitor) Zone() string { return m.zone }
+
 // Plan returns the latest agreed plan that this controller knows.
 func (m *Monitor) Plan() *Plan { return &m.plan }
 
--- a/internal/locality/reach.go
+++ b/internal/locality/reach.go
@@ -18,8 +18,9 @@
 	validFraction := m.validFraction()
 	zones := m.knownZones()
 	m.checkOwnZone(zones)
-	if m.ownZoneUnknown {
-		zones = nil // a misspelled zone name must not close all zones to this controller
+	ownZone := m.zone
+	if m.ownZoneUnknown { // a misspelled zone name must not close all zones to this controller
+		ownZone, zones = "", nil
 	}
 	var reaches []scheduler.ZoneReach
 	for _, zone := range zones {
@@ -29,12 +30,12 @@
 			reaches = append(reaches, reach)
 		}
 	}
-	if slices.EqualFunc(reaches, m.reaches, equalReach) {
+	if ownZone == m.reachOwnZone && slices.EqualFunc(reaches, m.reaches, equalReach) {
 		return
 	}
-	m.reaches = reaches
+	m.reachOwnZone, m.reaches = ownZone, reaches
 	m.reachVersion++
-	m.emit(Effect{Kind: SetReach, Reaches: reaches, Number: m.reachVersion})
+	m.emit(Effect{Kind: SetReach, Zone: ownZone, Reaches: reaches, Number: m.reachVersion})
 }
 
 // checkOwnZone updates ownZoneUnknown, and logs a warning when this controller's zone turns out to be unknown. A zone
--- a/internal/localityagent/agent.go
+++ b/internal/localityagent/agent.go
@@ -56,8 +56,10 @@
 	loggedPlan   atomic.Pointer[locality.Plan] // the plan whose zone changes were logged last
 }
 
-// reachUpdate holds the limits that the scheduler is to apply to the remote zones, and their version.
+// reachUpdate holds the limits that the scheduler is to apply to the remote zones, and their version. Zones without a
+// limit are closed, except the own zone, unless that is empty.
 type reachUpdate struct {
+	ownZone string
 	reaches []scheduler.ZoneReach
 	version uint64
 }
@@ -69,8 +71,10 @@
 		stop: make(chan struct{}), reachChanged: make(chan struct{}, 1), collector: newCollector(settings)}
 }
 
-// Start connects the agent and starts its goroutines. It is to be called before the transport listens.
+// Start connects the agent and starts its goroutines. It is to be called before the transport listens and before the
+// dispatch loop runs.
 func (a *Agent) Start() {
+	a.closeOtherZones()
 	a.node.OnPlan = a.handlePlan
 	a.node.OnPlanConfirmed = func(now float64, number uint64, at float64) {
 		a.step(now, &locality.Event{Kind: locality.PlanConfirmed, Number: number, RequestedAt: at})
@@ -80,6 +84,14 @@
 	go a.runTicks()
 }
 
+// closeOtherZones has the scheduler keep to the own zone until the monitor sets limits. The event precedes the first
+// endpoint list in the loop's queue.
+func (a *Agent) closeOtherZones() {
+	a.loop.Put(dispatch.QueueItem{
+		Event: scheduler.Event{Kind: scheduler.ReachabilityChanged, OwnZone: a.Monitor.Zone()},
+	})
+}
+
 // Close stops the agent's goroutines and does not wait for them. It may be called once.
 func (a *Agent) Close() { close(a.stop) }
 
@@ -103,9 +115,11 @@
 		select {
 		case <-a.reachChanged:
 			update := a.latestReach.Load()
-			a.loop.Put(dispatch.QueueItem{
-				Event: scheduler.Event{Kind: scheduler.ReachabilityChanged, RemoteZones: update.reaches},
-			})
+			a.loop.Put(dispatch.QueueItem{Event: scheduler.Event{
+				Kind:        scheduler.ReachabilityChanged,
+				OwnZone:     update.ownZone,
+				RemoteZones: update.reaches,
+			}})
 			// The call is queued behind the event: when it runs, the scheduler has applied the limits.
 			a.loop.Put(dispatch.QueueItem{Call: func(float64) { a.collector.appliedVersion = update.version }})
 		case <-a.stop:
--- a/internal/localityagent/datagram.go
+++ b/internal/localityagent/datagram.go
@@ -56,7 +56,7 @@
 	case locality.LogWarning:
 		a.log.Warn("locality: " + e.Text)
 	case locality.SetReach:
-		a.latestReach.Store(&reachUpdate{e.Reaches, e.Number})
+		a.latestReach.Store(&reachUpdate{e.Zone, e.Reaches, e.Number})
 		select {
 		case a.reachChanged <- struct{}{}:
 		default: // a notification is pending, and its receiver will load this update
--- a/internal/localityagent/localityagent_test.go
+++ b/internal/localityagent/localityagent_test.go
@@ -12,6 +12,30 @@
 	"liftshift/scheduler"
 )
 
+// eventRecorder is a scheduling policy that keeps the events that it gets.
+type eventRecorder struct{ events []scheduler.Event }
+
+func (r *eventRecorder) Step(_ float64, event *scheduler.Event, out []scheduler.Action) []scheduler.Action {
+	r.events = append(r.events, *event)
+	return out
+}
+
+// Until the monitor had observed a list and set its limits, requests of a controller that had just started went to all
+// zones alike.
+func TestAgent_KeepsToOwnZoneFromTheFirstList(t *testing.T) {
+	recorder := &eventRecorder{}
+	loop := dispatch.New(dispatch.NewClock(), recorder, testlog.Discard())
+	monitor := locality.New("a", "z0", "r", locality.DefaultSettings())
+	New(monitor, "a", &scheduler.Settings{}, loop, nil, nil, nil, testlog.Discard()).closeOtherZones()
+	loop.Put(dispatch.QueueItem{Event: scheduler.Event{Kind: scheduler.EndpointsUpdated}})
+	go loop.Run()
+	loop.Call(func(float64) {})
+	loop.Stop()
+	assert.Len(t, recorder.events, 3)
+	assert.Equal(t, scheduler.ReachabilityChanged, recorder.events[1].Kind, "before the endpoint list")
+	assert.Equal(t, "z0", recorder.events[1].OwnZone)
+}
+
 // The agent must keep the demand of the open requests and whether the endpoint list is available, and translate the
 // scheduler's views of the listed executors. It must ignore malformed datagrams.
 func TestAgent_CollectsObservations(t *testing.T) {
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -180,6 +180,7 @@
 	Retries           []float64          // StateRestored: times at which retries were sent
 	RestoredExecutors []RestoredExecutor // StateRestored
 	RemoteZones       []ZoneReach        // ReachabilityChanged: the remote zones
+	OwnZone           string             // ReachabilityChanged: zones without a limit are closed, except this one; empty: they are near
 	Estimates         []Estimate         // StateRestored
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -55,6 +55,7 @@
 	executors        []executor
 	trafficShare     float64 // this controller's share of all requests
 	controllerCount  float64 // from ControllersCounted; 0 before the first such event
+	ownZone          string  // zones without a limit are closed, except this one; empty: they are near
 	remoteZones      []remoteZone
 	reportedHolders  []groupHolder // from progress reports
 	probeTokens      float64       // health checks that may still be sent to get load reports
@@ -129,7 +130,7 @@
 		s.controllerCount = ev.Value
 		s.updateTrafficShare()
 	case ReachabilityChanged:
-		s.updateRemoteZones(ev.RemoteZones)
+		s.updateRemoteZones(ev)
 	case PeerMessage:
 		s.receiveLoad(ev.FromPeer, ev.Payload)
 	}
--- a/scheduler/zones.go
+++ b/scheduler/zones.go
@@ -8,10 +8,12 @@
 	threads int // of this controller's attempts
 }
 
-// updateRemoteZones replaces the remote zones. All other zones are near.
-func (s *Scheduler) updateRemoteZones(zones []ZoneReach) {
+// updateRemoteZones replaces the remote zones. If the own zone is named, all others are closed: a zone may appear in the
+// endpoint list before its limit is known. Otherwise they are near.
+func (s *Scheduler) updateRemoteZones(ev *Event) {
+	s.ownZone = ev.OwnZone
 	s.remoteZones = s.remoteZones[:0]
-	for _, zone := range zones {
+	for _, zone := range ev.RemoteZones {
 		s.remoteZones = append(s.remoteZones, remoteZone{ZoneReach: zone})
 	}
 	s.recountRemoteThreads()
@@ -40,13 +42,23 @@
 	}
 }
 
+// closedZone stands for each zone whose limit is not known. It has no capacity.
+var closedZone remoteZone
+
 // remoteZoneFor returns the zone with a name if it is remote for a class, otherwise nil.
 func (s *Scheduler) remoteZoneFor(class *classState, name string) *remoteZone {
 	for i := range s.remoteZones {
 		zone := &s.remoteZones[i]
-		if zone.Zone == name && !zone.isNearFor(class) {
-			return zone
+		if zone.Zone != name {
+			continue
+		}
+		if zone.isNearFor(class) {
+			return nil
 		}
+		return zone
+	}
+	if s.ownZone != "" && name != s.ownZone {
+		return &closedZone
 	}
 	return nil
 }
--- a/scheduler/zones_test.go
+++ b/scheduler/zones_test.go
@@ -62,6 +62,26 @@
 	assert.Zero(t, other[3], "the class may run on near executors")
 }
 
+// A zone that a new list names has no limit yet, as that is set by who hears of the list later. Requests that waited as the
+// list came went there without any limit.
+func TestScheduler_ZoneOfNewListIsClosedUntilItsLimitIsKnown(t *testing.T) {
+	s := newTestScheduler(1)
+	s.Step(1000, &Event{Kind: ReachabilityChanged, OwnZone: "here"}, nil)
+	before := countSends(s, "read", 24)
+	assert.Positive(t, before[1], "the own zone has no limit")
+	newZone := []Endpoint{{Executor: 2, Zone: "there", Kind: "big"}}
+	actions := s.Step(1001, &Event{Kind: EndpointsUpdated, Endpoints: newZone}, nil)
+	assert.NotContains(t, actionKinds(actions), Send, "the zone of the new list is closed")
+	limited := &Event{Kind: ReachabilityChanged, OwnZone: "here", RemoteZones: []ZoneReach{{Zone: "there", Capacity: 3}}}
+	sends := 0
+	for _, action := range s.Step(1002, limited, nil) {
+		if action.Kind == Send {
+			sends++
+		}
+	}
+	assert.Equal(t, 3, sends, "up to its limit, once that is known")
+}
+
 // Requests that are queued because a remote zone has no capacity left must be sent once the limit is gone.
 func TestScheduler_SendsQueuedRequestsWhenZoneBecomesNear(t *testing.T) {
 	s := newRemoteZoneScheduler(ZoneReach{Capacity: 1})
