Discovery: the scheduler acts on the changes of a page together

What callers would see: a request is sent to an executor that has been draining for longer than the grace. Forced, not seen with real processes: discovery was out of reach, and the page that ends this names the drain behind other changes.

Cause: each change went to the endpoint table and to the event loop before the next was looked at. The first one opens executors that are closed while the list can't be read, and the scheduler sends at once.

Change: the endpoint table gets the whole page first; then the loop gets one update for all changes, as long as they are about different executors.

Why it works: the scheduler acts on what the list says after the page, and the last look before a write knows all of it.

Evidence: TestClient_SchedulerActsOnThePageAsAWhole (a Send to the draining executor) and TestClient_EndpointTablePrecedesTheScheduler failed before, and pass.

--- a/internal/discovery/changes.go
+++ b/internal/discovery/changes.go
@@ -123,19 +123,24 @@
 // executorID derives the id of an executor from its name alone, so that all controllers use the same id.
 func executorID(name string) uint32 { return crc32.ChecksumIEEE([]byte(name)) }
 
-// apply applies the changes that are later than the last one applied, and advances the sequence number.
+// apply applies the changes that are later than the last one applied, and advances the sequence number. The endpoint table
+// has all of them before the event loop has any, so that nothing is sent by a list that a later change has replaced.
 func (c *Client) apply(last uint64, changes []listChange, completeKind scheduler.ListKind) {
+	var updates []listUpdate
 	for _, change := range changes {
 		if change.seq > c.lastSeq {
-			c.applyChange(change, completeKind)
+			updates = appendUpdate(updates, c.applyChange(change, completeKind))
 		}
 	}
 	c.lastSeq = max(c.lastSeq, last)
+	for _, update := range updates {
+		c.queue.Put(dispatch.QueueItem{Event: update.event})
+	}
 }
 
-// applyChange applies one change to the endpoint table, then queues it for the event loop together with the executors
-// that it displaced. A complete list is queued with the kind completeKind.
-func (c *Client) applyChange(change listChange, completeKind scheduler.ListKind) {
+// applyChange applies one change to the endpoint table and returns it for the event loop, together with the executors
+// that it displaced. A complete list gets the kind completeKind.
+func (c *Client) applyChange(change listChange, completeKind scheduler.ListKind) listUpdate {
 	c.assignIDs(change.complete, change.endpoints)
 	displaced := c.table.Update(change.complete, change.endpoints)
 	for _, e := range displaced {
@@ -152,9 +157,9 @@
 		c.log.WithFields(logrus.Fields{"name": e.Name, "address": e.Address, "started_at": e.Entry.StartedAt,
 			"availability": e.Entry.Availability, "seq": change.seq}).Debug("discovery: endpoint")
 	}
-	c.queue.Put(dispatch.QueueItem{Event: event})
 	c.log.WithFields(logrus.Fields{"seq": change.seq, "entries": len(change.endpoints), "complete": change.complete}).
 		Info("discovery: endpoints changed")
+	return newListUpdate(event)
 }
 
 // assignIDs sets the executor id of each entry: the one derived from the name or, if another listed executor has that
