dispatch: after a stall the connections are read before the loop acts

Cause: an executor's answer that is read first frees room, and the loop acts on it before the ends of the clients' connections are read. The last look knows only of clients whose departure was read.

Change: where a timer is 90 ms late, the loop collects what its queue gets within 10 ms before it handles any of it.

Why it works: the connections' goroutines read in that time and flag what belongs to clients that have left; the last look stops it. A shorter stop can't make an attempt later than 0.1 s.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 package dispatch
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -159,20 +160,32 @@
 	wakeUp := time.NewTimer(time.Hour)
 	defer wakeUp.Stop()
 	armedFor := 0.0
+	var received []QueueItem // the item that ended the wait, or all that were collected after a stall
 	l.start()
+	dueAt := math.Inf(1) // of the next timer, as the last turn ended
 	for {
-		l.stalls.recordTurn(l.clock.Now())
+		now := l.clock.Now()
+		l.stalls.recordTurn(now)
+		if now-dueAt >= longStallMS {
+			received = l.collectAfterStall(received)
+		}
+		for k := range received {
+			l.process(received[k])
+		}
+		clear(received)
+		received = received[:0]
 		for n := len(l.queue); n > 0; n-- {
 			l.process(<-l.queue)
 		}
 		l.fireTimers()
-		if next := l.timers[0].at; next != armedFor {
-			armedFor = next
-			wakeUp.Reset(l.clock.until(next))
+		dueAt = l.timers[0].at
+		if dueAt != armedFor {
+			armedFor = dueAt
+			wakeUp.Reset(l.clock.until(dueAt))
 		}
 		select {
 		case item := <-l.queue:
-			l.process(item)
+			received = append(received, item)
 		case <-wakeUp.C:
 			armedFor = 0
 		case <-l.stop:
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sync/atomic"
+	"time"
 )
 
 const (
@@ -10,6 +11,14 @@
 	stallThresholdMS = 50
 	// catchUpMS is the time after a stall during which data that is read may have arrived while the stall lasted.
 	catchUpMS = 50
+
+	// longStallMS is the delay of a due timer after which the loop collects what arrived meanwhile before it handles any of
+	// it. It is below 100 ms, the time after a client's departure by which nothing may be sent for it any more.
+	longStallMS = 90
+	// collectMS is the time for that, in which the goroutines of the connections read.
+	collectMS = 10
+	// maxCollected is the number of items that are collected at most.
+	maxCollected = 4 * queueCapacity
 )
 
 // stallDetector detects that this process stalled: it was stopped, got no processor, or one step of the loop took
@@ -32,6 +41,23 @@
 	s.lastTurn.store(now)
 }
 
+// collectAfterStall appends to received what the queue gets within collectMS, so that the connections have read what came
+// during a stall before the loop acts on any of it. Otherwise an executor's answer that is read first could have a request
+// sent whose client has left, although the end of its connection is there to be read, too.
+func (l *Loop) collectAfterStall(received []QueueItem) []QueueItem {
+	timeout := time.NewTimer(collectMS * time.Millisecond)
+	defer timeout.Stop()
+	for len(received) < maxCollected {
+		select {
+		case item := <-l.queue:
+			received = append(received, item)
+		case <-timeout.C:
+			return received
+		}
+	}
+	return received
+}
+
 // earliestArrival returns the earliest time at which data that is read now may have arrived.
 func (s *stallDetector) earliestArrival(now float64) float64 {
 	if last := s.lastTurn.load(); last > 0 && now-last > stallThresholdMS {
