dispatch, jsonrpc: what came during a stall is handled in the order of its arrival

What callers saw: loads with one order key came on four connections, 0.3 s apart, while a controller stood still for 1.7 s.

Cause: after a stop the connections are read in any order, and the loop took that for the order of arrival.

Change: a request carries when its message arrived; shortly after a stall that is when the kernel received the connection's last data. What the loop collects after a stall has its requests in that order.

Why it works: the kernel goes on receiving meanwhile. The time never goes back on one connection, so its messages stay in order.

--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -29,6 +29,7 @@
 	TableGroup        uint64
 	MemoryMB          float64
 	WorkMS            float64
+	ArrivedAt         float64 // when its message arrived, which may be before it was read
 	Deadline          float64 // time at which the client gives up
 	Team              string  // as the client claims
 	ClientAddr        netip.Addr
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -41,6 +43,25 @@
 	s.lastTurn.store(now)
 }
 
+// sortArrivals puts the requests among some items into the order in which they arrived, as connections are read in any
+// order after a stall. All other items stay where they are.
+func sortArrivals(items []QueueItem) {
+	var places []int
+	var arrivals []QueueItem
+	for place, item := range items {
+		if item.Request != nil && !item.resumed {
+			places = append(places, place)
+			arrivals = append(arrivals, item)
+		}
+	}
+	slices.SortStableFunc(arrivals, func(a, b QueueItem) int {
+		return cmp.Compare(a.Request.ArrivedAt, b.Request.ArrivedAt)
+	})
+	for k, place := range places {
+		items[place] = arrivals[k]
+	}
+}
+
 // collectAfterStall appends to received what the queue gets within collectMS, so that the connections have read what came
 // during a stall before the loop acts on any of it. Otherwise an executor's answer that is read first could have a request
 // sent whose client has left, although the end of its connection is there to be read, too.
@@ -52,9 +73,11 @@
 		case item := <-l.queue:
 			received = append(received, item)
 		case <-timeout.C:
+			sortArrivals(received)
 			return received
 		}
 	}
+	sortArrivals(received)
 	return received
 }
 
--- a/internal/dispatch/stall_test.go
+++ b/internal/dispatch/stall_test.go
@@ -67,3 +67,20 @@
 	require.Equal(t, scheduler.ResponseStarted, events[0].Kind)
 	assert.GreaterOrEqual(t, afterMS, float64(collectMS))
 }
+
+// Requests of one order key that came on several connections during a stall ran in the order in which these were read, which
+// was the reverse. What is no request stays in its place.
+func TestLoop_HandlesRequestsOfStallInOrderOfArrival(t *testing.T) {
+	request := func(id string, arrivedAt float64) QueueItem {
+		client := &fakeTransport{}
+		r := &Request{ID: id, Class: "read", ArrivedAt: arrivedAt, Deadline: NewClock().Now() + 5000, Client: client}
+		return requestArrived(r)
+	}
+	progress := QueueItem{Event: scheduler.Event{Kind: scheduler.ResponseStarted, Request: "x"}}
+	events, _ := playStall(t, request("d", 4), progress, request("b", 2), request("a", 1), request("c", 2))
+	var order []string
+	for _, event := range events {
+		order = append(order, event.Request)
+	}
+	assert.Equal(t, []string{"a", "x", "b", "c", "d"}, order)
+}
--- a/internal/jsonrpc/conn.go
+++ b/internal/jsonrpc/conn.go
@@ -29,6 +29,7 @@
 	// Used only by the connection's goroutine.
 	badMessages     int
 	receivedAny     bool                   // a message was read before
+	dataArrivedAt   float64                // when the data of the latest message arrived, as far as is known
 	messageDeadline time.Time              // when the message that is being read must be complete; zero between messages
 	messageBuffer   *[maxMessageBytes]byte // reserved for a large message that is being read or handled
 
@@ -98,12 +99,19 @@
 // arrivalTime returns the time at which the message that was just read arrived. The first message may have been in the
 // kernel's buffer for as long as the connection waited to be accepted.
 func (c *clientConn) arrivalTime() float64 {
-	now := c.server.arrivalTime()
-	if c.receivedAny {
+	now := c.server.clock.Now()
+	earliest := c.server.earliestArrivalAt(now)
+	if c.receivedAny && earliest == now {
+		c.dataArrivedAt = now
 		return now
 	}
+	lastData := now - netconn.SinceLastData(c.Socket)
+	c.dataArrivedAt = max(c.dataArrivedAt, lastData) // messages of one connection stay in their order
+	if c.receivedAny {
+		return earliest
+	}
 	c.receivedAny = true
-	return min(now, c.server.clock.Now()-netconn.SinceLastData(c.Socket))
+	return min(earliest, lastData)
 }
 
 // answerHalfClosed ends a connection whose client has closed its writing side. The client may have left, or may still
--- a/internal/jsonrpc/request.go
+++ b/internal/jsonrpc/request.go
@@ -130,6 +130,7 @@
 		TableGroup:        group,
 		MemoryMB:          params.memoryMB,
 		WorkMS:            params.workMS,
+		ArrivedAt:         c.dataArrivedAt,
 		Deadline:          now + timeoutMS,
 		Team:              params.team,
 		ClientAddr:        c.clientAddr,
--- a/internal/jsonrpc/server.go
+++ b/internal/jsonrpc/server.go
@@ -124,9 +124,8 @@
 	}, nil
 }
 
-// arrivalTime returns the earliest time at which data that is read now may have arrived.
-func (s *Server) arrivalTime() float64 {
-	now := s.clock.Now()
+// earliestArrivalAt returns the earliest time at which data that is read now may have arrived.
+func (s *Server) earliestArrivalAt(now float64) float64 {
 	if s.earliestArrival == nil {
 		return now
 	}
--- a/internal/jsonrpc/server_test.go
+++ b/internal/jsonrpc/server_test.go
@@ -334,12 +334,17 @@
 }
 
 // Data that is read after a stall of the process may have arrived at the start of the stall: deadlines count from
-// there.
+// there. The order of requests goes by what the kernel knows of each connection.
 func TestServer_DeadlineCountsFromBeforeStall(t *testing.T) {
 	server, queue, conn, _ := newTestServer(t, Limits{EarliestArrival: func(now float64) float64 { return now - 700 }})
-	now := server.clock.Now()
-	send(conn, requestCall(1, "a"))
-	assert.InDelta(t, now+1500-700, queue.Next(t).Request.Deadline, 200)
+	for _, id := range []string{"a", "b"} {
+		now := server.clock.Now()
+		send(conn, requestCall(1, id))
+		request := queue.Next(t).Request
+		assert.InDelta(t, now+1500-700, request.Deadline, 200, id)
+		assert.InDelta(t, now, request.ArrivedAt, 200, id)
+		request.Client.Rejected(request.Tag, 0)
+	}
 }
 
 // A request may wait in the kernel's buffer until its connection is accepted: its deadline must count from its arrival
@@ -358,6 +363,7 @@
 		item = queue.Next(t)
 	}
 	assert.InDelta(t, sentAt+1500, item.Request.Deadline, 100)
+	assert.InDelta(t, sentAt, item.Request.ArrivedAt, 100)
 }
 
 // While clients with open requests take all slots, the next client must wait only until one of them has its answer and
