--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -40,7 +40,8 @@
 
 	requests    index.Table[request]
 	keys        index.Table[idempotencyKey]
-	answerBytes int // total size of the stored answers
+	openKeys    map[Key]int // number of open requests by the key of their idempotency key's record
+	answerBytes int         // total size of the stored answers
 	retryBudget retryBudget
 	executors   map[uint32]*executorState
 	viewsDueAt  float64 // log time
@@ -76,7 +77,7 @@
 
 // New returns an empty ledger. Its first events must be a RecordRead for each record in the store and one RecoveryDone.
 func New(settings Settings) *Ledger {
-	l := &Ledger{settings: settings, executors: map[uint32]*executorState{}}
+	l := &Ledger{settings: settings, executors: map[uint32]*executorState{}, openKeys: map[Key]int{}}
 	l.applySettings(&settings)
 	for _, c := range settings.Classes {
 		class := requestClass{
@@ -174,7 +175,11 @@
 
 // expire drops the requests and idempotency keys whose retention is over.
 func (l *Ledger) expire() {
-	l.requests.Expire(int64(l.now), nil)
+	l.requests.Expire(int64(l.now), func(_ Key, req *request) {
+		if req.state.open() {
+			l.releaseOpenKey(req)
+		}
+	})
 	l.keys.Expire(int64(l.now), func(_ Key, k *idempotencyKey) { l.answerBytes -= len(k.answer) })
 }
 
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -482,6 +482,35 @@
 	})
 }
 
+// TestLedger_OutcomeOfOpenKeyIsOpen checks that a key whose request is open has no final outcome yet: between its attempts
+// and during them clients were told that it was rejected or had failed.
+func TestLedger_OutcomeOfOpenKeyIsOpen(t *testing.T) {
+	l := newTestLedger(1000)
+	outcome := func(now float64) Outcome {
+		_, ofKey := l.outcomes(now, "", "m")
+		return ofKey
+	}
+	l.receive(1000, "mark", "a", "m")
+	l.receive(1000, "mark", "b", "m")
+	assert.Equal(t, Open, outcome(1000), "before an attempt")
+	require.True(t, l.startAttempt(1010, "a", 0, 1))
+	assert.Equal(t, Open, outcome(1020), "during an attempt")
+	l.step(1030, Event{Kind: AttemptEnded, ID: "a", NeverRan: true})
+	assert.Equal(t, Open, outcome(1040), "between two attempts")
+	l.step(1050, Event{Kind: RequestClosed, ID: "a", Outcome: Rejected})
+	assert.Equal(t, Open, outcome(1060), "another request with the key is open")
+	require.True(t, l.startAttempt(1070, "b", 0, 1))
+	l.step(1080, Event{Kind: RequestClosed, ID: "b", Outcome: Failed})
+	assert.Equal(t, Failed, outcome(1090), "no request with the key is open")
+	assert.Empty(t, l.openKeys)
+
+	l.receive(1100, "mark", "c", "m")
+	after := startLedger(l.store, 2000, clocksAt(2000), false)
+	_, ofKey := after.outcomes(2000, "c", "m")
+	assert.Equal(t, Failed, ofKey, "after a crash")
+	assert.Empty(t, after.openKeys)
+}
+
 // TestLedger_IgnoresUnknownRecords checks that malformed records and those of unknown kinds are ignored, and that
 // DescribeRecord decodes a valid record only.
 func TestLedger_IgnoresUnknownRecords(t *testing.T) {
--- a/internal/ledger/outcome.go
+++ b/internal/ledger/outcome.go
@@ -47,8 +47,15 @@
 	}
 }
 
+// keyOutcome answers a query for the outcome of an idempotency key. Its attempts tell nothing final while a request with it
+// is open, unless one has succeeded.
 func (l *Ledger) keyOutcome(text string, answer *Effect) {
-	key := l.keys.Get(idempotencyRecordKey(text))
+	recordKey := idempotencyRecordKey(text)
+	key := l.keys.Get(recordKey)
+	if l.openKeys[recordKey] > 0 && (key == nil || !key.succeeded) {
+		answer.Outcome = Open
+		return
+	}
 	if key == nil {
 		answer.Outcome = l.unknownOutcome()
 		return
--- a/internal/ledger/request.go
+++ b/internal/ledger/request.go
@@ -114,9 +114,20 @@
 
 func (l *Ledger) persistClosed(storeKey Key, req *request) {
 	req.updatedAt = l.now
+	l.releaseOpenKey(req)
 	l.persistRequest(storeKey, req)
 }
 
+// releaseOpenKey takes a request that is no longer open off the count of its idempotency key. One that was open at a crash
+// does not count.
+func (l *Ledger) releaseOpenKey(req *request) {
+	if l.openKeys[req.keyRecord] > 1 {
+		l.openKeys[req.keyRecord]--
+		return
+	}
+	delete(l.openKeys, req.keyRecord)
+}
+
 // receive admits a client's request, along with any attempt that may have run under its idempotency key, answers it
 // from the records, or admits it without permission to send an attempt.
 func (l *Ledger) receive(ev *Event) {
@@ -162,6 +173,9 @@
 	if class.mustPersist() {
 		req.keyRecord = idempotencyRecordKey(ev.IdempotencyKey)
 	}
+	if req.keyRecord != (Key{}) {
+		l.openKeys[req.keyRecord]++
+	}
 	l.persistRequest(storeKey, req)
 }
 
