Handoff: a reloaded retention holds for the copies at other controllers, too

Cause: Extensions.Reload gave the new value to the ledger alone. The copies expire by the handoff's own setting, which was set once at the start.

Change: a reload passes it to the handoff, for copies that are stored from then on, as in the ledger. Beside it the pages say where an attempt's location comes from, and the ledger's comments that its own zones serve display alone.

Why it works: each controller keeps its copies by its own file.

--- a/internal/assembly/assembly.go
+++ b/internal/assembly/assembly.go
@@ -179,6 +179,9 @@
 			}
 			x.loop.Put(dispatch.QueueItem{Message: changed})
 		}
+		if x.handoff != nil && next.Store != nil {
+			x.handoff.agent.SetKeyRetention(next.Store.RetentionMS)
+		}
 		if x.quotas != nil && next.Quotas != nil && x.file.Quotas.SameTree(next.Quotas) {
 			x.loop.Put(dispatch.QueueItem{Call: func(now float64) { x.quotas.reload(x.loop, now, next.Quotas) }})
 		}
--- a/internal/dispatch/extension.go
+++ b/internal/dispatch/extension.go
@@ -44,7 +44,8 @@
 	RequestEnding
 	// RequestClosed says that a request has its final answer or that its client has left.
 	RequestClosed
-	// EndpointsUpdated says that the scheduler has handled an update of the endpoint list.
+	// EndpointsUpdated says that the scheduler has handled an update of the endpoint list. Attempts may have started in that
+	// step already, so an extension must not look up by its own copy of the list where an attempt runs: see Event.Target.
 	EndpointsUpdated
 	// ListUnavailable says that the endpoint list cannot be reached.
 	ListUnavailable
--- a/internal/handoff/manager.go
+++ b/internal/handoff/manager.go
@@ -240,6 +240,8 @@
 		m.releaseOrphan(ev.ID)
 	case AdoptionRequested:
 		m.claimOnRequest(ev.ID)
+	case RetentionChanged:
+		m.keyRetentionMS = ev.KeyRetentionMS
 	}
 }
 
@@ -365,6 +367,9 @@
 	m.emit(Effect{Kind: Propose, Proposal: kind, Claim: claim, Version: version})
 }
 
+// KeyRetentionMS returns how long copies are kept that are stored from now on, as in Settings.
+func (m *Manager) KeyRetentionMS() float64 { return m.keyRetentionMS }
+
 // Counts returns the counters, with the current numbers of copies and requests.
 func (m *Manager) Counts() Counts {
 	c := m.counts
--- a/internal/handoff/manager_test.go
+++ b/internal/handoff/manager_test.go
@@ -280,3 +280,27 @@
 	t.Logf("resumed %d, adopters of b %v", len(resumed), c.adopters("b"))
 	assert.Equal(t, MayHaveRun, known.RunState)
 }
+
+// A retention that is raised while a controller runs has to hold for the copies that are stored from then on: they expired
+// by the earlier one, and the key ran again.
+func TestManager_KeepsCopiesByChangedRetention(t *testing.T) {
+	for name, raised := range map[string]bool{"as started": false, "raised": true} {
+		cluster := newCluster(t, 5, 2, func(s *Settings) { s.KeyRetentionMS = 5000 })
+		if raised {
+			for k := range cluster.managers {
+				cluster.step(k, &Event{Kind: RetentionChanged, KeyRetentionMS: 600_000})
+			}
+		}
+		cluster.submitRequest(0, "keyed", "a", "m")
+		require.True(t, cluster.startAttempt(0, "a"))
+		cluster.finishRequest(0, "a", Succeeded, "rows")
+		cluster.tick(40_000)
+		cluster.submitRequest(2, "keyed", "b", "m")
+		if raised {
+			require.Len(t, cluster.effectsFor(2, AnswerSuspended, "b"), 1, name)
+			assert.Equal(t, Succeeded, cluster.effectsFor(2, AnswerSuspended, "b")[0].Outcome, name)
+		} else {
+			assert.Len(t, cluster.effectsFor(2, Resume, "b"), 1, "%s: the key is new", name)
+		}
+	}
+}
--- a/internal/handoff/settings.go
+++ b/internal/handoff/settings.go
@@ -18,7 +18,7 @@
 	MaxCopies int
 	// MaxAnswerBytes is the length up to which answers are replicated.
 	MaxAnswerBytes int
-	// KeyRetentionMS is how long an idempotency key is stored after its deduplication window.
+	// KeyRetentionMS is how long an idempotency key is stored after its deduplication window. RetentionChanged changes it.
 	KeyRetentionMS float64
 	// QuorumLossMS is how long requests of a partition that lost its quorum are rejected before the partition is
 	// reinitialized, if that is longer than the longest deduplication window and deadline of a keyed class.
--- a/internal/handoff/types.go
+++ b/internal/handoff/types.go
@@ -140,11 +140,12 @@
 	IncarnationChanged                  // this controller continues as Incarnation
 	ReleaseRequested                    // an operator gives up the orphaned requests with this id or idempotency key
 	AdoptionRequested                   // an operator wants this controller to claim the requests of the lost member ID
+	RetentionChanged                    // copies that are stored from now on are kept by KeyRetentionMS
 )
 
 var eventKindNames = [...]string{"PlacementChanged", "RequestArriving", "ClientLeft", "AttemptStarting", "AttemptPermitted",
 	"AttemptEnded", "RequestEnding", "RequestClosed", "BatchReceived", "BatchAnswered", "OutcomeQueried", "CopyRestored", "Ticked",
-	"ShutdownStarted", "IncarnationChanged", "ReleaseRequested", "AdoptionRequested"}
+	"ShutdownStarted", "IncarnationChanged", "ReleaseRequested", "AdoptionRequested", "RetentionChanged"}
 
 // String returns the name of the kind.
 func (k EventKind) String() string { return eventKindNames[k] }
@@ -168,6 +169,7 @@
 	Token          uint64
 	Incarnation    uint64
 	Deadline       float64
+	KeyRetentionMS float64 // as in Settings
 	Members        []placement.Member
 	Table          *placement.Table
 }
--- a/internal/handoffnet/agent.go
+++ b/internal/handoffnet/agent.go
@@ -132,6 +132,13 @@
 // Manager returns the manager, which may be used on the dispatch loop's goroutine only.
 func (a *Agent) Manager() *handoff.Manager { return a.manager }
 
+// SetKeyRetention changes how long copies are kept that are stored from now on. It may be called from any goroutine but the
+// dispatch loop's.
+func (a *Agent) SetKeyRetention(ms float64) {
+	changed := &handoff.Event{Kind: handoff.RetentionChanged, KeyRetentionMS: ms}
+	a.loop.Put(dispatch.QueueItem{Call: func(now float64) { a.Step(now, changed) }})
+}
+
 // Close stops the agent's goroutines and closes the stored copies. The dispatch loop and the transport must have
 // stopped before.
 func (a *Agent) Close() {
--- a/internal/ledger/executor.go
+++ b/internal/ledger/executor.go
@@ -19,8 +19,8 @@
 // executorState is the recorded state of an executor.
 type executorState struct {
 	id           uint32
-	zone         string
-	cell         int64
+	zone         string  // for operators alone: where attempts run is told by their events
+	cell         int64   // likewise
 	warmupUntil  float64 // log time
 	ejected      bool
 	ejections    int
