resp, scheduler: the loss of an executor's idle connections is noticed

Cause: the scheduler learned of lost connections from the attempts on them alone. The executor ended while its connections were idle, so nothing told of the loss; what was sent to the new process counted for the old one's zone and was repeated there once the list told.

TestClient_ and TestScheduler_ tests fail with their halves of the change taken out.

Change: the connections report the loss of the last one to an executor (LastConnectionLost), and the scheduler takes it like a loss under an attempt. Older connections that remain show that the process lives on.

Why it works: a process that ends closes all its connections. Left: a controller that has no connection to the executor as it is replaced.

--- a/internal/resp/conn.go
+++ b/internal/resp/conn.go
@@ -18,6 +18,7 @@
 	maxOutputBytes    = 1 << 20 // queued on one connection
 	maxEndedIDs       = 1024    // on one connection before it is replaced
 	idleCheckInterval = time.Second
+	lossNoticeTime    = time.Second // within which the losses of all connections to a process that ended are noticed
 	answerBufferBytes = 4 << 10
 )
 
@@ -28,6 +29,7 @@
 	executor     *executor
 	connected    bool // attempts and health checks are queued until it is set
 	draining     bool // takes no new attempts and ends once no attempt is open
+	connectedAt  time.Time
 	lastUsed     time.Time
 	replies      uint64              // replies received
 	openAttempts map[string]*attempt // by request id
@@ -106,6 +108,12 @@
 	return nil
 }
 
+// outlivesLoss returns whether the connection shows that its executor lives on after another connection was lost: it is
+// established, and for so long that it leads to no later process at the same address. The client's lock is held.
+func (c *executorConn) outlivesLoss() bool {
+	return c.connected && time.Since(c.connectedAt) >= lossNoticeTime
+}
+
 // excludeID keeps further attempts of a request off this connection, because late replies to the ended attempt would be
 // taken for replies to the next one. The client's lock is held.
 func (c *executorConn) excludeID(id string) {
@@ -125,10 +133,14 @@
 
 // remove takes the connection out of the tables, reports the end of its attempts and health checks with the given
 // outcome, and returns the number of attempts that ended. Attempts whose answer is resumed over another connection do
-// not end.
+// not end. The loss of the last connection is reported even if no attempt ends with it.
 func (c *executorConn) remove(outcome scheduler.Outcome) int {
 	client := c.client
-	attempts, tokens := c.detach()
+	attempts, tokens, wasLast := c.detach()
+	if wasLast && len(attempts) == 0 {
+		event := scheduler.Event{Kind: scheduler.LastConnectionLost, Executor: c.executor.id}
+		client.queue.Put(dispatch.QueueItem{Event: event})
+	}
 	for _, a := range attempts {
 		a.endEvent.Outcome = a.outcomeOfLoss(outcome)
 		client.queue.Put(dispatch.QueueItem{Event: a.endEvent})
@@ -141,14 +153,16 @@
 }
 
 // detach takes the connection and everything open on it out of the tables. It returns the attempts that end with the
-// connection and the tokens of its health checks.
-func (c *executorConn) detach() (attempts []*attempt, tokens []uint64) {
+// connection, the tokens of its health checks, and whether the executor ended its last connection.
+func (c *executorConn) detach() (attempts []*attempt, tokens []uint64, wasLast bool) {
 	client := c.client
 	client.mu.Lock()
 	defer client.mu.Unlock()
+	endedByExecutor := c.connected && !c.draining
 	c.draining = true
 	delete(client.connections, c)
 	c.executor.conns = slices.DeleteFunc(c.executor.conns, func(other *executorConn) bool { return other == c })
+	wasLast = endedByExecutor && !slices.ContainsFunc(c.executor.conns, (*executorConn).outlivesLoss)
 	attempts = c.sortedOpenAttempts()
 	for _, a := range attempts {
 		if a.written && c.replies == a.repliesBefore {
@@ -162,7 +176,7 @@
 	clear(c.openAttempts)
 	clear(c.healthChecks)
 	c.pending = nil
-	return slices.DeleteFunc(attempts, c.resume), tokens
+	return slices.DeleteFunc(attempts, c.resume), tokens, wasLast
 }
 
 // readReplies handles replies until the connection ends.
--- a/internal/resp/healthcheck.go
+++ b/internal/resp/healthcheck.go
@@ -4,6 +4,7 @@
 	"net"
 	"slices"
 	"strconv"
+	"time"
 
 	"liftshift/internal/dispatch"
 	"liftshift/scheduler"
@@ -58,6 +59,7 @@
 	defer c.client.mu.Unlock()
 	c.Socket = socket
 	c.connected = true
+	c.connectedAt = time.Now()
 	tags := make([]string, 0, len(c.healthChecks))
 	for tag := range c.healthChecks {
 		tags = append(tags, tag)
--- a/internal/resp/races_test.go
+++ b/internal/resp/races_test.go
@@ -224,3 +224,58 @@
 		assert.Equal(t, scheduler.ConnectFailed, queue.Next(t).Event.Outcome, errno.Error())
 	}
 }
+
+// Guards against replaced executors that nobody notices: a process that ends closes all its connections, also idle ones,
+// and the loss of the last one is reported. Neither is the loss of one of several, nor the end of one by this client.
+func TestClient_ReportsLossOfLastConnection(t *testing.T) {
+	fake := newFakeExecutor(t, "127.0.0.1:0")
+	client, queue := newTestClient(t, fake.listener.Addr().String(), 15000)
+	connectIdle := func(ids ...string) (conns []net.Conn) {
+		for _, id := range ids {
+			client.Send(newAttempt(id))
+			fake.expect(t, "fetch "+id+" .*")
+			conns = append(conns, fake.nextConn(t))
+		}
+		for k, id := range ids {
+			sendReply(conns[k], id, "data", "-", "")
+			assert.Equal(t, scheduler.Succeeded, queue.Next(t).Event.Outcome)
+		}
+		return conns
+	}
+	expectLoss := func() {
+		event := queue.Next(t).Event
+		assert.Equal(t, []any{scheduler.LastConnectionLost, uint32(1)}, []any{event.Kind, event.Executor})
+	}
+	conns := connectIdle("a", "b")
+	client.mu.Lock()
+	for conn := range client.connections {
+		conn.connectedAt = conn.connectedAt.Add(-lossNoticeTime)
+	}
+	client.mu.Unlock()
+	conns[0].Close()
+	fake.expect(t, "closed")
+	expectConnections(t, client, 1)
+	assert.Empty(t, queue, "the other connection shows that the process lives on")
+	conns[1].Close()
+	fake.expect(t, "closed")
+	expectLoss()
+
+	conns = connectIdle("c", "d")
+	conns[0].Close()
+	fake.expect(t, "closed")
+	expectLoss() // the other one is so young that it may lead to the next process
+	client.Update(true, nil)
+	fake.expect(t, "closed")
+	expectConnections(t, client, 0)
+	assert.Empty(t, queue, "the client itself ends its connections to removed executors")
+}
+
+// expectConnections waits until the client has count connections.
+func expectConnections(t *testing.T, client *Client, count int) {
+	t.Helper()
+	assert.Eventually(t, func() bool {
+		client.mu.Lock()
+		defer client.mu.Unlock()
+		return len(client.connections) == count
+	}, 3*time.Second, time.Millisecond)
+}
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -20,13 +20,14 @@
 	PriorityCapped                       // the priority limit of a request was set or removed
 	ControllersCounted                   // the number of controllers that share the executors changed
 	ReachabilityChanged                  // the set of remote zones or their limits changed
+	LastConnectionLost                   // an executor ended the last connection to it, with no attempt in flight there
 )
 
 // String returns the name of the kind.
 func (k EventKind) String() string {
 	return nameOf(k, "started", "endpoints updated", "request arrived", "client left", "attempt ended",
 		"progress reported", "health checked", "timer fired", "response started", "peer message", "shutdown started",
-		"state restored", "priority capped", "controllers counted", "reachability changed")
+		"state restored", "priority capped", "controllers counted", "reachability changed", "last connection lost")
 }
 
 // ListKind says how the entries of an EndpointsUpdated event relate to the list that is already known.
--- a/scheduler/executors.go
+++ b/scheduler/executors.go
@@ -208,6 +208,14 @@
 	}
 }
 
+// recordLastConnectionLost records that an executor has ended all connections to it. Its process may have ended, but no
+// attempt of this controller has failed there.
+func (s *Scheduler) recordLastConnectionLost(executor uint32) {
+	if index := s.executorIndex(executor); index >= 0 {
+		s.executors[index].lostAt = s.now
+	}
+}
+
 // mayBeReplaced reports whether another process may answer at an executor's address: a connection was lost or refused,
 // no attempt from before has shown activity since, and the endpoint list may not yet tell that the executor is gone.
 func (s *Scheduler) mayBeReplaced(e *executor) bool {
--- a/scheduler/retry_test.go
+++ b/scheduler/retry_test.go
@@ -259,3 +259,24 @@
 	assert.Contains(t, actionKinds(endAttempt(s, 2200, "a", 1, ConnectionLost)), Fail,
 		"nobody knows which zone it ran in")
 }
+
+// Guards against keys that run in two zones: an executor whose connections were lost while nothing was in flight there may
+// be replaced as well. What was sent there since, and was abandoned when the list told that it is gone, is not repeated.
+func TestScheduler_RepeatsNoKeySentAfterLastConnectionWasLost(t *testing.T) {
+	s := newTestScheduler(2, func(settings *Settings) {
+		settings.Classes[1].DedupScope = DedupZone
+		settings.Classes[1].DedupWindowMS = 60e3
+		settings.PresumedNotifiedAfterMS = 7000
+	})
+	s.executors[1].avoidUntil = 1e6 // the request goes to executor 1
+	s.Step(1500, &Event{Kind: LastConnectionLost, Executor: 1}, nil)
+	s.Step(1500, &Event{Kind: LastConnectionLost, Executor: 9}, nil) // not listed: no effect
+	ev := Event{Kind: RequestArrived, Request: "a", Class: "keyed", MemoryMB: 100, WorkMS: 100, Deadline: 30e3}
+	require.Contains(t, actionKinds(s.Step(2000, &ev, nil)), Send)
+	s.executors[1].avoidUntil = 0
+	gone := Endpoint{Executor: 1, Zone: "here", Kind: "big", Availability: Removed}
+	s.Step(2500, &Event{Kind: EndpointsUpdated, List: ListDelta, Endpoints: []Endpoint{gone}}, nil)
+	actions := actionKinds(endAttempt(s, 2501, "a", 0, Cancelled))
+	assert.NotContains(t, actions, Send)
+	assert.Contains(t, actions, Fail, "nobody knows which zone it ran in")
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -131,6 +131,8 @@
 		s.updateTrafficShare()
 	case ReachabilityChanged:
 		s.updateRemoteZones(ev)
+	case LastConnectionLost:
+		s.recordLastConnectionLost(ev.Executor)
 	case PeerMessage:
 		s.receiveLoad(ev.FromPeer, ev.Payload)
 	}
