Scheduler: what another process may have run stays in doubt until its process is known

Cause: the doubt about attempts sent since a loss was cleared by any entry that lists the executor as ready, also in another zone or cell, and by any answer of an attempt older than the latest loss, also of one that was itself sent in doubt.

Evidence: TestScheduler_RepeatsNoKeySentBeforeListToldOfReplacement and TestScheduler_AttemptInDoubtConfirmsNoProcess failed before, both by a second Send.

Change: an attempt keeps the loss that put it in doubt, the executor the losses that are resolved. The list resolves them only at the same location, an attempt only if it is in no doubt itself.

Why it works: only what speaks of the process from before the loss resolves a doubt about it.

--- a/scheduler/attempts.go
+++ b/scheduler/attempts.go
@@ -30,7 +30,9 @@
 	s.setStartPriority(r, class)
 	grant := s.memoryGrant(r, e)
 	s.reserve(r, s.assignTo, grant)
-	r.lastAttempt().unconfirmed = s.mayBeReplaced(e)
+	if s.mayBeReplaced(e) {
+		r.lastAttempt().doubtSince = e.lostAt
+	}
 	e.backlogMS = s.backlog(e) + r.workMS
 	e.backlogAt = s.now
 	e.reportedThreads += float64(class.threads)
--- a/scheduler/endpoints.go
+++ b/scheduler/endpoints.go
@@ -32,8 +32,10 @@
 // updateEndpoint applies one entry of the endpoint list. If the executor was started anew, its warm-up begins and the
 // attempts sent to the earlier process are abandoned.
 func (s *Scheduler) updateEndpoint(endpoint *Endpoint, list ListKind) {
-	known := s.executorIndex(endpoint.Executor) >= 0
-	index := s.upsertExecutor(endpoint)
+	index := s.executorIndex(endpoint.Executor)
+	known := index >= 0
+	stayed := known && s.executors[index].location() == endpoint.Location()
+	index = s.upsertExecutor(endpoint)
 	e := &s.executors[index]
 	if s.isNewStart(endpoint, e, known, list) {
 		s.applyToExecutor(index, inputRestarted)
@@ -41,7 +43,11 @@
 	}
 	e.startedAt = endpoint.StartedAt
 	e.availability = endpoint.Availability
-	if e.availability == Active {
+	switch {
+	case e.availability != Active:
+	case stayed:
+		e.confirmProcess()
+	default: // the process that is listed is known, but not which one ran what was sent before
 		e.lostAt = 0
 	}
 }
--- a/scheduler/executors.go
+++ b/scheduler/executors.go
@@ -34,6 +34,7 @@
 	lastActivityAt float64 // time of the last progress report or answer
 	acceptedAt     float64 // latest sending time of an attempt that ran here; a draining executor refuses new ones
 	lostAt         float64 // when a connection was last lost or refused; 0: since then the process has shown that it lives on
+	confirmedUntil float64 // after the losses until then, the process that answers at the address still was at this location
 	failures       int     // consecutive failures
 	proven         bool    // has done work since it last started or recovered
 	slowdown       float64 // relative to the other executors; 1 is average
@@ -203,11 +204,23 @@
 	e.lastActivityAt = now
 	e.probeFailed = false
 	e.acceptedAt = max(e.acceptedAt, a.sentAt)
-	if a.sentAt+dialAllowanceMS < e.lostAt { // its connection is older than the loss
-		e.lostAt = 0
+	connectedBeforeLoss := a.sentAt+dialAllowanceMS < e.lostAt
+	if connectedBeforeLoss && a.doubtSince <= e.confirmedUntil {
+		e.confirmProcess()
 	}
 }
 
+// confirmProcess records that the losses so far have left no other process at the executor's address.
+func (e *executor) confirmProcess() {
+	e.confirmedUntil = max(e.confirmedUntil, e.lostAt)
+	e.lostAt = 0
+}
+
+// inDoubt reports whether an attempt may have gone to another process than that of its executor.
+func (s *Scheduler) inDoubt(a *attempt) bool {
+	return a.doubtSince > s.executors[a.executor].confirmedUntil
+}
+
 // recordLastConnectionLost records that an executor has ended all connections to it. Its process may have ended, but no
 // attempt of this controller has failed there.
 func (s *Scheduler) recordLastConnectionLost(executor uint32) {
--- a/scheduler/requests.go
+++ b/scheduler/requests.go
@@ -20,11 +20,11 @@
 	runningMS      float64 // running time so far, without the time in the executor's own queue
 	completedShare float64 // share of the work that the last progress report named as done
 	grantMB        float64
+	doubtSince     float64 // loss of a connection since which another process might have got it; 0: there was none
 	threads        int
 	queued         bool // it waits in its executor's own queue
 	inFlight       bool // it has no outcome yet
 	mayHaveRun     bool // it is in flight, or ended without proof that it never ran
-	unconfirmed    bool // sent while another process might answer at its executor's address
 }
 
 // request is an open request in a slot of the request table.
@@ -174,7 +174,7 @@
 // known to drop its repeat.
 func (s *Scheduler) ranUnconfirmed(r *request) bool {
 	return slices.ContainsFunc(r.attempts[:r.attemptCount], func(a attempt) bool {
-		return a.mayHaveRun && a.unconfirmed && s.executors[a.executor].lostAt > 0
+		return a.mayHaveRun && s.inDoubt(&a)
 	})
 }
 
--- a/scheduler/retry_test.go
+++ b/scheduler/retry_test.go
@@ -222,10 +222,6 @@
 		settings.Classes[1].DedupWindowMS = 60e3
 		settings.PresumedNotifiedAfterMS = 7000
 	}
-	arriveKeyed := func(s *Scheduler, now float64, id string) []Action {
-		ev := Event{Kind: RequestArrived, Request: id, Class: "keyed", MemoryMB: 100, WorkMS: 100, Deadline: 30e3}
-		return s.Step(now, &ev, nil)
-	}
 	here := Endpoint{Executor: 1, Zone: "here", Kind: "big"}
 	for name, confirm := range map[string]func(*Scheduler) float64{
 		"activity of an earlier attempt": func(s *Scheduler) float64 { endAttempt(s, 3000, "b", 0, Succeeded); return 3000 },
@@ -260,9 +256,9 @@
 		"nobody knows which zone it ran in")
 }
 
-// Guards against keys that run in two zones: an executor whose connections were lost while nothing was in flight there may
-// be replaced as well. What was sent there since, and was abandoned when the list told that it is gone, is not repeated.
-func TestScheduler_RepeatsNoKeySentAfterLastConnectionWasLost(t *testing.T) {
+// sendToPossiblyReplaced returns an instance whose executor 1 has lost its connections, after which it was sent request a,
+// which is keyed and deduplicated by zone. Executor 2 is in the same zone.
+func sendToPossiblyReplaced(t *testing.T) *Scheduler {
 	s := newTestScheduler(2, func(settings *Settings) {
 		settings.Classes[1].DedupScope = DedupZone
 		settings.Classes[1].DedupWindowMS = 60e3
@@ -271,12 +267,49 @@
 	s.executors[1].avoidUntil = 1e6 // the request goes to executor 1
 	s.Step(1500, &Event{Kind: LastConnectionLost, Executor: 1}, nil)
 	s.Step(1500, &Event{Kind: LastConnectionLost, Executor: 9}, nil) // not listed: no effect
-	ev := Event{Kind: RequestArrived, Request: "a", Class: "keyed", MemoryMB: 100, WorkMS: 100, Deadline: 30e3}
-	require.Contains(t, actionKinds(s.Step(2000, &ev, nil)), Send)
+	require.Contains(t, actionKinds(arriveKeyed(s, 2000, "a")), Send)
 	s.executors[1].avoidUntil = 0
-	gone := Endpoint{Executor: 1, Zone: "here", Kind: "big", Availability: Removed}
-	s.Step(2500, &Event{Kind: EndpointsUpdated, List: ListDelta, Endpoints: []Endpoint{gone}}, nil)
+	return s
+}
+
+func arriveKeyed(s *Scheduler, now float64, id string) []Action {
+	ev := Event{Kind: RequestArrived, Request: id, Class: "keyed", MemoryMB: 100, WorkMS: 100, Deadline: 30e3}
+	return s.Step(now, &ev, nil)
+}
+
+func listExecutor(s *Scheduler, now float64, endpoint Endpoint) {
+	s.Step(now, &Event{Kind: EndpointsUpdated, List: ListDelta, Endpoints: []Endpoint{endpoint}}, nil)
+}
+
+// Guards against keys that run in two zones: an executor whose connections were lost while nothing was in flight there may
+// be replaced as well. What was sent there since, and was abandoned when the list told that it is gone, is not repeated.
+func TestScheduler_RepeatsNoKeySentAfterLastConnectionWasLost(t *testing.T) {
+	s := sendToPossiblyReplaced(t)
+	listExecutor(s, 2500, Endpoint{Executor: 1, Zone: "here", Kind: "big", Availability: Removed})
 	actions := actionKinds(endAttempt(s, 2501, "a", 0, Cancelled))
 	assert.NotContains(t, actions, Send)
 	assert.Contains(t, actions, Fail, "nobody knows which zone it ran in")
 }
+
+// Guards against keys that run in two zones: what was sent to an executor in doubt is repeated only where the list names
+// that executor at the same location. The list may name the process that has replaced it under its name.
+func TestScheduler_RepeatsNoKeySentBeforeListToldOfReplacement(t *testing.T) {
+	for zone, want := range map[string]ActionKind{"here": Send, "there": Fail} {
+		s := sendToPossiblyReplaced(t)
+		listExecutor(s, 2500, Endpoint{Executor: 1, Zone: zone, Kind: "big", StartedAt: 1600})
+		assert.Contains(t, actionKinds(endAttempt(s, 2600, "a", 0, Errored)), want, zone)
+	}
+}
+
+// Guards against keys that run in two zones: an attempt that was itself sent in doubt does not show that the process lives
+// on, although its connection is older than another loss.
+func TestScheduler_AttemptInDoubtConfirmsNoProcess(t *testing.T) {
+	s := sendToPossiblyReplaced(t)
+	s.executors[1].avoidUntil = 1e6
+	require.Contains(t, actionKinds(arriveKeyed(s, 2100, "b")), Send)
+	require.Contains(t, actionKinds(arriveKeyed(s, 2100, "c")), Send)
+	endAttempt(s, 2300, "c", 0, ConnectionLost)
+	s.executors[1].avoidUntil = 0
+	endAttempt(s, 2400, "b", 0, Succeeded)
+	assert.Contains(t, actionKinds(endAttempt(s, 2600, "a", 0, Errored)), Fail, "nobody knows which zone it ran in")
+}
