Ledger, handoff: no location is recorded for an attempt that another process may get

Cause: the scheduler knew of the doubt and kept it to itself; ledger and handoff recorded the zone and cell of the executor that the list still named.

Evidence: TestLedgerExtension_KeySentInDoubtIsNotSentAgain (zone and cell) and TestAgent_ReplicatesNoLocationInDoubt failed before.

Change: Send names the doubt (TargetInDoubt) where repeats are dropped by zone or cell, and both record the attempt like one of unknown age, which is repeated nowhere. Formats are as before.

Why it works: what nobody can place is not repeated; an attempt that never ran is struck as before.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -32,6 +32,8 @@
 		Attempt:  number,
 		Executor: executor,
 		Target:   action.Target,
+
+		TargetInDoubt: action.TargetInDoubt,
 	})
 	held := decided.holds > 0
 	running, delayMS := l.Executors.Send(Attempt{
--- a/internal/dispatch/extension.go
+++ b/internal/dispatch/extension.go
@@ -70,6 +70,7 @@
 	Attempt         int
 	Executor        uint32                 // AttemptStarting, AttemptStarted
 	Target          scheduler.Location     // AttemptStarting: where the executor ran when the scheduler chose it
+	TargetInDoubt   bool                   // AttemptStarting: another process may get the attempt and run it elsewhere
 	GrantMB         float64                // AttemptStarted
 	NeverRan        bool                   // AttemptEnded: the outcome proves that the attempt never ran
 	Prior           scheduler.PriorAttempt // RequestReceived
--- a/internal/dispatch/ledger_extension.go
+++ b/internal/dispatch/ledger_extension.go
@@ -78,6 +78,8 @@
 			Executor: event.Executor,
 			Zone:     event.Target.Zone,
 			Cell:     event.Target.Cell,
+
+			LocationInDoubt: event.TargetInDoubt,
 		}, true
 	case AttemptEnded:
 		return ledger.Event{
--- a/internal/dispatch/ledger_extension_test.go
+++ b/internal/dispatch/ledger_extension_test.go
@@ -109,6 +109,44 @@
 	}
 }
 
+// Guards against keys that run in two zones: an attempt that another process may have got, which took the address of its
+// executor, was recorded with the executor's zone. After a crash, or once its request had failed, the key was sent there.
+func TestLedgerExtension_KeySentInDoubtIsNotSentAgain(t *testing.T) {
+	for scope, want := range map[scheduler.DedupScope]ledger.EffectKind{
+		scheduler.DedupZone: ledger.AnswerFromRecord,
+		scheduler.DedupCell: ledger.AnswerFromRecord,
+		scheduler.DedupAll:  ledger.Admit, // any executor drops the repeat
+	} {
+		t.Run(scope.String(), func(t *testing.T) {
+			settings, recorded := dedupSettings(scope)
+			settings.PresumedNotifiedAfterMS = 7000
+			transport := &fakeTransport{}
+			loop := New(NewClock(), scheduler.New(7, settings), testlog.Discard())
+			loop.Executors = transport
+			written := newRecordingLedger(recorded, loop.clock.Now(), map[ledger.Key]ledger.Effect{})
+			loop.Register(LedgerExtension(written))
+			loop.process(listChanged(scheduler.ListRestored, scheduler.Endpoint{Executor: 1, Zone: "room-1", Kind: "std", Cell: 1}))
+			loop.process(QueueItem{Event: scheduler.Event{Kind: scheduler.LastConnectionLost, Executor: 1}})
+			request := newRequest(loop, transport)
+			request.Class, request.IdempotencyKey, request.Deadline = "load", "key", loop.clock.Now()+20000
+			loop.openCount.Add(1)
+			loop.process(requestArrived(request))
+			require.Len(t, transport.sent, 1)
+
+			now := loop.clock.Now() + 1000
+			restarted := newRecordingLedger(recorded, now, written.records)
+			effects := restarted.Step(now, &ledger.Event{
+				Kind: ledger.RequestReceived, ID: "b", IdempotencyKey: "key", Class: "load", Deadline: now + 5000,
+			})
+			require.NotEmpty(t, effects)
+			assert.Equal(t, want, effects[0].Kind)
+			if want == ledger.AnswerFromRecord {
+				assert.Equal(t, ledger.Failed, effects[0].Outcome)
+			}
+		})
+	}
+}
+
 // priorOf returns the attempt that a ledger knows of when it receives another request with an idempotency key.
 func priorOf(t *testing.T, l *recordingLedger, now float64, key string) scheduler.PriorAttempt {
 	effects := l.Step(now, &ledger.Event{
--- a/internal/handoff/attempts.go
+++ b/internal/handoff/attempts.go
@@ -8,6 +8,7 @@
 	since       float64
 	zone        string
 	cell        int64
+	inDoubt     bool // another process may get it and run it in another zone or cell
 	replicating bool // the replicas have been told of it, so the request counts as one that may have run
 }
 
@@ -33,8 +34,13 @@
 		m.blockAttempt(req, ev.Attempt)
 		return
 	}
-	req.heldAttempts = append(req.heldAttempts,
-		heldAttempt{attempt: ev.Attempt, since: m.now, zone: ev.Zone, cell: ev.Cell})
+	req.heldAttempts = append(req.heldAttempts, heldAttempt{
+		attempt: ev.Attempt,
+		since:   m.now,
+		zone:    ev.Zone,
+		cell:    ev.Cell,
+		inDoubt: ev.LocationInDoubt,
+	})
 	m.emit(Effect{Kind: HoldAttempt, ID: req.ID, Attempt: ev.Attempt})
 }
 
@@ -57,6 +63,9 @@
 	if req.RunState == NotRun {
 		req.setAttempt(attemptState{runState: MayHaveRun, firstAt: m.now, zone: held.zone, cell: held.cell})
 	}
+	if held.inDoubt { // no executor is known to drop a repeat, as after the window
+		req.FirstAttemptAt = unknownAttemptTime
+	}
 	req.uncertainAttempts++
 	req.attemptsInFlight |= 1 << ev.Attempt
 	req.Sequence++
--- a/internal/handoff/types.go
+++ b/internal/handoff/types.go
@@ -160,6 +160,11 @@
 	Attempt        int
 	Zone           string
 	Cell           int64
+
+	// LocationInDoubt applies to AttemptStarting: another process may get the attempt, which may run in another zone or
+	// cell.
+	LocationInDoubt bool
+
 	NeverRan       bool
 	Outcome        Outcome
 	Answer         []byte
--- a/internal/handoffnet/extension.go
+++ b/internal/handoffnet/extension.go
@@ -70,6 +70,8 @@
 			Attempt: event.Attempt,
 			Zone:    event.Target.Zone,
 			Cell:    event.Target.Cell,
+
+			LocationInDoubt: event.TargetInDoubt,
 		}, true
 	case dispatch.AttemptPermitted:
 		return handoff.Event{Kind: handoff.AttemptPermitted, ID: request.ID, Attempt: event.Attempt}, true
--- a/internal/handoffnet/extension_test.go
+++ b/internal/handoffnet/extension_test.go
@@ -65,6 +65,33 @@
 	}
 }
 
+// Guards against keys that run in two zones: an attempt that another process may have got, which took the address of its
+// executor, was replicated with the executor's zone, and a successor sent the key there.
+func TestAgent_ReplicatesNoLocationInDoubt(t *testing.T) {
+	settings := zoneSettings()
+	settings.PresumedNotifiedAfterMS = 7000
+	a := startMemberWithPolicy(t, "a", nil, scheduler.New(1, settings))
+	b := startMember(t, "b", nil)
+	a.agent.addresses.Store(&map[string]string{"b": b.address})
+	b.agent.addresses.Store(&map[string]string{"a": a.address})
+	a.updateList(scheduler.ListRestored, scheduler.Endpoint{Executor: 1, Zone: "room-1", Kind: "std", Cell: 1})
+	a.loop.Put(dispatch.QueueItem{Event: scheduler.Event{Kind: scheduler.LastConnectionLost, Executor: 1}})
+	a.loop.Submit(&dispatch.Request{
+		ID:             "x",
+		IdempotencyKey: "m",
+		Class:          "mark",
+		Deadline:       a.agent.clock.Now() + 5000,
+		Client:         noClient{},
+	})
+	var known []handoff.CopyStatus
+	require.Eventually(t, func() bool {
+		b.loop.Call(func(float64) { known = b.agent.manager.Explain("m") })
+		return len(known) == 1 && known[0].Copy.RunState == handoff.MayHaveRun
+	}, 3*time.Second, time.Millisecond, "the attempt is replicated")
+	windowBegins := b.agent.clock.Now() - settings.Classes[0].DedupWindowMS
+	assert.Less(t, known[0].Copy.FirstAttemptAt, windowBegins, "no successor may send the key to any zone")
+}
+
 // updateList passes a member's loop an update of the endpoint list.
 func (m *testMember) updateList(kind scheduler.ListKind, endpoints ...scheduler.Endpoint) {
 	m.loop.Put(dispatch.QueueItem{
--- a/internal/ledger/event.go
+++ b/internal/ledger/event.go
@@ -42,7 +42,12 @@
 	Executor uint32 // AttemptStarting
 	Zone     string // AttemptStarting: of the executor, as the scheduler knew it when it chose the executor
 	Cell     int64  // AttemptStarting: of the executor, likewise
-	NeverRan bool   // AttemptEnded: the attempt is known not to have run
+
+	// LocationInDoubt applies to AttemptStarting: another process may get the attempt, which may run in another zone or
+	// cell.
+	LocationInDoubt bool
+
+	NeverRan bool // AttemptEnded: the attempt is known not to have run
 
 	Outcome Outcome // RequestClosed
 	Body    []byte  // RequestClosed: the answer
--- a/internal/ledger/idempotencykey.go
+++ b/internal/ledger/idempotencykey.go
@@ -9,7 +9,7 @@
 // idempotencyKey is the recorded state of an idempotency key.
 type idempotencyKey struct {
 	text       string
-	firstAt    float64 // log time of the first attempt that may have run; in the distant past if its age is unknown
+	firstAt    float64 // log time of the first attempt that may have run; -Inf if its age or its location is unknown
 	lastAt     float64 // log time of the last attempt or of the answer
 	executor   uint32  // executor of the last attempt
 	zone       string  // zone of the first attempt that may have run
@@ -178,6 +178,9 @@
 		key.firstAt = l.now
 		key.zone, key.cell = ev.Zone, ev.Cell
 	}
+	if ev.LocationInDoubt { // no executor is known to drop a repeat, as after the window
+		key.firstAt = math.Inf(-1)
+	}
 	key.text, key.class = req.idempotencyKey, req.class
 	key.lastAt = l.now
 	key.unresolved++
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -40,6 +40,10 @@
 	// because its own view of the endpoint list may be older or newer.
 	Target Location
 
+	// TargetInDoubt applies to Send: another process may have taken the address of Executor, so the attempt may run
+	// elsewhere than at Target. It is set only for requests whose repeats are dropped by location.
+	TargetInDoubt bool
+
 	Token   uint64
 	Text    string
 	Peer    int
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -63,7 +63,7 @@
 	if !s.attemptsLeft(r) {
 		return sendNever
 	}
-	scoped := class.idempotency == Keyed && class.dedupScope != DedupAll
+	scoped := class.deduplicatesByLocation()
 	if scoped && s.ranUnconfirmed(r) {
 		return sendNever
 	}
--- a/scheduler/attempts.go
+++ b/scheduler/attempts.go
@@ -30,7 +30,8 @@
 	s.setStartPriority(r, class)
 	grant := s.memoryGrant(r, e)
 	s.reserve(r, s.assignTo, grant)
-	if s.mayBeReplaced(e) {
+	inDoubt := s.mayBeReplaced(e)
+	if inDoubt {
 		r.lastAttempt().doubtSince = e.lostAt
 	}
 	e.backlogMS = s.backlog(e) + r.workMS
@@ -44,7 +45,14 @@
 		s.groupHolders = append(s.groupHolders, groupHolder{r.tableGroup, s.assignTo, math.Inf(1)})
 	}
 	s.setResources(r)
-	s.emit(Action{Kind: Send, Request: r.id, Executor: e.id, LatestStart: latest, Target: e.location()})
+	s.emit(Action{
+		Kind:          Send,
+		Request:       r.id,
+		Executor:      e.id,
+		LatestStart:   latest,
+		Target:        e.location(),
+		TargetInDoubt: inDoubt && class.deduplicatesByLocation(),
+	})
 }
 
 // recordProgress handles a progress report of an attempt in flight. It abandons an attempt that waits for a
--- a/scheduler/classes.go
+++ b/scheduler/classes.go
@@ -62,6 +62,11 @@
 // minRunMS returns the shortest possible running time of a request: its work, divided by its threads.
 func (c *classState) minRunMS(r *request) float64 { return r.workMS / float64(c.threads) }
 
+// deduplicatesByLocation reports whether repeats are dropped only by the executors of one zone or cell.
+func (c *classState) deduplicatesByLocation() bool {
+	return c.idempotency == Keyed && c.dedupScope != DedupAll
+}
+
 // deduplicates reports whether an executor is in the deduplication scope of a prior attempt, so that it drops a repeat.
 func (c *classState) deduplicates(prior PriorAttempt, e *executor) bool {
 	switch c.dedupScope {
