Consensus: a member that knows only the founders finds the leader

Callers saw: three founders had been replaced as voters, one after the other, and from then on they refused all keyed and non-idempotent requests for want of a lease.

Cause: a member without a Raft node asks only the founders who leads, and only voters told. Once no founder votes and the last hint is lost, the leader is never found again.

Evidence: consensus show at the founders, no leader and no lease 25 s after the last was back, while the voters had both. TestGroup_FindsLeaderBeyondFounders failed before in both halves.

Change: a member that does not vote names the leader that granted the lease it holds. Who knows no leader asks, after each round of the voters it knows, one more member that may vote.

Why it works: while one reachable member has a lease or votes, it is asked in time. Voters name only Raft's leader, as before.

--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -292,3 +292,26 @@
 	require.NoError(t, json.Unmarshal(OrderProposal("zone z", nil), &encoded))
 	assert.Equal(t, EntryOrder, encoded.Kind)
 }
+
+// Guards against members that never get a lease again: once all founders had been replaced as voters, a member that knew
+// only the founders asked nobody else who leads, and nobody but a voter told.
+func TestGroup_FindsLeaderBeyondFounders(t *testing.T) {
+	founders := []string{"a", "b", "c"}
+	holder := New(0, "d", 1, "", founders, PersistedState{}, DefaultSettings(), 1)
+	request := firstEffect(holder.Step(0, &Event{Kind: Ticked}), RequestLease)
+	holder.Step(1, &Event{Kind: LeaseReplied, Token: request.Token, Reply: LeaseReply{Verdict: Granted, Leader: "n1"}})
+	asked := &Event{Kind: LeaseRequested, Name: "a", Incarnation: 1, Token: 7}
+	reply := firstEffect(holder.Step(2, asked), ReplyLease).Reply
+	assert.Equal(t, LeaseReply{Verdict: NotLeader, Leader: "n1"}, reply, "a member that has a lease tells who granted it")
+
+	g := New(0, "a", 1, "fa", founders, PersistedState{}, DefaultSettings(), 1)
+	g.Observe([]Observation{{Name: "n1", Alive: true, CanVote: true}, {Name: "n2", Alive: true}})
+	requestedFrom := map[string]bool{}
+	for now := 0.0; now < 20e3; now += 50 {
+		if e := firstEffect(g.Step(now, &Event{Kind: Ticked}), RequestLease); e.Token != 0 {
+			requestedFrom[e.To] = true
+			g.Step(now+1, &Event{Kind: LeaseReplied, Token: e.Token, Reply: LeaseReply{Verdict: NotLeader, Leader: "a"}})
+		}
+	}
+	assert.Equal(t, map[string]bool{"a": true, "b": true, "c": true, "n1": true}, requestedFrom)
+}
--- a/internal/consensus/lease_grants.go
+++ b/internal/consensus/lease_grants.go
@@ -32,13 +32,22 @@
 		return
 	}
 	if !g.isLeader || g.failed || len(g.leaseRequests) >= maxLeaseRequests {
-		g.emit(Effect{Kind: ReplyLease, Token: event.Token, Reply: LeaseReply{Verdict: NotLeader, Leader: g.leaderName()}})
+		g.emit(Effect{Kind: ReplyLease, Token: event.Token, Reply: LeaseReply{Verdict: NotLeader, Leader: g.leaderToName()}})
 		return
 	}
 	g.leaseRequests = append(g.leaseRequests, leaseRequest{event.Name, event.Incarnation, event.Token})
 	g.requestReadIndex()
 }
 
+// leaderToName returns the leader that this member names to others, or "". A member that does not vote names the one
+// that granted its lease: others may know no voter to ask.
+func (g *Group) leaderToName() string {
+	if name := g.leaderName(); name != "" || g.isVoter() || !g.LeaseHeld(g.now) {
+		return name
+	}
+	return g.lease.leaderHint
+}
+
 // releaseLease handles a member that releases its lease because it shuts down. The leader forgets the grant and
 // proposes that the member has left. The reply is Granted if the proposal was accepted or is not needed.
 func (g *Group) releaseLease(event *Event) {
--- a/internal/consensus/lease_holder.go
+++ b/internal/consensus/lease_holder.go
@@ -1,6 +1,9 @@
 package consensus
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 const (
 	// renewalsPerLease is the number of renewals requested within the duration of one lease.
@@ -69,9 +72,7 @@
 	}
 	to := g.presumedLeader()
 	if to == "" || l.attempts%leaderDiscoveryInterval == leaderDiscoveryInterval-1 {
-		names := g.voterNames()
-		to = names[l.discoveries%len(names)]
-		l.discoveries++
+		to = g.nextToAskForLeader()
 		l.attempts++
 	}
 	l.token = g.nextToken()
@@ -81,6 +82,34 @@
 	g.emit(Effect{Kind: RequestLease, To: to, Token: l.token, Name: g.name, Incarnation: g.incarnation})
 }
 
+// nextToAskForLeader returns the member that is asked next who leads: the voters known here, in turn, and after each
+// round of them one of the other members that may vote. All voters known here may have been replaced.
+func (g *Group) nextToAskForLeader() string {
+	l := &g.lease
+	voters := g.voterNames()
+	others := g.otherPossibleVoters(voters)
+	round, place := l.discoveries/(len(voters)+1), l.discoveries%(len(voters)+1)
+	l.discoveries++
+	switch {
+	case place < len(voters):
+		return voters[place]
+	case len(others) > 0:
+		return others[round%len(others)]
+	}
+	return g.nextToAskForLeader() // the first voter of the next round
+}
+
+// otherPossibleVoters returns the names, sorted, of the reachable members that may vote, without this one and those given.
+func (g *Group) otherPossibleVoters(known []string) (names []string) {
+	for name, o := range g.observations {
+		if o.Alive && o.CanVote && name != g.name && !slices.Contains(known, name) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // voterNames returns the members that may know the leader: the voters, or the founders if no voter is known.
 func (g *Group) voterNames() []string {
 	if len(g.record.Voters) == 0 {
@@ -122,6 +151,9 @@
 		}
 	case event.Reply.Verdict == NotLeader:
 		l.leaderHint = event.Reply.Leader
+		if l.leaderHint == g.name { // outdated, as this member asks
+			l.leaderHint = ""
+		}
 		l.nextRequestAt = retryAt
 		l.attempts++
 		if l.requestedFrom == g.leaderName() { // a former voter does not learn of later leaders from Raft
