Consensus: founders that have lost their disks form no second group

Cause: a founder without a Raft node forms the group once all founders said hello without knowing one. That the group had admitted it and given it leases counted for nothing.

Change: a member knows of a group by a reply to its lease request or by another's Hello (GroupKnown, left out where false), and forms none then. Before it forms one, a founder also asks all reachable members that may vote.

Why it works: each founder that is back has a lease before the next is lost, so the others tell the last one.

--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -122,6 +122,53 @@
 	assert.NotEqual(t, NodeID("b", "fb"), NodeID("b", "another folder"))
 }
 
+// Guards against a second group: founders that lost their data folders one after the other, each once another member had
+// taken its place as a voter, formed a group of their own beside the one that went on.
+func TestGroup_FoundersFormNoSecondGroup(t *testing.T) {
+	founders := []string{"a", "b", "c"}
+	hello := func(name string, groupKnown bool) *Event {
+		return &Event{Kind: HelloReceived, Hello: Hello{Name: name, Folder: "f" + name, GroupKnown: groupKnown}}
+	}
+	newMember := func() *Group { return New(0, "a", 1, "fa", founders, PersistedState{}, DefaultSettings(), 1) }
+	step := func(g *Group, events ...*Event) (formed bool) {
+		for k, event := range events {
+			formed = formed || len(persistEffects(g.Step(float64(1+k), event))) > 0
+		}
+		return formed
+	}
+	assert.True(t, step(newMember(), hello("b", false), hello("c", false)), "nobody knows of a group")
+
+	assert.False(t, step(newMember(), hello("b", true), hello("b", false), hello("c", false)), "another founder knows of one")
+
+	for name, reply := range map[string]LeaseReply{
+		"lease granted":      {Verdict: Granted, Leader: "n1"},
+		"not admitted yet":   {Verdict: NotAdmitted},
+		"leader named":       {Verdict: NotLeader, Leader: "n1"},
+		"no leader, unknown": {Verdict: NotLeader},
+	} {
+		g := newMember()
+		request := firstEffect(g.Step(0, &Event{Kind: Ticked}), RequestLease)
+		g.Step(1, &Event{Kind: LeaseReplied, Token: request.Token, Reply: reply})
+		knowsGroup := name != "no leader, unknown"
+		assert.Equal(t, knowsGroup, g.Hello().GroupKnown, name)
+		assert.Equal(t, !knowsGroup, step(g, hello("b", false), hello("c", false)), name)
+	}
+
+	g := newMember()
+	g.Observe([]Observation{
+		{Name: "n1", Alive: true, CanVote: true}, {Name: "n2", Alive: true}, {Name: "n3", CanVote: true}, {Name: "a", Alive: true, CanVote: true},
+	})
+	var asked []string
+	for _, e := range g.Step(1, &Event{Kind: Ticked}) {
+		if e.Kind == RequestHello {
+			asked = append(asked, e.To)
+		}
+	}
+	assert.Equal(t, []string{"b", "c", "n1"}, asked)
+	assert.False(t, step(g, hello("b", false), hello("c", false)), "n1 can vote and may know of a group")
+	assert.True(t, step(g, hello("n1", false)))
+}
+
 // Raft state is durable before a message that depends on it is sent. A disk failure stops the voter before it sends.
 func TestGroup_PersistsBeforeSending(t *testing.T) {
 	for _, fails := range []bool{false, true} {
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -57,7 +57,8 @@
 	votersChanged bool              // since the last snapshot
 	peerNames     map[uint64]string // names of Raft message senders, by ID; the record may lack them
 	nextTickAt    float64
-	hellos        map[string]Hello // received from other founders, by name
+	hellos        map[string]Hello // received from other members that know of no group, by name
+	groupKnown    bool             // another member has shown that a group exists
 	nextHelloAt   float64
 
 	// Leadership.
@@ -142,7 +143,8 @@
 
 // Hello returns this member's answer to a Hello request.
 func (g *Group) Hello() Hello {
-	return Hello{Name: g.name, Folder: g.folder, ID: g.nodeID, Founders: g.record.Founders, Voter: g.isVoter()}
+	return Hello{Name: g.name, Folder: g.folder, ID: g.nodeID, Founders: g.record.Founders, Voter: g.isVoter(),
+		GroupKnown: g.groupKnown}
 }
 
 func (g *Group) isVoter() bool {
--- a/internal/consensus/lease_holder.go
+++ b/internal/consensus/lease_holder.go
@@ -138,6 +138,9 @@
 		return // the reply to an earlier request, which has timed out
 	}
 	l.token = 0
+	if !event.Failed && (event.Reply.Verdict != NotLeader || event.Reply.Leader != "") {
+		g.groupKnown = true // the reply is a leader's, or names one
+	}
 	retryAt := g.now + heartbeatIntervalMS*(1+g.random())
 	switch {
 	case event.Failed:
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -76,6 +76,9 @@
 	ID       uint64  `json:"ID"`       // its NodeID
 	Founders []Voter `json:"Founding"` // founders of the existing group, if it knows one
 	Voter    bool    `json:"Voter"`    // whether its ID is a voter of the group
+
+	// GroupKnown tells that it has heard of an existing group, even if it does not know its founders.
+	GroupKnown bool `json:"GroupKnown,omitempty"`
 }
 
 // Verdict is the outcome of a lease request.
