dispatch: requests of an order key are resumed in the order of their arrival

Cause: each is suspended until replicas of its own partition have registered it, and the scheduler got them in the order in which these had answered.

Change: the loop keeps the suspended requests of a key in the order of their arrival. One that is ready goes on once the earlier ones are resumed or answered or their clients have left; near its deadline or a stop's, or once its client has left, it goes on as one that may not be sent.

Why it works: nothing of a key reaches the scheduler before what came earlier, except to be rejected.

--- a/internal/dispatch/command.go
+++ b/internal/dispatch/command.go
@@ -75,13 +75,14 @@
 func (l *Loop) executeCommand(command *Command) {
 	switch command.Kind {
 	case Resume:
-		if request := l.takeSuspended(command.ID); request != nil {
+		if request := l.suspended[command.ID]; request != nil {
 			event := scheduler.Event{Kind: scheduler.RequestArrived, Prior: command.Prior, Blocked: command.Blocked}
-			l.queueResumed(request, event)
+			l.resumeInTurn(request, event)
 		}
 	case AnswerSuspended:
 		if request := l.takeSuspended(command.ID); request != nil {
 			l.answerFromRecord(request, command)
+			l.passTurn(request.OrderKey)
 		}
 	case Adopt:
 		l.openCount.Add(1)
@@ -111,7 +112,10 @@
 // id.
 func (l *Loop) takeSuspended(id string) *Request {
 	request := l.suspended[id]
-	delete(l.suspended, id)
+	if request != nil {
+		delete(l.suspended, id)
+		l.orderTurns.remove(request)
+	}
 	return request
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -61,7 +61,8 @@
 	stop          chan struct{}
 	done          chan struct{}
 	requests      map[string]*requestState
-	suspended     map[string]*Request // by id; each waits for Resume or AnswerSuspended
+	suspended     map[string]*Request // by id; each waits for Resume or AnswerSuspended, or for its turn
+	orderTurns    orderTurns
 	closedIDs     map[string]struct{} // ids of closed requests, kept until their deadline
 	freeRequests  []*requestState     // released states for reuse
 	timers        timers
@@ -76,7 +77,9 @@
 	executorViews []scheduler.ExecutorView
 	estimates     []scheduler.Estimate
 	openCount     atomic.Int64
-	stalls        stallDetector
+
+	shutdownDeadline float64 // by which a shutdown wants all requests answered; +Inf: there is none
+	stalls           stallDetector
 }
 
 // New returns a loop for one scheduler. Set its exported fields and register its extensions before Run.
@@ -90,8 +93,11 @@
 		done:         make(chan struct{}),
 		requests:     map[string]*requestState{},
 		suspended:    map[string]*Request{},
+		orderTurns:   orderTurns{},
 		closedIDs:    map[string]struct{}{},
 		healthChecks: map[uint32]uint64{},
+
+		shutdownDeadline: math.Inf(1),
 	}
 }
 
@@ -274,8 +280,10 @@
 	}
 }
 
-// tick sends the periodic Ticked event to the extensions and handles what it causes.
+// tick sends the periodic Ticked event to the extensions, looks for requests that have waited too long for their turn, and
+// handles what it causes.
 func (l *Loop) tick() {
 	l.notify(Event{Kind: Ticked, SchedulerState: l.schedulerState})
+	l.resumeOverdueTurns(l.clock.Now())
 	l.processPending()
 }
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -28,6 +28,7 @@
 	case event.Kind == scheduler.EndpointsUpdated:
 		l.notify(Event{Kind: EndpointsUpdated, EndpointsUpdate: event})
 	case event.Kind == scheduler.ShutdownStarted:
+		l.shutdownDeadline = event.Deadline
 		l.notify(Event{Kind: ShutdownStarted, Deadline: event.Deadline})
 	}
 }
@@ -79,6 +80,11 @@
 	event := &item.Event
 	request := l.suspended[event.Request]
 	if request != nil && request.Client == item.Client && request.Tag == item.Token {
+		if l.waitsOnlyForTurn(request) { // for the extensions it is not suspended any more
+			l.resumeBlocked(request)
+			l.pending = append(l.pending, *item)
+			return nil, false
+		}
 		l.abandonSuspended(request, event.HalfClosed)
 		return nil, false
 	}
@@ -98,7 +104,7 @@
 
 // abandonSuspended drops a suspended request whose client has left.
 func (l *Loop) abandonSuspended(request *Request, halfClosed bool) {
-	delete(l.suspended, request.ID)
+	l.takeSuspended(request.ID)
 	l.openCount.Add(-1)
 	l.counters.ClientLeft++
 	l.notify(Event{Kind: SuspendedClientLeft, Request: request})
@@ -106,6 +112,7 @@
 	if halfClosed {
 		request.Client.Failed(request.Tag)
 	}
+	l.passTurn(request.OrderKey)
 }
 
 // prepareAttemptEnd records the end of an attempt and answers the client if the attempt succeeded.
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -98,7 +98,7 @@
 			l.rejectUnadmitted(request)
 			return nil
 		}
-		if len(l.extensions) > 0 && !closed && !l.isKnown(request.ID) && l.suspend(request) {
+		if len(l.extensions) > 0 && !closed && !l.isKnown(request.ID) && l.suspend(request, event) {
 			return nil
 		}
 	}
@@ -150,13 +150,19 @@
 	l.counters.NoRoom++
 }
 
-// suspend returns whether an extension suspends a request, or has answered or resumed it already.
-func (l *Loop) suspend(request *Request) bool {
+// suspend returns whether an extension suspends a request, or has answered or resumed it already, or the request has to
+// wait for suspended ones with its order key.
+func (l *Loop) suspend(request *Request, arrival *scheduler.Event) bool {
 	l.suspended[request.ID] = request // set before the event, because a command may resume or answer it at once
+	l.orderTurns.add(request)
 	if l.notify(Event{Kind: RequestArriving, Request: request}).suspend || l.suspended[request.ID] == nil {
 		return true
 	}
-	delete(l.suspended, request.ID)
+	if !l.orderTurns.isFirst(request) {
+		l.resumeInTurn(request, *arrival)
+		return true
+	}
+	l.takeSuspended(request.ID)
 	return false
 }
 
