--- a/internal/jsonrpc/request.go
+++ b/internal/jsonrpc/request.go
@@ -84,23 +84,29 @@
 	c.Push(func(b []byte) []byte { return appendError(b, callID, e, retryAfterMS) })
 }
 
-// submit validates a request that arrived at time now and submits it to the event loop.
-func (c *clientConn) submit(call rpcCall, now float64) *rpcError {
-	server := c.server
-	class, ok := server.classes[call.method]
-	if !ok {
-		return &rpcError{codeMethodNotFound, "no such method"}
+// parseRequest validates a call that submits a request, and returns the request's class and parameters.
+func (s *Server) parseRequest(call rpcCall) (class ClassLimits, params requestParams, rpcErr *rpcError) {
+	class, found := s.classes[call.method]
+	if !found {
+		return class, params, &rpcError{codeMethodNotFound, "no such method"}
 	}
 	if call.id == nil {
-		return &rpcError{codeInvalidRequest, "no id"}
+		return class, params, &rpcError{codeInvalidRequest, "no id"}
+	}
+	params, rpcErr = parseRequestParams(call.params)
+	if rpcErr == nil && class.Keyed && params.idempotencyKey == "" {
+		rpcErr = &rpcError{codeInvalidParams, "opkey is missing"}
 	}
-	params, rpcErr := parseRequestParams(call.params)
+	return class, params, rpcErr
+}
+
+// submit validates a request that arrived at time now and submits it to the event loop.
+func (c *clientConn) submit(call rpcCall, now float64) *rpcError {
+	server := c.server
+	class, params, rpcErr := server.parseRequest(call)
 	if rpcErr != nil {
 		return rpcErr
 	}
-	if class.Keyed && params.idempotencyKey == "" {
-		return &rpcError{codeInvalidParams, "opkey is missing"}
-	}
 	var flags [2]atomic.Bool // one allocation for both
 	open := openRequest{
 		callID:     slices.Clone(call.id),
