--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -64,7 +64,7 @@
 		return sendNever
 	}
 	scoped := class.deduplicatesByLocation()
-	if scoped && s.ranUnconfirmed(r) {
+	if scoped && s.ranInDoubt(r) {
 		return sendNever
 	}
 	for prior := range s.priorAttempts(r) {
--- a/scheduler/requests.go
+++ b/scheduler/requests.go
@@ -170,9 +170,9 @@
 	}
 }
 
-// ranUnconfirmed reports whether an attempt may have run at another process than its executor, so that no executor is
+// ranInDoubt reports whether an attempt may have run at another process than that of its executor, so that no executor is
 // known to drop its repeat.
-func (s *Scheduler) ranUnconfirmed(r *request) bool {
+func (s *Scheduler) ranInDoubt(r *request) bool {
 	return slices.ContainsFunc(r.attempts[:r.attemptCount], func(a attempt) bool {
 		return a.mayHaveRun && s.inDoubt(&a)
 	})
