--- a/internal/handoff/closing.go
+++ b/internal/handoff/closing.go
@@ -1,5 +1,7 @@
 package handoff
 
+import "liftshift/scheduler"
+
 // withheldAnswer is an answer that is not delivered until a quorum of replicas has stored the outcome.
 type withheldAnswer struct {
 	outcome       Outcome
@@ -10,7 +12,8 @@
 
 // gateAnswer decides whether an answer must wait until a quorum of replicas has stored the outcome. It must if this
 // controller lost its lease or the owning incarnation has ended, because a successor may have continued the request. A
-// rejection must wait as well: it promises that nothing more is sent, and a successor sends what it finds open and unsent.
+// rejection of a non-idempotent request must wait as well, because a successor of an earlier version may send an attempt
+// after it.
 //
 // If this controller is no longer the owner and no time is left to wait, the answer is replaced by a failure, which
 // promises nothing.
@@ -23,7 +26,9 @@
 		return
 	}
 	ownershipLost := !m.leaseHeld || req.Owner != m.self
-	if !ownershipLost && ev.Outcome != Rejected {
+	class := m.class(req.Class)
+	unsafeRejection := ev.Outcome == Rejected && class != nil && class.effect != scheduler.Keyed
+	if !ownershipLost && !unsafeRejection {
 		return
 	}
 	req.withheld = &withheldAnswer{
