Tests: the age of connections in the test of lost connections does not depend on its pace

A test that is kept from a processor for 1 s between two steps would have found a connection old enough to outlive a loss. The check is as strict as before.

--- a/internal/resp/races_test.go
+++ b/internal/resp/races_test.go
@@ -246,12 +246,15 @@
 		event := queue.Next(t).Event
 		assert.Equal(t, []any{scheduler.LastConnectionLost, uint32(1)}, []any{event.Kind, event.Executor})
 	}
-	conns := connectIdle("a", "b")
-	client.mu.Lock()
-	for conn := range client.connections {
-		conn.connectedAt = conn.connectedAt.Add(-lossNoticeTime)
+	setAge := func(age time.Duration) {
+		client.mu.Lock()
+		defer client.mu.Unlock()
+		for conn := range client.connections {
+			conn.connectedAt = time.Now().Add(-age)
+		}
 	}
-	client.mu.Unlock()
+	conns := connectIdle("a", "b")
+	setAge(lossNoticeTime)
 	conns[0].Close()
 	fake.expect(t, "closed")
 	expectConnections(t, client, 1)
@@ -261,6 +264,7 @@
 	expectLoss()
 
 	conns = connectIdle("c", "d")
+	setAge(-time.Minute) // young however long the test takes
 	conns[0].Close()
 	fake.expect(t, "closed")
 	expectLoss() // the other one is so young that it may lead to the next process
